--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -93,6 +93,10 @@
 void sr_dispatch_set_share(sr_dispatch_t *dispatch, const char *service,
 			   const char *version, double share);
 
+/** sr_dispatch_recall - no request for this version any more; grow-only. */
+void sr_dispatch_recall(sr_dispatch_t *dispatch, const char *service,
+			const char *version);
+
 /** sr_dispatch_set_leaving - no new work for this upstream from now on. */
 void sr_dispatch_set_leaving(sr_dispatch_t *dispatch, const char *upstream);
 
