Admit, route and retry by predicted cost in the dispatcher

A request goes to the upstream of least expected cost in seconds (queue, prompt tokens that aren't cached, load, failure domain) among sampled ones and the owners of its prefix. Concurrency limits follow the gradient of tolerated over observed latency; classes have headroom with credits against starvation; accounts are held to max-min fair shares from usage that is told between nodes; a row of failures ejects an upstream until a trial works; retries have a budget.

--- /dev/null
+++ b/src/core/account_share.c
@@ -0,0 +1,182 @@
+#include "core/account_share.h"
+
+/** How long what another node said is taken to hold. */
+#define HEARD_LIFE (5 * SR_SEC)
+
+/** How long a refusal shows that an account wants more than it has. */
+#define WANT_LIFE (2 * SR_SEC)
+
+/** An account that has all it wants may grow by this before it is counted. */
+#define GROWTH 1.2
+
+typedef struct {
+	unsigned in_flight;
+	sr_usec_t at;
+} heard_t;
+
+struct sr_account_share {
+	GHashTable *accounts; /* name -> sr_account_t */
+};
+
+static void account_free(gpointer data)
+{
+	sr_account_t *account = data;
+
+	g_hash_table_unref(account->elsewhere);
+	g_free(account->name);
+	g_free(account);
+}
+
+sr_account_share_t *sr_account_share_new(void)
+{
+	sr_account_share_t *share = g_new0(sr_account_share_t, 1);
+
+	share->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						account_free);
+	return share;
+}
+
+void sr_account_share_free(sr_account_share_t *share)
+{
+	if (!share)
+		return;
+	g_hash_table_unref(share->accounts);
+	g_free(share);
+}
+
+sr_account_t *sr_account_share_get(sr_account_share_t *share, const char *name)
+{
+	sr_account_t *account = g_hash_table_lookup(share->accounts, name);
+
+	if (account)
+		return account;
+	account = g_new0(sr_account_t, 1);
+	account->name = g_strdup(name);
+	account->weight = 1;
+	account->elsewhere =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(share->accounts, account->name, account);
+	return account;
+}
+
+void sr_account_share_heard(sr_account_share_t *share, const char *name,
+			    const char *node, unsigned in_flight, sr_usec_t now)
+{
+	sr_account_t *account = sr_account_share_get(share, name);
+	heard_t *heard;
+
+	if (in_flight == 0) {
+		g_hash_table_remove(account->elsewhere, node);
+		return;
+	}
+	heard = g_new0(heard_t, 1);
+	heard->in_flight = in_flight;
+	heard->at = now;
+	g_hash_table_replace(account->elsewhere, g_strdup(node), heard);
+}
+
+unsigned sr_account_in_flight(const sr_account_t *account, sr_usec_t now)
+{
+	unsigned total = account->in_flight;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, account->elsewhere);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const heard_t *heard = value;
+
+		if (now - heard->at < HEARD_LIFE)
+			total += heard->in_flight;
+		else
+			g_hash_table_iter_remove(&iter);
+	}
+	return total;
+}
+
+/* What the account would use if nobody else were there; -1 for no bound. */
+static double demand_of(const sr_account_t *account, sr_usec_t now)
+{
+	if (account->refused_at > 0 && now - account->refused_at < WANT_LIFE)
+		return -1;
+	return sr_account_in_flight(account, now) * GROWTH;
+}
+
+typedef struct {
+	double demand;
+	double weight;
+} claim_t;
+
+static GArray *collect_claims(sr_account_share_t *share,
+			      const sr_account_t *asking, sr_usec_t now)
+{
+	GArray *claims = g_array_new(FALSE, FALSE, sizeof(claim_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, share->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const sr_account_t *account = value;
+		claim_t claim = { demand_of(account, now), account->weight };
+
+		if (account == asking)
+			claim.demand = -1;
+		if (claim.demand != 0)
+			g_array_append_val(claims, claim);
+	}
+	return claims;
+}
+
+/*
+ * Max-min fairness: accounts that want less than their part get what they
+ * want; the rest is shared by weight among the others, until nobody changes
+ * sides. Returns what is due to a weight of one.
+ */
+static double water_level(GArray *claims, double capacity)
+{
+	double level = 0;
+
+	for (;;) {
+		double weight = 0;
+		gboolean changed = FALSE;
+
+		for (guint i = 0; i < claims->len; i++)
+			weight += g_array_index(claims, claim_t, i).weight;
+		level = weight > 0 ? capacity / weight : capacity;
+		for (guint i = claims->len; i > 0; i--) {
+			claim_t claim = g_array_index(claims, claim_t, i - 1);
+
+			if (claim.demand < 0 ||
+			    claim.demand >= claim.weight * level)
+				continue;
+			capacity -= claim.demand;
+			g_array_remove_index_fast(claims, i - 1);
+			changed = TRUE;
+		}
+		if (!changed)
+			return level;
+	}
+}
+
+double sr_account_share_fair(sr_account_share_t *share,
+			     const sr_account_t *account, double capacity,
+			     sr_usec_t now)
+{
+	GArray *claims = collect_claims(share, account, now);
+	double level = water_level(claims, capacity);
+
+	g_array_unref(claims);
+	return level * account->weight;
+}
+
+void sr_account_share_foreach(sr_account_share_t *share,
+			      void (*fn)(void *user,
+					 const sr_account_t *account),
+			      void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, share->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		fn(user, value);
+}
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -104,8 +104,19 @@
 void sr_dispatch_set_present(sr_dispatch_t *dispatch, const char *upstream,
 			     gboolean present);
 
-/** sr_dispatch_set_usage - requests in flight of an account elsewhere. */
-void sr_dispatch_set_usage(sr_dispatch_t *dispatch, const char *account,
+/**
+ * sr_dispatch_foreach_usage - requests in flight here, to tell other nodes
+ *
+ * scope is "SERVICE/ACCOUNT"; the others hand it to sr_dispatch_set_usage()
+ * as it is. Tell it every second: what was heard expires after five.
+ */
+void sr_dispatch_foreach_usage(sr_dispatch_t *dispatch,
+			       void (*fn)(void *user, const char *scope,
+					  unsigned in_flight),
+			       void *user);
+
+/** sr_dispatch_set_usage - requests in flight of a scope at another node. */
+void sr_dispatch_set_usage(sr_dispatch_t *dispatch, const char *scope,
 			   const char *node, unsigned in_flight, sr_usec_t now);
 
 void sr_dispatch_report_load(sr_dispatch_t *dispatch, const char *upstream,
--- /dev/null
+++ b/src/core/retry_budget.c
@@ -0,0 +1,25 @@
+#include "core/retry_budget.h"
+
+/** Retries earned by one success. */
+#define TOKENS_PER_SUCCESS 0.1
+
+/** The most that can be saved, and what there is at the start. */
+#define TOKENS_MAX 20.0
+
+void sr_retry_budget_init(sr_retry_budget_t *budget)
+{
+	budget->tokens = TOKENS_MAX;
+}
+
+void sr_retry_budget_succeeded(sr_retry_budget_t *budget)
+{
+	budget->tokens = MIN(budget->tokens + TOKENS_PER_SUCCESS, TOKENS_MAX);
+}
+
+gboolean sr_retry_budget_take(sr_retry_budget_t *budget)
+{
+	if (budget->tokens < 1)
+		return FALSE;
+	budget->tokens -= 1;
+	return TRUE;
+}
--- a/src/core/upstreams.c
+++ b/src/core/upstreams.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/** Estimates of a service before anything was measured. */
+#define DURATION_GUESS_S 1.0
+#define PREFILL_GUESS_S 0.0001
+
 struct sr_upstreams {
 	GHashTable *by_name;  /* char * -> sr_upstream_t, owned */
 	GHashTable *by_id;    /* id -> sr_upstream_t */
@@ -27,6 +31,7 @@
 	sr_service_group_t *group = data;
 
 	g_ptr_array_unref(group->versions);
+	sr_account_share_free(group->accounts);
 	g_free(group->name);
 	g_free(group);
 }
@@ -101,7 +106,10 @@
 	g_strlcpy(target->version, config->version, sizeof(target->version));
 	g_strlcpy(target->failure_domain, config->failure_domain,
 		  sizeof(target->failure_domain));
-	upstream->slots = MAX(config->slots, 1);
+	if (upstream->slots != MAX(config->slots, 1)) {
+		upstream->slots = MAX(config->slots, 1);
+		sr_concurrency_limit_init(&upstream->limit, upstream->slots);
+	}
 	upstream->price_per_hour = config->price_per_hour;
 	upstream->configured = TRUE;
 	upstream->present = !g_hash_table_contains(table->absent, config->name);
@@ -136,6 +144,11 @@
 	service = g_new0(sr_service_group_t, 1);
 	service->name = g_strdup(name);
 	service->versions = g_ptr_array_new_with_free_func(version_group_free);
+	service->accounts = sr_account_share_new();
+	service->duration_s = DURATION_GUESS_S;
+	service->prefill_s = PREFILL_GUESS_S;
+	service->measured_at = -1;
+	sr_retry_budget_init(&service->retry_budget);
 	g_hash_table_insert(table->services, service->name, service);
 	return service;
 }
@@ -330,6 +343,19 @@
 	return g_hash_table_lookup(table->services, name);
 }
 
+void sr_upstreams_foreach_service(sr_upstreams_t *table,
+				  void (*fn)(sr_service_group_t *service,
+					     void *user),
+				  void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		fn(value, user);
+}
+
 gboolean sr_upstream_is_usable(const sr_upstream_t *upstream)
 {
 	return upstream->configured && upstream->present && !upstream->leaving;
--- a/src/core/upstreams.h
+++ b/src/core/upstreams.h
@@ -4,8 +4,14 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "core/account_share.h"
+#include "core/admission.h"
+#include "core/concurrency_limit.h"
 #include "core/config.h"
 #include "core/dispatch.h"
+#include "core/ejection.h"
+#include "core/load_estimate.h"
+#include "core/retry_budget.h"
 
 /**
  * The table of upstreams, grouped by service and version, as the dispatcher
@@ -25,7 +31,12 @@
 	gboolean configured;
 	gboolean present; /* in the host list, or the list is not known */
 	gboolean leaving;
-	unsigned in_flight; /* attempts of this entry host */
+	unsigned in_flight;	  /* attempts of this entry host */
+	unsigned pending_prefill; /* prompt tokens of ours, no answer yet */
+	double base_duration_s;	  /* shortest of late, 0 if not known */
+	sr_concurrency_limit_t limit;
+	sr_load_estimate_t load;
+	sr_ejection_t ejection;
 } sr_upstream_t;
 
 /** sr_version_group_t - the upstreams of one version, ordered by name. */
@@ -42,6 +53,15 @@
 	sr_service_kind_t kind;
 	GPtrArray *versions; /* sr_version_group_t */
 	unsigned n_upstreams;
+	sr_account_share_t *accounts;
+	sr_admission_t admission;
+	sr_retry_budget_t retry_budget;
+	double duration_s;  /* mean of an attempt */
+	double token_gap_s; /* mean between tokens, 0 if not known */
+	double prefill_s;   /* for one prompt token that is not cached */
+	double capacity;    /* sum of limits, as of measured_at */
+	double in_flight;   /* estimated for all entry hosts, likewise */
+	sr_usec_t measured_at;
 } sr_service_group_t;
 
 typedef struct sr_upstreams sr_upstreams_t;
@@ -79,6 +99,11 @@
 sr_service_group_t *sr_upstreams_service(const sr_upstreams_t *table,
 					 const char *name);
 
+void sr_upstreams_foreach_service(sr_upstreams_t *table,
+				  void (*fn)(sr_service_group_t *service,
+					     void *user),
+				  void *user);
+
 /** sr_upstream_is_usable - may new work be sent to it? */
 gboolean sr_upstream_is_usable(const sr_upstream_t *upstream);
 
