Keep the prefix index over small gaps in the cache events

A gap made all that an upstream's events had told void, though a lost event can make one block wrong at most. Now the lost ones are counted and the index is void once they exceed a quarter of what is listed.

The concurrency limit now judges first tokens and gaps on their own: averaged together, gaps hid first tokens of 4 s at three times the capacity.

--- a/src/core/concurrency_limit.c
+++ b/src/core/concurrency_limit.c
@@ -24,9 +24,21 @@
 	};
 }
 
+static double worst_ratio(const sr_concurrency_limit_t *limit)
+{
+	double worst = 0;
+
+	for (int i = 0; i < SR_LIMIT_N_SIGNALS; i++) {
+		if (limit->n_samples[i] > 0)
+			worst = fmax(worst,
+				     limit->ratio_sum[i] / limit->n_samples[i]);
+	}
+	return worst;
+}
+
 static void adapt(sr_concurrency_limit_t *limit)
 {
-	double ratio = limit->ratio_sum / limit->n_samples;
+	double ratio = worst_ratio(limit);
 
 	if (ratio > 1)
 		limit->value *= fmax(SHRINK_MAX, 1 / ratio);
@@ -35,19 +47,37 @@
 	limit->value = CLAMP(limit->value, limit->min, limit->max);
 }
 
+static unsigned count_samples(const sr_concurrency_limit_t *limit)
+{
+	unsigned n = 0;
+
+	for (int i = 0; i < SR_LIMIT_N_SIGNALS; i++)
+		n += limit->n_samples[i];
+	return n;
+}
+
+static void start_window(sr_concurrency_limit_t *limit, sr_usec_t now)
+{
+	for (int i = 0; i < SR_LIMIT_N_SIGNALS; i++) {
+		limit->ratio_sum[i] = 0;
+		limit->n_samples[i] = 0;
+	}
+	limit->window_start = now;
+	limit->peak_in_use = 0;
+}
+
 void sr_concurrency_limit_sample(sr_concurrency_limit_t *limit, sr_usec_t now,
-				 double ratio, double in_use)
+				 sr_limit_signal_t signal, double ratio,
+				 double in_use)
 {
-	if (limit->n_samples == 0)
-		limit->window_start = now;
-	limit->ratio_sum += fmin(ratio, RATIO_MAX);
-	limit->n_samples++;
+	if (count_samples(limit) == 0)
+		start_window(limit, now);
+	limit->ratio_sum[signal] += fmin(ratio, RATIO_MAX);
+	limit->n_samples[signal]++;
 	limit->peak_in_use = fmax(limit->peak_in_use, in_use);
 	if (now - limit->window_start < WINDOW ||
-	    limit->n_samples < WINDOW_SAMPLES)
+	    count_samples(limit) < WINDOW_SAMPLES)
 		return;
 	adapt(limit);
-	limit->ratio_sum = 0;
-	limit->n_samples = 0;
-	limit->peak_in_use = 0;
+	start_window(limit, now);
 }
--- a/src/core/concurrency_limit.h
+++ b/src/core/concurrency_limit.h
@@ -11,15 +11,24 @@
  * The limit follows the gradient between tolerated and observed latency: it
  * shrinks in proportion while requests take longer than tolerated, and grows
  * by steps while they don't and the limit is in use. It stays within
- * a quarter of the upstream's slots and twice of them.
+ * a quarter of the upstream's slots and twice of them. Signals are averaged
+ * on their own and the worst decides: a slow first token must show even if
+ * the many gaps between tokens are short.
  */
+typedef enum {
+	SR_LIMIT_DURATION, /* of a whole answer */
+	SR_LIMIT_FIRST_TOKEN,
+	SR_LIMIT_TOKEN_GAP,
+	SR_LIMIT_N_SIGNALS,
+} sr_limit_signal_t;
+
 typedef struct {
 	double value;
 	double min;
 	double max;
 	sr_usec_t window_start;
-	double ratio_sum;
-	unsigned n_samples;
+	double ratio_sum[SR_LIMIT_N_SIGNALS];
+	unsigned n_samples[SR_LIMIT_N_SIGNALS];
 	double peak_in_use; /* of the window */
 } sr_concurrency_limit_t;
 
@@ -33,6 +42,7 @@
  * upstream is estimated to run.
  */
 void sr_concurrency_limit_sample(sr_concurrency_limit_t *limit, sr_usec_t now,
-				 double ratio, double in_use);
+				 sr_limit_signal_t signal, double ratio,
+				 double in_use);
 
 #endif
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -7,7 +7,12 @@
 #include "core/upstreams.h"
 
 /** Attempts at one request, the first one included. */
-#define ATTEMPTS_MAX 3
+#define ATTEMPTS_MAX 4
+
+/** An upstream that can't be reached counts as more than one failure, and
+ * going elsewhere costs less, since nothing ran. */
+#define NOT_STARTED_FAILURES 2
+#define NOT_STARTED_COST 0.25
 
 /** Blocks in the prefix index, about 200 bytes each. */
 #define INDEX_BLOCKS_MAX 131072
@@ -191,18 +196,20 @@
 	*mean = *mean > 0 ? *mean + SAMPLE_WEIGHT * (value - *mean) : value;
 }
 
-static void sample_limit(sr_upstream_t *upstream, sr_usec_t now, double ratio)
+static void sample_limit(sr_upstream_t *upstream, sr_usec_t now,
+			 sr_limit_signal_t signal, double ratio)
 {
 	double total = sr_load_estimate_total(&upstream->load, now,
 					      upstream->in_flight);
 
-	sr_concurrency_limit_sample(&upstream->limit, now, ratio, total);
+	sr_concurrency_limit_sample(&upstream->limit, now, signal, ratio,
+				    total);
 }
 
 static void sample_token_gap(sr_upstream_t *upstream, sr_usec_t now,
 			     double gap_s)
 {
-	sample_limit(upstream, now,
+	sample_limit(upstream, now, SR_LIMIT_TOKEN_GAP,
 		     gap_s / (TOKEN_GAP_TARGET_S * MEAN_OF_TARGET));
 }
 
@@ -436,7 +443,7 @@
 		       taken / call->uncached_tokens);
 	prefill_is_over(call);
 	if (call->service->kind == SR_SERVICE_MODEL)
-		sample_limit(call->upstream, now,
+		sample_limit(call->upstream, now, SR_LIMIT_FIRST_TOKEN,
 			     taken / (FIRST_TOKEN_TARGET_S * MEAN_OF_TARGET));
 }
 
@@ -450,7 +457,7 @@
 		base = duration_s;
 	upstream->base_duration_s = base;
 	tolerated = PLAIN_TOLERANCE * base + PLAIN_TOLERANCE_MIN_S;
-	sample_limit(upstream, now, duration_s / tolerated);
+	sample_limit(upstream, now, SR_LIMIT_DURATION, duration_s / tolerated);
 }
 
 static void sample_success(sr_call_t *call, sr_usec_t now, unsigned tokens)
@@ -482,14 +489,17 @@
 		sample_success(call, now, tokens);
 		break;
 	case SR_ATTEMPT_NOT_STARTED:
+		sr_ejection_failed(&upstream->ejection, now,
+				   NOT_STARTED_FAILURES);
+		break;
 	case SR_ATTEMPT_FAILED:
 	case SR_ATTEMPT_BROKEN:
-		sr_ejection_failed(&upstream->ejection, now);
+		sr_ejection_failed(&upstream->ejection, now, 1);
 		break;
 	case SR_ATTEMPT_TIMED_OUT:
 		/* An answer that had begun shows load, not failure. */
 		if (call->first_token_at == 0)
-			sr_ejection_failed(&upstream->ejection, now);
+			sr_ejection_failed(&upstream->ejection, now, 1);
 		else
 			sr_ejection_abandoned(&upstream->ejection);
 		break;
@@ -545,7 +555,9 @@
 {
 	if (end == SR_ATTEMPT_BROKEN && !sr_upstream_is_usable(call->upstream))
 		return TRUE;
-	return sr_retry_budget_take(&call->service->retry_budget);
+	return sr_retry_budget_take(
+		&call->service->retry_budget,
+		end == SR_ATTEMPT_NOT_STARTED ? NOT_STARTED_COST : 1);
 }
 
 static void leave_upstream(sr_dispatch_t *dispatch, sr_usec_t now,
--- a/src/core/ejection.c
+++ b/src/core/ejection.c
@@ -33,11 +33,11 @@
 	ejection->n_ejections = 0;
 }
 
-void sr_ejection_failed(sr_ejection_t *ejection, sr_usec_t now)
+void sr_ejection_failed(sr_ejection_t *ejection, sr_usec_t now, unsigned weight)
 {
 	sr_usec_t length = FIRST_EJECTION;
 
-	ejection->failures_in_row++;
+	ejection->failures_in_row += weight;
 	if (ejection->ejected_until > 0 && !ejection->on_trial)
 		return;
 	if (!ejection->on_trial &&
--- a/src/core/ejection.h
+++ b/src/core/ejection.h
@@ -32,7 +32,10 @@
 void sr_ejection_begin(sr_ejection_t *ejection, sr_usec_t now);
 
 void sr_ejection_succeeded(sr_ejection_t *ejection);
-void sr_ejection_failed(sr_ejection_t *ejection, sr_usec_t now);
+
+/** sr_ejection_failed - weight is how many failures it counts for. */
+void sr_ejection_failed(sr_ejection_t *ejection, sr_usec_t now,
+			unsigned weight);
 
 /** sr_ejection_abandoned - the request ended without saying either. */
 void sr_ejection_abandoned(sr_ejection_t *ejection);
--- a/src/core/prefix_index.c
+++ b/src/core/prefix_index.c
@@ -5,6 +5,9 @@
 /** How long a prompt that we sent is taken to stay in the cache unheard. */
 #define SENT_LIFE (30 * SR_SEC)
 
+/** An upstream's events are void once this part of them may be wrong. */
+#define LOST_PART_MAX 0.25
+
 /* One upstream's claim on a block. */
 typedef struct {
 	guint32 upstream;  /* 0 for a free place */
@@ -21,7 +24,9 @@
 /* How far an upstream's events are known. */
 typedef struct {
 	guint64 sequence;
-	guint32 epoch; /* rises with each gap; never 0 */
+	guint64 n_lost;	  /* events of this epoch */
+	guint64 n_listed; /* blocks that were told in it and not evicted */
+	guint32 epoch;	  /* rises when the events are distrusted; never 0 */
 } feed_t;
 
 struct sr_prefix_index {
@@ -138,6 +143,16 @@
 	return claim;
 }
 
+static void count_lost(feed_t *feed, guint64 n)
+{
+	feed->n_lost += n;
+	if ((double)feed->n_lost <= LOST_PART_MAX * (double)feed->n_listed)
+		return;
+	feed->epoch++;
+	feed->n_lost = 0;
+	feed->n_listed = 0;
+}
+
 static void remove_claim(sr_prefix_index_t *index, guint32 upstream,
 			 guint64 block)
 {
@@ -162,13 +177,16 @@
 	if (sequence <= feed->sequence)
 		return;
 	if (sequence != feed->sequence + 1)
-		feed->epoch++;
+		count_lost(feed, sequence - feed->sequence - 1);
 	feed->sequence = sequence;
-	if (added)
+	if (added) {
 		place_claim(touch_entry(index, block), upstream)->epoch =
 			feed->epoch;
-	else
+		feed->n_listed++;
+	} else {
 		remove_claim(index, upstream, block);
+		feed->n_listed -= MIN(feed->n_listed, 1);
+	}
 }
 
 void sr_prefix_index_sent(sr_prefix_index_t *index, sr_usec_t now,
--- a/src/core/prefix_index.h
+++ b/src/core/prefix_index.h
@@ -9,9 +9,10 @@
  * sr_prefix_index_t - which upstreams hold which prefix blocks in their cache
  *
  * It learns from cache events, which come late and with gaps, and from what
- * this entry host sent where. After a gap in an upstream's events all that
- * was learned from them is void: evictions may be among the lost ones. What
- * was sent there a short while ago still counts.
+ * this entry host sent where. Each lost event may have been the eviction of
+ * a block that is still listed here. Once the lost ones add up to a part of
+ * what is listed for an upstream, all that its events told is void and is
+ * learned anew; what was sent there a short while ago still counts.
  *
  * Memory is bounded by the number of blocks; the least recently used go.
  * Upstreams are named by their id in the table of upstreams.
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -16,10 +16,10 @@
 	budget->tokens = MIN(budget->tokens + TOKENS_PER_SUCCESS, TOKENS_MAX);
 }
 
-gboolean sr_retry_budget_take(sr_retry_budget_t *budget)
+gboolean sr_retry_budget_take(sr_retry_budget_t *budget, double cost)
 {
-	if (budget->tokens < 1)
+	if (budget->tokens < cost)
 		return FALSE;
-	budget->tokens -= 1;
+	budget->tokens -= cost;
 	return TRUE;
 }
--- a/src/core/retry_budget.h
+++ b/src/core/retry_budget.h
@@ -14,7 +14,8 @@
 void sr_retry_budget_init(sr_retry_budget_t *budget);
 void sr_retry_budget_succeeded(sr_retry_budget_t *budget);
 
-/** sr_retry_budget_take - returns FALSE if the budget is used up. */
-gboolean sr_retry_budget_take(sr_retry_budget_t *budget);
+/** sr_retry_budget_take - cost is 1 for a whole retry; returns FALSE if
+ * the budget is used up. */
+gboolean sr_retry_budget_take(sr_retry_budget_t *budget, double cost);
 
 #endif
