--- /dev/null
+++ b/src/base/token.c
@@ -0,0 +1,22 @@
+#include "base/token.h"
+
+#include <string.h>
+
+#define SCHEME "Bearer "
+
+char *sr_token_hash(const char *token)
+{
+	return g_compute_checksum_for_string(G_CHECKSUM_SHA256, token, -1);
+}
+
+const char *sr_token_of_header(const char *header)
+{
+	const char *token;
+	size_t size;
+
+	if (!header || g_ascii_strncasecmp(header, SCHEME, strlen(SCHEME)))
+		return NULL;
+	token = header + strlen(SCHEME);
+	size = strlen(token);
+	return size > 0 && size <= SR_TOKEN_MAX ? token : NULL;
+}
