Parse and check the configuration

Every mistake is reported with its place and a remedy; unknown members, doubled names, shares that do not add up and references to nothing are mistakes too. Text is bounded in size and depth.

--- a/src/core/config.h
+++ b/src/core/config.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/fields.h"
 
 /**
  * The typed model of the accepted configuration: what operators declare.
@@ -79,29 +80,23 @@
 
 typedef struct sr_config {
 	guint64 generation;
-	GPtrArray *services;  /* sr_service_config_t */
-	GPtrArray *accounts;  /* sr_account_config_t */
-	GPtrArray *upstreams; /* sr_upstream_config_t */
-	GPtrArray *operators; /* sr_operator_config_t */
+	GPtrArray *services;	      /* sr_service_config_t */
+	GPtrArray *accounts;	      /* sr_account_config_t */
+	GPtrArray *upstreams;	      /* sr_upstream_config_t */
+	GPtrArray *operators;	      /* sr_operator_config_t */
+	GHashTable *account_by_token; /* token hash -> sr_account_config_t */
 	int references;
 } sr_config_t;
 
-/** sr_config_problem_t - one finding of the validation. */
-typedef struct {
-	char *where;  /* e.g. "services[0].versions[1].share" */
-	char *what;   /* e.g. "is 1.4" */
-	char *remedy; /* e.g. "give a number from 0 to 1" */
-} sr_config_problem_t;
-
 /**
  * sr_config_parse - read and check a whole configuration
  *
  * text is JSON with comments, at most SR_CONFIG_MAX bytes and SR_CONFIG_DEPTH
- * levels deep. Returns NULL and all findings, not only the first, in problems
- * (of sr_config_problem_t, owns its elements).
+ * levels deep. Returns NULL and appends all findings, not only the first, to
+ * findings (see sr_findings_new()); on success it appends nothing.
  */
 sr_config_t *sr_config_parse(const char *text, gsize size, guint64 generation,
-			     GPtrArray **problems);
+			     GPtrArray *findings);
 
 #define SR_CONFIG_MAX (1024 * 1024)
 #define SR_CONFIG_DEPTH 16
--- /dev/null
+++ b/test/config_test.c
@@ -0,0 +1,175 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "core/config.h"
+
+/* A correct text; each case below replaces one part of it. */
+static const char base_text[] =
+	"{\"accounts\": [{\"name\": \"a\", \"home\": \"ahd\","
+	" \"token_sha256\": [\"" /* SHA-256 of "t" */
+	"e3b98a4da31a127d4bde6e43033f66ba274cab0eb7eb1c70ec41402bf6273dd8"
+	"\"]}],"
+	" \"services\": [{\"name\": \"s\", \"kind\": \"plain\","
+	" \"path\": \"/s\","
+	" \"routes\": [{\"name\": \"r\", \"path\": \"/s/r\","
+	" \"method\": \"post\"}],"
+	" \"versions\": [{\"name\": \"v1\", \"share\": 0.75},"
+	" {\"name\": \"v2\", \"share\": 0.25,"
+	" \"by\": \"2027-01-31T18:00:00Z\"}]}],"
+	" \"upstreams\": [{\"name\": \"u\", \"service\": \"s\","
+	" \"version\": \"v1\", \"failure_domain\": \"ahd\","
+	" \"address\": \"127.0.0.1:80\"}]}";
+
+typedef struct {
+	const char *from;
+	const char *to;
+	const char *finding; /* part of the findings' text */
+} case_t;
+
+static const case_t cases[] = {
+	{ "0.75", "1.4", "services[0].versions[0].share is 1.4" },
+	{ "0.75", "0.5", "add up to 1" },
+	{ "\"plain\"", "\"queue\"", "services[0].kind is \"queue\"" },
+	{ "\"kind\": \"plain\",", "", "services[0].kind is missing" },
+	{ "\"path\": \"/s\"", "\"path\": \"s/\"", "is not a path prefix" },
+	{ "\"/s/r\"", "\"/t/r\"", "lies outside the service" },
+	{ "\"home\"", "\"hom\"", "accounts[0].hom is not a known member" },
+	{ "\"name\": \"u\"", "\"name\": 7", "upstreams[0].name is of type" },
+	{ "\"name\": \"u\"", "\"name\": \"a/b\"", "is not a name" },
+	{ "127.0.0.1:80", "localhost:80", "is not an address" },
+	{ "127.0.0.1:80", "127.0.0.1:0", "is not an address" },
+	{ "\"version\": \"v1\"", "\"version\": \"v9\"",
+	  "unknown version \"v9\"" },
+	{ "\"service\": \"s\"", "\"service\": \"x\"", "unknown service \"x\"" },
+	{ "\"name\": \"v2\"", "\"name\": \"v2\", \"name\": 3",
+	  "versions[1].name" },
+	{ "2027-01-31T18:00:00Z", "tomorrow", "is not an ISO 8601 time" },
+	{ "e3b98a", "E3b98a", "something else than a SHA-256" },
+	{ "\"routes\": [", "\"routes\": [[],", "routes[0] is of type array" },
+	{ "}]}]", "}]}", "line 1 is not valid JSON" },
+};
+
+static char *replace_once(const char *text, const char *from, const char *to)
+{
+	const char *at = strstr(text, from);
+
+	assert_non_null(at);
+	return g_strdup_printf("%.*s%s%s", (int)(at - text), text, to,
+			       at + strlen(from));
+}
+
+static char *findings_of(const char *text, gsize size)
+{
+	GPtrArray *findings = sr_findings_new();
+	sr_config_t *config = sr_config_parse(text, size, 1, findings);
+	char *out = sr_findings_text(findings);
+
+	assert_true((config == NULL) == (findings->len > 0));
+	sr_config_unref(config);
+	g_ptr_array_unref(findings);
+	return out;
+}
+
+static void test_each_mistake_names_its_place(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text =
+			replace_once(base_text, cases[i].from, cases[i].to);
+		char *findings = findings_of(text, strlen(text));
+
+		if (!strstr(findings, cases[i].finding))
+			fail_msg("case %zu: got: %s", i, findings);
+		g_free(findings);
+		g_free(text);
+	}
+}
+
+static void test_all_mistakes_are_reported(void **state)
+{
+	char *one = replace_once(base_text, "0.75", "2");
+	char *two = replace_once(one, "127.0.0.1:80", "nowhere");
+	char *findings = findings_of(two, strlen(two));
+
+	assert_non_null(strstr(findings, "share is 2"));
+	assert_non_null(strstr(findings, "is not an address"));
+	g_free(findings);
+	g_free(two);
+	g_free(one);
+}
+
+static void test_hostile_texts_are_bounded(void **state)
+{
+	gsize size = 400000;
+	char *nested = g_malloc(size);
+	char *comments = g_malloc(size);
+	char *findings;
+
+	memset(nested, '[', size);
+	findings = findings_of(nested, size);
+	assert_non_null(strstr(findings, "nest fewer levels"));
+	g_free(findings);
+
+	memset(comments, '/', size);
+	for (gsize i = 4; i < size; i += 3)
+		comments[i] = '\n';
+	memcpy(comments, "{}", 2);
+	findings = findings_of(comments, size);
+	assert_non_null(findings);
+	g_free(findings);
+	findings = findings_of(nested, SR_CONFIG_MAX + 1);
+	assert_non_null(strstr(findings, "give a smaller text"));
+	g_free(findings);
+	g_free(comments);
+	g_free(nested);
+}
+
+static void test_lookups(void **state)
+{
+	GPtrArray *findings = sr_findings_new();
+	sr_config_t *config =
+		sr_config_parse(base_text, strlen(base_text), 7, findings);
+	const sr_service_config_t *service;
+
+	assert_non_null(config);
+	assert_int_equal(config->generation, 7);
+	service = sr_config_service_of_path(config, "/s/r/1");
+	assert_non_null(service);
+	assert_null(sr_config_service_of_path(config, "/sx"));
+	assert_non_null(sr_config_route(service, "POST", "/s/r?x=1"));
+	assert_null(sr_config_route(service, "GET", "/s/r"));
+	assert_string_equal(sr_config_account_of_token(config, "t")->name, "a");
+	assert_null(sr_config_account_of_token(config, "u"));
+	sr_config_unref(config);
+	g_ptr_array_unref(findings);
+}
+
+static void test_example_is_valid(void **state)
+{
+	char *text;
+	gsize size;
+	char *findings;
+
+	assert_true(g_file_get_contents("examples/vetanrekha.json", &text,
+					&size, NULL));
+	findings = findings_of(text, size);
+	assert_string_equal(findings, "");
+	g_free(findings);
+	g_free(text);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_each_mistake_names_its_place),
+		cmocka_unit_test(test_all_mistakes_are_reported),
+		cmocka_unit_test(test_hostile_texts_are_bounded),
+		cmocka_unit_test(test_lookups),
+		cmocka_unit_test(test_example_is_valid),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
