--- a/test/config_test.c
+++ b/test/config_test.c
@@ -116,7 +116,8 @@
 	memset(comments, '/', size);
 	for (gsize i = 4; i < size; i += 3)
 		comments[i] = '\n';
-	memcpy(comments, "{}", 2);
+	comments[0] = '{';
+	comments[1] = '}';
 	findings = findings_of(comments, size);
 	assert_non_null(findings);
 	g_free(findings);
