--- /dev/null
+++ b/src/ctl/files.c
@@ -0,0 +1,126 @@
+#include "ctl/files.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/config.h"
+
+static char *read_stdin(gsize *size)
+{
+	GString *text = g_string_new(NULL);
+	char part[4096];
+	size_t got;
+
+	while ((got = fread(part, 1, sizeof(part), stdin)) > 0 &&
+	       text->len <= SR_CONFIG_MAX)
+		g_string_append_len(text, part, (gssize)got);
+	*size = text->len;
+	return g_string_free(text, FALSE);
+}
+
+static GBytes *read_file(const char *name)
+{
+	GError *error = NULL;
+	gsize size;
+	char *text;
+
+	if (!strcmp(name, "-")) {
+		text = read_stdin(&size);
+		return g_bytes_new_take(text, size);
+	}
+	if (!g_file_get_contents(name, &text, &size, &error)) {
+		g_printerr("sassafrasctl: %s\nremedy: name a readable file\n",
+			   error->message);
+		g_clear_error(&error);
+		return NULL;
+	}
+	return g_bytes_new_take(text, size);
+}
+
+static void join_sections(json_object *into, json_object *from)
+{
+	json_object_object_foreach(from, section, value)
+	{
+		json_object *array = NULL;
+
+		if (!json_object_object_get_ex(into, section, &array) ||
+		    !json_object_is_type(array, json_type_array) ||
+		    !json_object_is_type(value, json_type_array)) {
+			json_object_object_add(into, section,
+					       json_object_get(value));
+			continue;
+		}
+		for (size_t i = 0; i < json_object_array_length(value); i++)
+			json_object_array_add(
+				array,
+				json_object_get(
+					json_object_array_get_idx(value, i)));
+	}
+}
+
+static gboolean join_file(json_object *into, const char *name)
+{
+	GPtrArray *findings = sr_findings_new();
+	GBytes *text = read_file(name);
+	json_object *value = NULL;
+	gsize size;
+	const char *data;
+
+	if (text) {
+		data = g_bytes_get_data(text, &size);
+		value = sr_json_read(data, size, SR_CONFIG_MAX, SR_CONFIG_DEPTH,
+				     findings);
+		g_bytes_unref(text);
+	}
+	if (value) {
+		join_sections(into, value);
+	} else if (findings->len > 0) {
+		char *lines = sr_findings_text(findings);
+
+		g_printerr("sassafrasctl: %s: %s", name, lines);
+		g_free(lines);
+	}
+	json_object_put(value);
+	g_ptr_array_unref(findings);
+	return value != NULL;
+}
+
+GBytes *sr_files_join(const char *const *names, int n)
+{
+	json_object *whole;
+	GBytes *bytes = NULL;
+	gboolean valid = TRUE;
+
+	if (n == 1)
+		return read_file(names[0]);
+	whole = json_object_new_object();
+	for (int i = 0; i < n; i++)
+		valid = join_file(whole, names[i]) && valid;
+	if (valid) {
+		const char *text = json_object_to_json_string_ext(
+			whole, JSON_C_TO_STRING_PRETTY);
+
+		bytes = g_bytes_new(text, strlen(text));
+	}
+	json_object_put(whole);
+	return bytes;
+}
+
+gboolean sr_files_check(GBytes *text)
+{
+	GPtrArray *findings = sr_findings_new();
+	gsize size;
+	const char *data = g_bytes_get_data(text, &size);
+	sr_config_t *config = sr_config_parse(data, size, 0, findings);
+
+	if (!config) {
+		char *lines = sr_findings_text(findings);
+
+		g_printerr("%s", lines);
+		g_free(lines);
+	}
+	sr_config_unref(config);
+	g_ptr_array_unref(findings);
+	return config != NULL;
+}
