Add the client of the platform's API

One budget carries all calls: a token bucket in which less urgent classes leave room, full-jitter backoff, a single probe while the platform is out and a ramp after it. Writes go out on a new connection: on a reused one libsoup 3.2.3 sent a PUT again when the server closed after the effect (the test's server counted 3 requests in place of 2), and the second one's 412 would have been taken for a conflict.

Seen to fail, one mechanism broken at a time (build/platform_test): - without the new connection for writes, the count of requests fails; - with lost calls reported as NOT_DONE, the tests of lost and of silent writes fail; - without the trip after failures, calls are not refused at once and the calls after an outage exceed the fleet's rate; - without the empty bucket or without the ramp, so do they; - without the reserve, status calls drain the whole bucket.

--- /dev/null
+++ b/src/platform/client.c
@@ -0,0 +1,548 @@
+#include "platform/client.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#include "base/list.h"
+#include "platform/budget.h"
+#include "platform/decode.h"
+#include "platform/exchange.h"
+
+/* How much longer than the platform a watch waits before it gives up. */
+#define WATCH_GRACE (2 * SR_SEC)
+
+typedef enum {
+	CALL_OBJECT, /* of the object API, through the store */
+	CALL_PLAIN,
+} call_kind_t;
+
+typedef struct {
+	sr_list_t link; /* in one of the queues or in flight */
+	sr_platform_t *platform;
+	call_kind_t kind;
+	sr_store_op_t op;
+	sr_store_class_t class;
+	gboolean waits;
+	char *method;
+	char *url;
+	char *if_match;
+	const char *if_none_match;
+	const char *content_type;
+	GBytes *body;
+	sr_usec_t timeout;
+	sr_usec_t give_up; /* when it is no longer worth sending */
+	sr_store_fn store_done;
+	sr_platform_fn plain_done;
+	void *user;
+	sr_exchange_t *exchange;
+} call_t;
+
+struct sr_platform {
+	sr_store_t store;
+	sr_clock_t *clock;
+	SoupSession *session;
+	char *url;
+	sr_budget_t budget;
+	unsigned max_in_flight;
+	unsigned max_queued;
+	sr_usec_t default_limit;
+	sr_list_t queue[SR_STORE_N_CLASSES];
+	unsigned queued[SR_STORE_N_CLASSES];
+	sr_list_t in_flight;
+	unsigned n_in_flight; /* without waiting calls */
+	sr_timer_t *pump_timer;
+	sr_platform_stats_t stats;
+};
+
+static void free_call(call_t *call)
+{
+	g_free(call->method);
+	g_free(call->url);
+	g_free(call->if_match);
+	g_clear_pointer(&call->body, g_bytes_unref);
+	g_free(call);
+}
+
+static void unlink_queued(call_t *call)
+{
+	sr_list_remove(&call->link);
+	call->platform->queued[call->class]--;
+}
+
+static void unlink_in_flight(call_t *call)
+{
+	sr_list_remove(&call->link);
+	if (!call->waits)
+		call->platform->n_in_flight--;
+}
+
+/* Answers a call that brought no usable answer, and frees it. */
+static void fail_call(call_t *call, sr_store_status_t status,
+		      sr_usec_t retry_after)
+{
+	sr_store_reply_t reply = { .status = status,
+				   .retry_after = retry_after };
+	sr_platform_answer_t answer = { .status = status,
+					.retry_after = retry_after };
+
+	switch (call->kind) {
+	case CALL_OBJECT:
+		call->store_done(call->user, &reply);
+		break;
+	case CALL_PLAIN:
+		answer.body = g_bytes_new_static("", 0);
+		call->plain_done(call->user, &answer);
+		g_bytes_unref(answer.body);
+		break;
+	}
+	free_call(call);
+}
+
+static void refuse_call(call_t *call, sr_usec_t retry_after)
+{
+	call->platform->stats.refused++;
+	fail_call(call, SR_STORE_NOT_DONE, retry_after);
+}
+
+static void answer_plain(call_t *call, const sr_exchange_result_t *result)
+{
+	sr_platform_answer_t answer = {
+		.status = SR_STORE_OK,
+		.http_status = result->status,
+		.body = result->body,
+	};
+
+	call->plain_done(call->user, &answer);
+	free_call(call);
+}
+
+static sr_store_status_t object_status(const call_t *call,
+				       const sr_exchange_result_t *result)
+{
+	gboolean reads = call->op == SR_STORE_GET || call->op == SR_STORE_WATCH;
+	gboolean writes =
+		call->op == SR_STORE_CREATE || call->op == SR_STORE_UPDATE;
+
+	switch (result->status) {
+	case 200:
+	case 201:
+		if ((reads || writes) && !result->version)
+			return SR_STORE_UNKNOWN;
+		return SR_STORE_OK;
+	case 204:
+		return call->op == SR_STORE_DELETE ? SR_STORE_OK :
+						     SR_STORE_UNKNOWN;
+	case 304:
+		return call->op == SR_STORE_WATCH ? SR_STORE_NOT_MODIFIED :
+						    SR_STORE_UNKNOWN;
+	case 404:
+		return SR_STORE_NOT_FOUND;
+	case 412:
+		return SR_STORE_CONFLICT;
+	default:
+		return SR_STORE_UNKNOWN;
+	}
+}
+
+static void answer_object(call_t *call, const sr_exchange_result_t *result)
+{
+	sr_store_reply_t reply = { .status = object_status(call, result),
+				   .version = result->version };
+	GPtrArray *list = NULL;
+
+	if (reply.status == SR_STORE_OK && call->op == SR_STORE_LIST) {
+		list = sr_decode_list(result->body, &reply.more);
+		if (!list)
+			reply.status = SR_STORE_UNKNOWN;
+		reply.list = list;
+	}
+	if (reply.status == SR_STORE_OK &&
+	    (call->op == SR_STORE_GET || call->op == SR_STORE_WATCH))
+		reply.value = result->body;
+	if (reply.status == SR_STORE_CONFLICT)
+		call->platform->stats.conflicts++;
+	call->store_done(call->user, &reply);
+	g_clear_pointer(&list, g_ptr_array_unref);
+	free_call(call);
+}
+
+static void pump(sr_platform_t *platform);
+
+/* The platform answered, but did not do what was asked or may not have. */
+static void finish_failed(call_t *call, const sr_exchange_result_t *result)
+{
+	sr_platform_t *platform = call->platform;
+	sr_usec_t now = sr_clock_now(platform->clock);
+
+	if (result->status == 429 || result->status == 503) {
+		platform->stats.throttled++;
+		sr_budget_throttled(&platform->budget, now,
+				    result->retry_after);
+		fail_call(call, SR_STORE_NOT_DONE, result->retry_after);
+		return;
+	}
+	if (call->waits && result->sent && !result->status)
+		sr_budget_abandoned(&platform->budget);
+	else
+		sr_budget_failed(&platform->budget, now);
+	if (result->sent)
+		platform->stats.lost++;
+	else
+		platform->stats.unsent++;
+	fail_call(call, result->sent ? SR_STORE_UNKNOWN : SR_STORE_NOT_DONE, 0);
+}
+
+static void on_exchange(void *user, const sr_exchange_result_t *result)
+{
+	call_t *call = user;
+	sr_platform_t *platform = call->platform;
+
+	unlink_in_flight(call);
+	platform->stats.bytes_in += g_bytes_get_size(result->body);
+	if (!result->status || result->status == 429 || result->status >= 500) {
+		finish_failed(call, result);
+	} else {
+		platform->stats.answered++;
+		sr_budget_answered(&platform->budget,
+				   sr_clock_now(platform->clock));
+		if (call->kind == CALL_PLAIN)
+			answer_plain(call, result);
+		else
+			answer_object(call, result);
+	}
+	pump(platform);
+}
+
+static void send_call(call_t *call)
+{
+	sr_platform_t *platform = call->platform;
+	sr_exchange_options_t options = {
+		.session = platform->session,
+		.clock = platform->clock,
+		.method = call->method,
+		.url = call->url,
+		.if_match = call->if_match,
+		.if_none_match = call->if_none_match,
+		.content_type = call->content_type,
+		.body = call->body,
+		.timeout = call->timeout,
+		.done = on_exchange,
+		.user = call,
+	};
+
+	call->exchange = sr_exchange_new(&options);
+	if (!call->exchange) {
+		sr_budget_abandoned(&platform->budget);
+		refuse_call(call, 0);
+		return;
+	}
+	sr_list_append(&platform->in_flight, &call->link);
+	if (!call->waits)
+		platform->n_in_flight++;
+	platform->stats.sent[call->class]++;
+	platform->stats.watches += call->waits;
+	if (call->body)
+		platform->stats.bytes_out += g_bytes_get_size(call->body);
+}
+
+static call_t *most_urgent(sr_platform_t *platform)
+{
+	for (unsigned class = 0; class < SR_STORE_N_CLASSES; class ++) {
+		sr_list_t *queue = &platform->queue[class];
+
+		if (!sr_list_is_empty(queue))
+			return sr_list_entry(queue->next, call_t, link);
+	}
+	return NULL;
+}
+
+static void on_pump_timer(void *user)
+{
+	sr_platform_t *platform = user;
+
+	platform->pump_timer = NULL;
+	pump(platform);
+}
+
+static void pump_after(sr_platform_t *platform, sr_usec_t delay)
+{
+	sr_timer_cancel(platform->pump_timer);
+	platform->pump_timer =
+		sr_timer_start(platform->clock, delay, on_pump_timer, platform);
+}
+
+/* Handles the first call in line; FALSE if it has to wait. */
+static gboolean pump_one(sr_platform_t *platform, call_t *call)
+{
+	sr_usec_t now = sr_clock_now(platform->clock);
+	sr_usec_t wait = 0;
+
+	if (now >= call->give_up) {
+		unlink_queued(call);
+		refuse_call(call, SR_BUDGET_BACKOFF_MIN);
+		return TRUE;
+	}
+	if (platform->n_in_flight >= platform->max_in_flight) {
+		pump_after(platform, call->give_up - now);
+		return FALSE;
+	}
+	switch (sr_budget_take(&platform->budget, now, call->class, call->waits,
+			       &wait)) {
+	case SR_BUDGET_GO:
+		unlink_queued(call);
+		send_call(call);
+		return TRUE;
+	case SR_BUDGET_WAIT:
+		if (now + wait < call->give_up) {
+			pump_after(platform, wait);
+			return FALSE;
+		}
+		break;
+	case SR_BUDGET_REFUSE:
+		break;
+	}
+	unlink_queued(call);
+	refuse_call(call, wait);
+	return TRUE;
+}
+
+static void pump(sr_platform_t *platform)
+{
+	unsigned left = 0;
+
+	/* A refused caller may submit again at once; it waits its turn. */
+	for (unsigned class = 0; class < SR_STORE_N_CLASSES; class ++)
+		left += platform->queued[class];
+	while (left-- > 0) {
+		call_t *call = most_urgent(platform);
+
+		if (!call || !pump_one(platform, call))
+			return;
+	}
+}
+
+static void enqueue(call_t *call)
+{
+	sr_platform_t *platform = call->platform;
+	sr_usec_t now = sr_clock_now(platform->clock);
+
+	call->give_up = now + call->timeout;
+	if (call->waits)
+		call->timeout += WATCH_GRACE;
+	if (platform->queued[call->class] >= platform->max_queued)
+		call->give_up = now;
+	sr_list_append(&platform->queue[call->class], &call->link);
+	platform->queued[call->class]++;
+	pump_after(platform, 0);
+}
+
+static char *object_url(const sr_platform_t *platform,
+			const sr_store_call_t *options, sr_usec_t timeout)
+{
+	char *key = g_uri_escape_string(
+		options->key, options->op == SR_STORE_LIST ? NULL : "/", FALSE);
+	GString *url = g_string_new(platform->url);
+
+	if (options->op == SR_STORE_LIST)
+		g_string_append_printf(url, "/objects?prefix=%s", key);
+	else
+		g_string_append_printf(url, "/objects/%s", key);
+	if (options->op == SR_STORE_LIST && options->after) {
+		g_string_append(url, "&after=");
+		g_string_append_uri_escaped(url, options->after, NULL, FALSE);
+	}
+	if (options->op == SR_STORE_LIST && options->limit)
+		g_string_append_printf(url, "&limit=%u", options->limit);
+	if (options->op == SR_STORE_WATCH)
+		g_string_append_printf(url,
+				       "?watch=%" G_GUINT64_FORMAT
+				       "&timeout_s=%" G_GINT64_FORMAT,
+				       options->if_version,
+				       MAX(timeout / SR_SEC, 1));
+	g_free(key);
+	return g_string_free(url, FALSE);
+}
+
+static void set_method(call_t *call, const sr_store_call_t *options)
+{
+	switch (options->op) {
+	case SR_STORE_GET:
+	case SR_STORE_LIST:
+	case SR_STORE_WATCH:
+		call->method = g_strdup("GET");
+		return;
+	case SR_STORE_CREATE:
+		call->method = g_strdup("PUT");
+		call->if_none_match = "*";
+		break;
+	case SR_STORE_UPDATE:
+		call->method = g_strdup("PUT");
+		break;
+	case SR_STORE_DELETE:
+		call->method = g_strdup("DELETE");
+		break;
+	}
+	if (options->op == SR_STORE_UPDATE || options->if_version)
+		call->if_match = g_strdup_printf("\"%" G_GUINT64_FORMAT "\"",
+						 options->if_version);
+	if (options->op == SR_STORE_CREATE)
+		g_clear_pointer(&call->if_match, g_free);
+}
+
+static void submit_object(sr_store_t *store, const sr_store_call_t *options)
+{
+	sr_platform_t *platform = (sr_platform_t *)store;
+	call_t *call = g_new0(call_t, 1);
+
+	call->platform = platform;
+	call->kind = CALL_OBJECT;
+	call->op = options->op;
+	call->class = options->class;
+	call->waits = options->op == SR_STORE_WATCH;
+	call->timeout = options->timeout;
+	if (!call->timeout)
+		call->timeout = call->waits ? SR_PLATFORM_WATCH :
+					      platform->default_limit;
+	call->url = object_url(platform, options, call->timeout);
+	set_method(call, options);
+	call->content_type = "application/octet-stream";
+	if (options->value)
+		call->body = g_bytes_ref(options->value);
+	call->store_done = options->done;
+	call->user = options->user;
+	enqueue(call);
+}
+
+void sr_platform_request(sr_platform_t *platform,
+			 const sr_platform_request_t *request)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	call->platform = platform;
+	call->kind = CALL_PLAIN;
+	call->class = request->class;
+	call->waits = request->waits;
+	call->timeout =
+		request->timeout ? request->timeout : platform->default_limit;
+	call->method = g_strdup(request->method);
+	call->url = g_strconcat(platform->url, request->path, NULL);
+	call->content_type = "application/json";
+	if (request->body)
+		call->body = g_bytes_ref(request->body);
+	call->plain_done = request->done;
+	call->user = request->user;
+	enqueue(call);
+}
+
+static void drop_in_flight(call_t *call)
+{
+	unlink_in_flight(call);
+	sr_exchange_cancel(call->exchange);
+	sr_budget_abandoned(&call->platform->budget);
+	free_call(call);
+}
+
+void sr_platform_cancel_all(sr_platform_t *platform, void *user)
+{
+	for (unsigned class = 0; class < SR_STORE_N_CLASSES; class ++) {
+		sr_list_for_each_safe (pos, &platform->queue[class]) {
+			call_t *call = sr_list_entry(pos, call_t, link);
+
+			if (call->user != user)
+				continue;
+			unlink_queued(call);
+			free_call(call);
+		}
+	}
+	sr_list_for_each_safe (pos, &platform->in_flight) {
+		call_t *call = sr_list_entry(pos, call_t, link);
+
+		if (call->user == user)
+			drop_in_flight(call);
+	}
+}
+
+static void cancel_objects(sr_store_t *store, void *user)
+{
+	sr_platform_cancel_all((sr_platform_t *)store, user);
+}
+
+static SoupSession *new_session(unsigned max_in_flight)
+{
+	SoupSession *session = soup_session_new_with_options(
+		"max-conns", (int)max_in_flight * 2, "max-conns-per-host",
+		(int)max_in_flight * 2, "timeout", 0, "idle-timeout", 30, NULL);
+
+	soup_session_set_proxy_resolver(session, NULL);
+	return session;
+}
+
+sr_platform_t *sr_platform_new(const sr_platform_options_t *options)
+{
+	sr_platform_t *platform = g_new0(sr_platform_t, 1);
+	double rate = options->calls_per_s > 0 ? options->calls_per_s :
+						 SR_PLATFORM_RATE;
+	double burst = options->burst > 0 ? options->burst : SR_PLATFORM_BURST;
+
+	platform->store.submit = submit_object;
+	platform->store.cancel_all = cancel_objects;
+	platform->clock = options->clock;
+	platform->url = g_strdup(options->url);
+	platform->max_in_flight = options->max_in_flight ?
+					  options->max_in_flight :
+					  SR_PLATFORM_IN_FLIGHT;
+	platform->max_queued =
+		options->max_queued ? options->max_queued : SR_PLATFORM_QUEUED;
+	platform->default_limit = options->default_limit ?
+					  options->default_limit :
+					  SR_PLATFORM_TIMEOUT;
+	platform->session = new_session(platform->max_in_flight);
+	sr_budget_init(&platform->budget, rate, burst, options->seed,
+		       sr_clock_now(options->clock));
+	for (unsigned class = 0; class < SR_STORE_N_CLASSES; class ++)
+		sr_list_init(&platform->queue[class]);
+	sr_list_init(&platform->in_flight);
+	return platform;
+}
+
+void sr_platform_free(sr_platform_t *platform)
+{
+	if (!platform)
+		return;
+	for (unsigned class = 0; class < SR_STORE_N_CLASSES; class ++) {
+		sr_list_for_each_safe (pos, &platform->queue[class]) {
+			call_t *call = sr_list_entry(pos, call_t, link);
+
+			unlink_queued(call);
+			free_call(call);
+		}
+	}
+	sr_list_for_each_safe (pos, &platform->in_flight)
+		drop_in_flight(sr_list_entry(pos, call_t, link));
+	sr_timer_cancel(platform->pump_timer);
+	soup_session_abort(platform->session);
+	g_object_unref(platform->session);
+	sr_budget_clear(&platform->budget);
+	g_free(platform->url);
+	g_free(platform);
+}
+
+sr_store_t *sr_platform_store(sr_platform_t *platform)
+{
+	return &platform->store;
+}
+
+void sr_platform_set_rate(sr_platform_t *platform, double calls_per_s)
+{
+	platform->budget.rate = MAX(calls_per_s, 0.1);
+}
+
+gboolean sr_platform_is_out(const sr_platform_t *platform)
+{
+	return platform->budget.out;
+}
+
+const sr_platform_stats_t *sr_platform_stats(const sr_platform_t *platform)
+{
+	return &platform->stats;
+}
--- /dev/null
+++ b/src/platform/exchange.c
@@ -0,0 +1,208 @@
+#include "platform/exchange.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/decode.h"
+
+#define READ_CHUNK (64 * 1024)
+
+struct sr_exchange {
+	SoupMessage *message;
+	GCancellable *cancellable;
+	GInputStream *stream;
+	GByteArray *body;
+	sr_timer_t *timer;
+	gboolean sent;
+	sr_exchange_fn done; /* NULL once it was called or is not wanted */
+	void *user;
+};
+
+/* Runs when libsoup has let go of the exchange. */
+static void release(sr_exchange_t *exchange)
+{
+	sr_timer_cancel(exchange->timer);
+	g_clear_object(&exchange->stream);
+	g_object_unref(exchange->message);
+	g_object_unref(exchange->cancellable);
+	g_byte_array_unref(exchange->body);
+	g_free(exchange);
+}
+
+static void report(sr_exchange_t *exchange, const sr_exchange_result_t *result)
+{
+	sr_exchange_fn done = exchange->done;
+
+	sr_timer_cancel(g_steal_pointer(&exchange->timer));
+	exchange->done = NULL;
+	if (done)
+		done(exchange->user, result);
+}
+
+static void report_lost(sr_exchange_t *exchange)
+{
+	sr_exchange_result_t result = { .sent = exchange->sent };
+
+	result.body = g_bytes_new_static("", 0);
+	report(exchange, &result);
+	g_bytes_unref(result.body);
+}
+
+static guint64 etag_version(SoupMessageHeaders *headers)
+{
+	const char *etag = soup_message_headers_get_one(headers, "ETag");
+	char *end = NULL;
+	guint64 version;
+
+	if (!etag || etag[0] != '"' || !g_ascii_isdigit(etag[1]))
+		return 0;
+	version = g_ascii_strtoull(etag + 1, &end, 10);
+	return strcmp(end, "\"") ? 0 : version;
+}
+
+static sr_usec_t retry_after(SoupMessageHeaders *headers)
+{
+	const char *text = soup_message_headers_get_one(headers, "Retry-After");
+
+	if (!text || !g_ascii_isdigit(text[0]))
+		return 0;
+	return (sr_usec_t)MIN(g_ascii_strtoull(text, NULL, 10), 3600) * SR_SEC;
+}
+
+static void report_answer(sr_exchange_t *exchange)
+{
+	SoupMessageHeaders *headers =
+		soup_message_get_response_headers(exchange->message);
+	sr_exchange_result_t result = {
+		.sent = TRUE,
+		.status = soup_message_get_status(exchange->message),
+		.version = etag_version(headers),
+		.retry_after = retry_after(headers),
+	};
+
+	result.body = g_bytes_new(exchange->body->data, exchange->body->len);
+	report(exchange, &result);
+	g_bytes_unref(result.body);
+}
+
+static gboolean is_whole(sr_exchange_t *exchange)
+{
+	SoupMessageHeaders *headers =
+		soup_message_get_response_headers(exchange->message);
+
+	return soup_message_headers_get_encoding(headers) !=
+		       SOUP_ENCODING_CONTENT_LENGTH ||
+	       soup_message_headers_get_content_length(headers) ==
+		       exchange->body->len;
+}
+
+static void on_read(GObject *source, GAsyncResult *result, gpointer data);
+
+static void read_more(sr_exchange_t *exchange)
+{
+	g_input_stream_read_bytes_async(
+		exchange->stream, READ_CHUNK, G_PRIORITY_DEFAULT,
+		exchange->cancellable, on_read, exchange);
+}
+
+static void on_read(GObject *source, GAsyncResult *result, gpointer data)
+{
+	sr_exchange_t *exchange = data;
+	GBytes *chunk = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source),
+							 result, NULL);
+	gsize size = chunk ? g_bytes_get_size(chunk) : 0;
+
+	if (size && exchange->done &&
+	    exchange->body->len + size <= SR_PLATFORM_ANSWER_MAX) {
+		g_byte_array_append(exchange->body,
+				    g_bytes_get_data(chunk, NULL), (guint)size);
+		g_bytes_unref(chunk);
+		read_more(exchange);
+		return;
+	}
+	if (chunk && !size && is_whole(exchange))
+		report_answer(exchange);
+	else
+		report_lost(exchange);
+	g_clear_pointer(&chunk, g_bytes_unref);
+	release(exchange);
+}
+
+static void on_headers(GObject *source, GAsyncResult *result, gpointer data)
+{
+	sr_exchange_t *exchange = data;
+
+	exchange->stream =
+		soup_session_send_finish(SOUP_SESSION(source), result, NULL);
+	if (exchange->stream && exchange->done) {
+		read_more(exchange);
+		return;
+	}
+	report_lost(exchange);
+	release(exchange);
+}
+
+static void on_starting(SoupMessage *message, gpointer data)
+{
+	sr_exchange_t *exchange = data;
+
+	exchange->sent = TRUE;
+}
+
+static void on_timeout(void *data)
+{
+	sr_exchange_t *exchange = data;
+
+	exchange->timer = NULL;
+	report_lost(exchange);
+	g_cancellable_cancel(exchange->cancellable);
+}
+
+static void add_headers(SoupMessage *message,
+			const sr_exchange_options_t *options)
+{
+	SoupMessageHeaders *headers = soup_message_get_request_headers(message);
+
+	if (options->if_match)
+		soup_message_headers_replace(headers, "If-Match",
+					     options->if_match);
+	if (options->if_none_match)
+		soup_message_headers_replace(headers, "If-None-Match",
+					     options->if_none_match);
+	if (options->body)
+		soup_message_set_request_body_from_bytes(
+			message, options->content_type, options->body);
+	if (strcmp(options->method, "GET") != 0)
+		soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+}
+
+sr_exchange_t *sr_exchange_new(const sr_exchange_options_t *options)
+{
+	SoupMessage *message = soup_message_new(options->method, options->url);
+	sr_exchange_t *exchange;
+
+	if (!message)
+		return NULL;
+	add_headers(message, options);
+	exchange = g_new0(sr_exchange_t, 1);
+	exchange->message = message;
+	exchange->cancellable = g_cancellable_new();
+	exchange->body = g_byte_array_new();
+	exchange->done = options->done;
+	exchange->user = options->user;
+	exchange->timer = sr_timer_start(options->clock, options->timeout,
+					 on_timeout, exchange);
+	g_signal_connect(message, "starting", G_CALLBACK(on_starting),
+			 exchange);
+	soup_session_send_async(options->session, message, G_PRIORITY_DEFAULT,
+				exchange->cancellable, on_headers, exchange);
+	return exchange;
+}
+
+void sr_exchange_cancel(sr_exchange_t *exchange)
+{
+	exchange->done = NULL;
+	sr_timer_cancel(g_steal_pointer(&exchange->timer));
+	g_cancellable_cancel(exchange->cancellable);
+}
--- /dev/null
+++ b/test/platform_test.c
@@ -0,0 +1,421 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+#include <libsoup/soup.h>
+
+#include "platform/budget.h"
+#include "platform/client.h"
+#include "platform/hosts.h"
+
+typedef enum {
+	ANSWER_NORMAL,
+	ANSWER_SILENT, /* effect, then no answer */
+	ANSWER_CUT,    /* effect, then the connection is closed */
+	ANSWER_BUSY,   /* 503 with Retry-After */
+	ANSWER_BROKEN, /* 500 after the effect */
+} answer_t;
+
+typedef struct {
+	SoupServer *server;
+	sr_clock_t *clock;
+	sr_platform_t *platform;
+	answer_t answer;
+	guint64 version; /* of the only object; 0 if there is none */
+	unsigned requests;
+	unsigned writes;
+	unsigned replies;
+	sr_store_reply_t last;
+	char *value;
+	GString *order;
+	const char *hosts;
+} fixture_t;
+
+static gboolean write_object(fixture_t *f, SoupServerMessage *message)
+{
+	SoupMessageHeaders *headers =
+		soup_server_message_get_request_headers(message);
+	const char *match = soup_message_headers_get_one(headers, "If-Match");
+	char *etag = g_strdup_printf("\"%" G_GUINT64_FORMAT "\"", f->version);
+	gboolean good = match ? !strcmp(match, etag) : !f->version;
+
+	g_free(etag);
+	f->version += good;
+	f->writes += good;
+	return good;
+}
+
+static void serve_object(fixture_t *f, SoupServerMessage *message)
+{
+	const char *method = soup_server_message_get_method(message);
+	char *etag;
+	gboolean good = TRUE;
+
+	if (!strcmp(method, "PUT"))
+		good = write_object(f, message);
+	soup_server_message_set_status(message, good ? 200 : 412, NULL);
+	etag = g_strdup_printf("\"%" G_GUINT64_FORMAT "\"", f->version);
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message), "ETag",
+		etag);
+	g_free(etag);
+	if (!strcmp(method, "GET"))
+		soup_server_message_set_response(
+			message, "text/plain", SOUP_MEMORY_STATIC, "value", 5);
+}
+
+static void on_request(SoupServer *server, SoupServerMessage *message,
+		       const char *path, GHashTable *query, gpointer data)
+{
+	fixture_t *f = data;
+
+	f->requests++;
+	g_string_append_c(f->order, path[strlen(path) - 1]);
+	if (f->answer == ANSWER_BUSY) {
+		soup_server_message_set_status(message, 503, NULL);
+		soup_message_headers_replace(
+			soup_server_message_get_response_headers(message),
+			"Retry-After", "1");
+		return;
+	}
+	if (!strcmp(path, "/hosts")) {
+		soup_server_message_set_status(message, 200, NULL);
+		soup_server_message_set_response(message, "application/json",
+						 SOUP_MEMORY_COPY, f->hosts,
+						 strlen(f->hosts));
+		return;
+	}
+	serve_object(f, message);
+	if (f->answer == ANSWER_SILENT)
+		soup_server_message_pause(message);
+	if (f->answer == ANSWER_BROKEN)
+		soup_server_message_set_status(message, 500, NULL);
+	if (f->answer == ANSWER_CUT)
+		g_socket_close(soup_server_message_get_socket(message), NULL);
+}
+
+static void on_reply(void *user, const sr_store_reply_t *reply)
+{
+	fixture_t *f = user;
+
+	f->replies++;
+	f->last = *reply;
+	g_clear_pointer(&f->value, g_free);
+	if (reply->value)
+		f->value = g_strndup(g_bytes_get_data(reply->value, NULL),
+				     g_bytes_get_size(reply->value));
+	f->last.value = NULL;
+}
+
+static void start_client(fixture_t *f, unsigned max_in_flight)
+{
+	GSList *uris = soup_server_get_uris(f->server);
+	char *url = g_strdup_printf("http://127.0.0.1:%d",
+				    g_uri_get_port(uris->data));
+	sr_platform_options_t options = { .url = url,
+					  .clock = f->clock,
+					  .max_in_flight = max_in_flight,
+					  .seed = 1 };
+
+	f->platform = sr_platform_new(&options);
+	g_free(url);
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+}
+
+static int setup(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+
+	f->server = soup_server_new(NULL, NULL);
+	soup_server_add_handler(f->server, NULL, on_request, f, NULL);
+	assert_true(soup_server_listen_local(
+		f->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+	f->clock = sr_clock_new_manual(SR_SEC);
+	f->order = g_string_new(NULL);
+	start_client(f, 0);
+	*state = f;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	fixture_t *f = *state;
+
+	sr_platform_free(f->platform);
+	soup_server_disconnect(f->server);
+	g_object_unref(f->server);
+	while (g_main_context_iteration(NULL, FALSE))
+		;
+	sr_clock_free(f->clock);
+	g_string_free(f->order, TRUE);
+	g_free(f->value);
+	g_free(f);
+	return 0;
+}
+
+static void submit(fixture_t *f, sr_store_op_t op, guint64 if_version)
+{
+	GBytes *value = g_bytes_new_static("new", 3);
+	sr_store_call_t call = { .op = op,
+				 .class = SR_STORE_CONFIG,
+				 .key = "a/b",
+				 .if_version = if_version,
+				 .done = on_reply,
+				 .user = f };
+
+	if (op == SR_STORE_CREATE || op == SR_STORE_UPDATE)
+		call.value = value;
+	sr_store_submit(sr_platform_store(f->platform), &call);
+	g_bytes_unref(value);
+	sr_clock_advance(f->clock, 0);
+}
+
+/* Real sockets need real time; what the client decides follows the clock. */
+static void settle(fixture_t *f)
+{
+	gint64 end = g_get_monotonic_time() + 50 * SR_MSEC;
+
+	while (g_get_monotonic_time() < end) {
+		g_main_context_iteration(NULL, FALSE);
+		g_usleep(100);
+	}
+	sr_clock_advance(f->clock, 0);
+}
+
+static void run(fixture_t *f, sr_store_op_t op, guint64 if_version)
+{
+	submit(f, op, if_version);
+	settle(f);
+}
+
+static void test_answers_map_to_states(void **state)
+{
+	fixture_t *f = *state;
+
+	run(f, SR_STORE_CREATE, 0);
+	assert_int_equal(f->last.status, SR_STORE_OK);
+	assert_int_equal(f->last.version, 1);
+	run(f, SR_STORE_CREATE, 0);
+	assert_int_equal(f->last.status, SR_STORE_CONFLICT);
+	run(f, SR_STORE_UPDATE, 1);
+	assert_int_equal(f->last.status, SR_STORE_OK);
+	run(f, SR_STORE_GET, 0);
+	assert_int_equal(f->last.status, SR_STORE_OK);
+	assert_int_equal(f->last.version, 2);
+	assert_string_equal(f->value, "value");
+	f->answer = ANSWER_BUSY;
+	run(f, SR_STORE_UPDATE, 2);
+	assert_int_equal(f->last.status, SR_STORE_NOT_DONE);
+	assert_int_equal(f->last.retry_after, SR_SEC);
+	assert_int_equal(f->writes, 2);
+	assert_int_equal(f->replies, 5);
+}
+
+static void test_lost_write_is_unknown_and_not_sent_again(void **state)
+{
+	fixture_t *f = *state;
+
+	run(f, SR_STORE_GET, 0); /* leaves a connection to reuse */
+	f->answer = ANSWER_CUT;
+	run(f, SR_STORE_CREATE, 0);
+	assert_int_equal(f->replies, 2);
+	assert_int_equal(f->last.status, SR_STORE_UNKNOWN);
+	assert_int_equal(f->requests, 2);
+	f->answer = ANSWER_BROKEN;
+	run(f, SR_STORE_UPDATE, 1);
+	assert_int_equal(f->last.status, SR_STORE_UNKNOWN);
+	assert_int_equal(f->writes, 2);
+}
+
+static void test_silence_ends_at_the_timeout(void **state)
+{
+	fixture_t *f = *state;
+
+	f->answer = ANSWER_SILENT;
+	run(f, SR_STORE_CREATE, 0);
+	sr_clock_advance(f->clock, SR_PLATFORM_TIMEOUT - 1);
+	assert_int_equal(f->replies, 0);
+	sr_clock_advance(f->clock, 1);
+	assert_int_equal(f->replies, 1);
+	assert_int_equal(f->last.status, SR_STORE_UNKNOWN);
+	settle(f);
+	assert_int_equal(f->replies, 1);
+}
+
+static void test_unreachable_platform_is_refused_at_once(void **state)
+{
+	fixture_t *f = *state;
+	unsigned requests;
+
+	soup_server_disconnect(f->server);
+	for (int i = 0; i < SR_BUDGET_TRIP; i++) {
+		run(f, SR_STORE_CREATE, 0);
+		assert_int_equal(f->last.status, SR_STORE_NOT_DONE);
+	}
+	assert_true(sr_platform_is_out(f->platform));
+	requests = f->replies;
+	submit(f, SR_STORE_CREATE, 0);
+	assert_int_equal(f->replies, requests + 1);
+	assert_int_equal(f->last.status, SR_STORE_NOT_DONE);
+	assert_true(f->last.retry_after > 0);
+	assert_int_equal(f->requests, 0);
+}
+
+static void test_urgent_class_goes_first(void **state)
+{
+	fixture_t *f = *state;
+	static const char *keys[] = { "4", "3", "0", "1", "2" };
+
+	sr_platform_free(f->platform);
+	start_client(f, 1);
+	for (int i = 0; i < 5; i++) {
+		sr_store_call_t call = {
+			.op = SR_STORE_GET,
+			.class = (sr_store_class_t)(keys[i][0] - '0'),
+			.key = keys[i],
+			.done = on_reply,
+			.user = f
+		};
+
+		sr_store_submit(sr_platform_store(f->platform), &call);
+	}
+	sr_clock_advance(f->clock, 0);
+	assert_int_equal(f->replies, 0);
+	settle(f);
+	assert_int_equal(f->replies, 5);
+	assert_string_equal(f->order->str, "01234");
+}
+
+static void test_cancelled_call_gets_no_reply(void **state)
+{
+	fixture_t *f = *state;
+
+	submit(f, SR_STORE_GET, 0);
+	sr_store_cancel_all(sr_platform_store(f->platform), f);
+	settle(f);
+	assert_int_equal(f->replies, 0);
+}
+
+/* Calls that a bucket of this class lets go at one moment. */
+static unsigned drain(sr_budget_t *budget, sr_usec_t now,
+		      sr_store_class_t class)
+{
+	sr_usec_t wait;
+	unsigned n = 0;
+
+	while (sr_budget_take(budget, now, class, FALSE, &wait) == SR_BUDGET_GO)
+		n++;
+	return n;
+}
+
+static void test_budget_keeps_room_for_urgent_calls(void **state)
+{
+	sr_budget_t budget;
+
+	sr_budget_init(&budget, 10, 100, 1, 0);
+	assert_int_equal(drain(&budget, 0, SR_STORE_STATUS), 70);
+	assert_int_equal(drain(&budget, 0, SR_STORE_JOURNAL), 30);
+	assert_int_equal(drain(&budget, SR_SEC, SR_STORE_JOURNAL), 10);
+	sr_budget_clear(&budget);
+}
+
+/* Of 200 nodes that saw an outage, how many call within any 100 ms of it? */
+static void test_outage_ends_without_a_herd(void **state)
+{
+	unsigned calls[60] = { 0 };
+
+	for (unsigned node = 0; node < 200; node++) {
+		sr_budget_t budget;
+		sr_usec_t wait;
+
+		sr_budget_init(&budget, 10, 50, node, 0);
+		for (sr_usec_t t = 0; t < 30 * SR_SEC; t += 100 * SR_MSEC)
+			if (sr_budget_take(&budget, t, SR_STORE_LEASE, FALSE,
+					   &wait) == SR_BUDGET_GO)
+				sr_budget_failed(&budget, t);
+		for (int i = 0; i < 60; i++) {
+			sr_usec_t t = 30 * SR_SEC + i * 100 * SR_MSEC;
+
+			while (sr_budget_take(&budget, t, SR_STORE_LEASE, FALSE,
+					      &wait) == SR_BUDGET_GO) {
+				calls[i]++;
+				sr_budget_answered(&budget, t);
+			}
+		}
+		sr_budget_clear(&budget);
+	}
+	/* At the full rate 200 nodes send 200 calls in 100 ms. */
+	for (int i = 0; i < 60; i++)
+		assert_true(calls[i] <= 200);
+	assert_true(calls[0] <= 40);
+}
+
+static void let_poll(fixture_t *f)
+{
+	for (sr_usec_t t = 0; t < 2 * SR_HOSTS_INTERVAL; t += SR_SEC) {
+		sr_clock_advance(f->clock, SR_SEC);
+		settle(f);
+	}
+}
+
+static void count_leaving(void *user, const char *host, sr_usec_t in)
+{
+	++*(unsigned *)user;
+}
+
+static void count_present(void *user, const sr_host_t *host, gboolean present)
+{
+	*(unsigned *)user += present ? 100 : 10000;
+}
+
+static void test_host_list_tells_changes_once(void **state)
+{
+	fixture_t *f = *state;
+	unsigned seen = 0;
+	sr_hosts_options_t options = { .platform = f->platform,
+				       .clock = f->clock,
+				       .leaving = count_leaving,
+				       .present = count_present,
+				       .user = &seen };
+	sr_hosts_t *hosts = sr_hosts_new(&options);
+
+	f->hosts = "{\"hosts\":[{\"name\":\"h\",\"failure_domain\":\"d\","
+		   "\"class\":\"c\",\"reclaimable\":true,"
+		   "\"price_per_hour\":1,\"state\":\"leaving\"}]}";
+	sr_hosts_set_active(hosts, TRUE);
+	let_poll(f);
+	assert_int_equal(seen, 101);
+	assert_true(sr_hosts_is_leaving(hosts, "h"));
+	f->hosts = "{\"hosts\":[]}";
+	let_poll(f);
+	assert_int_equal(seen, 10101);
+	sr_hosts_free(hosts);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_answers_map_to_states,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_lost_write_is_unknown_and_not_sent_again, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(
+			test_silence_ends_at_the_timeout, setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_unreachable_platform_is_refused_at_once, setup,
+			teardown),
+		cmocka_unit_test_setup_teardown(test_urgent_class_goes_first,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_cancelled_call_gets_no_reply, setup, teardown),
+		cmocka_unit_test(test_budget_keeps_room_for_urgent_calls),
+		cmocka_unit_test(test_outage_ends_without_a_herd),
+		cmocka_unit_test_setup_teardown(
+			test_host_list_tells_changes_once, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
