--- a/emulator/args.c
+++ b/emulator/args.c
@@ -49,8 +49,9 @@
 
 		json_object_put(fault);
 		if (!ok) {
-			fprintf(stderr, "%s is not a fault: give JSON with "
-					"a known \"mode\"\n",
+			fprintf(stderr,
+				"%s is not a fault: give JSON with "
+				"a known \"mode\"\n",
 				text);
 			return FALSE;
 		}
--- a/emulator/batch.c
+++ b/emulator/batch.c
@@ -64,9 +64,9 @@
 {
 	if (!batch)
 		return;
-	sr_list_for_each_safe(run, &batch->running)
+	sr_list_for_each_safe (run, &batch->running)
 		free_sequence(sr_list_entry(run, sr_emu_sequence_t, link));
-	sr_list_for_each_safe(wait, &batch->waiting)
+	sr_list_for_each_safe (wait, &batch->waiting)
 		free_sequence(sr_list_entry(wait, sr_emu_sequence_t, link));
 	sr_timer_cancel(batch->step);
 	g_queue_clear_full(&batch->samples, g_free);
@@ -154,8 +154,7 @@
 
 static void give_tokens(sr_emu_batch_t *batch)
 {
-	sr_list_for_each_safe(pos, &batch->running)
-	{
+	sr_list_for_each_safe (pos, &batch->running) {
 		sr_emu_sequence_t *sequence =
 			sr_list_entry(pos, sr_emu_sequence_t, link);
 		gboolean last = sequence->offset + 1 >= sequence->max_tokens;
@@ -204,8 +203,7 @@
 {
 	sr_list_t *before = &batch->waiting;
 
-	sr_list_for_each(pos, &batch->waiting)
-	{
+	sr_list_for_each (pos, &batch->waiting) {
 		if (sr_list_entry(pos, sr_emu_sequence_t, link)->priority >
 		    sequence->priority) {
 			before = pos;
@@ -250,7 +248,7 @@
 {
 	gboolean is_running = FALSE;
 
-	sr_list_for_each(pos, &batch->running)
+	sr_list_for_each (pos, &batch->running)
 		is_running |= pos == &sequence->link;
 	if (is_running)
 		batch->n_running--;
@@ -262,8 +260,7 @@
 
 static sr_emu_sequence_t *find(const sr_list_t *list, const char *id)
 {
-	sr_list_for_each(pos, list)
-	{
+	sr_list_for_each (pos, list) {
 		sr_emu_sequence_t *sequence =
 			sr_list_entry(pos, sr_emu_sequence_t, link);
 
--- a/emulator/bucket.h
+++ b/emulator/bucket.h
@@ -16,8 +16,7 @@
 static inline gboolean sr_emu_bucket_take(sr_emu_bucket_t *bucket,
 					  sr_usec_t now, double amount)
 {
-	double gained =
-		bucket->per_s * (double)(now - bucket->filled) / SR_SEC;
+	double gained = bucket->per_s * (double)(now - bucket->filled) / SR_SEC;
 
 	if (bucket->per_s <= 0)
 		return TRUE;
--- a/emulator/engine.c
+++ b/emulator/engine.c
@@ -130,8 +130,8 @@
 	stream->hash = hash;
 	stream->cut_at = G_MAXUINT;
 	if (sr_emu_loses_reply(exchange))
-		stream->cut_at = (options->resume_offset +
-				  options->max_tokens) / 2;
+		stream->cut_at =
+			(options->resume_offset + options->max_tokens) / 2;
 	options->token = on_token;
 	options->ended = on_ended;
 	options->user = stream;
@@ -166,10 +166,9 @@
 	options.priority =
 		(unsigned)sr_emu_header_number(exchange, "X-Priority", 0);
 	options.max_tokens = (unsigned)tokens;
-	options.resume_offset =
-		(unsigned)MIN(sr_emu_header_number(exchange, "X-Resume-Offset",
-						   0),
-			      options.max_tokens);
+	options.resume_offset = (unsigned)MIN(
+		sr_emu_header_number(exchange, "X-Resume-Offset", 0),
+		options.max_tokens);
 	options.imported = imported_tokens(exchange, hash);
 	options.prompt = g_bytes_new(prompt, strlen(prompt));
 	start_stream(engine, exchange, &options, hash);
@@ -305,8 +304,8 @@
 
 static int serve(engine_t *engine, const sr_emu_args_t *args)
 {
-	engine->server = sr_emu_args_server(args, engine->clock, TRUE, handle,
-					    engine);
+	engine->server =
+		sr_emu_args_server(args, engine->clock, TRUE, handle, engine);
 	if (!engine->server)
 		return 1;
 	sr_emu_server_run(engine->server);
@@ -402,12 +401,12 @@
 {
 	sr_emu_args_t args = sr_emu_args_new();
 	engine_args_t own = new_engine_args();
-	void *table[] = { args.listen,	    own.slots,	      own.queue,
-			  own.token_ms,	    own.batch_ms,     own.prefill_ms,
-			  own.load_lag_ms,  own.cache_blocks, own.event_lag_ms,
-			  own.event_loss,   own.version,      own.ignore_fencing,
-			  args.latency_ms,  args.fault,	      args.seed,
-			  args.help,	    args.end };
+	void *table[] = { args.listen,	   own.slots,	     own.queue,
+			  own.token_ms,	   own.batch_ms,     own.prefill_ms,
+			  own.load_lag_ms, own.cache_blocks, own.event_lag_ms,
+			  own.event_loss,  own.version,	     own.ignore_fencing,
+			  args.latency_ms, args.fault,	     args.seed,
+			  args.help,	   args.end };
 	int status = 0;
 
 	if (sr_emu_args_parse(&args, table, argc, argv, &status))
--- a/emulator/hosts.c
+++ b/emulator/hosts.c
@@ -63,8 +63,8 @@
 
 	sr_list_init(&hosts->list);
 	hosts->notices = g_ptr_array_new_with_free_func(free_notice);
-	hosts->capacity = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						NULL);
+	hosts->capacity =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	hosts->lag = options->lag;
 	hosts->clock = options->clock;
 	return hosts;
@@ -74,7 +74,7 @@
 {
 	if (!hosts)
 		return;
-	sr_list_for_each_safe(pos, &hosts->list)
+	sr_list_for_each_safe (pos, &hosts->list)
 		free_host(sr_list_entry(pos, host_t, link));
 	g_ptr_array_unref(hosts->notices);
 	g_hash_table_unref(hosts->capacity);
@@ -113,8 +113,7 @@
 	struct json_object *answer = json_object_new_object();
 	struct json_object *array = json_object_new_array();
 
-	sr_list_for_each(pos, &hosts->list)
-	{
+	sr_list_for_each (pos, &hosts->list) {
 		const host_t *host = sr_list_entry(pos, host_t, link);
 
 		if (host->live_at <= then && host->gone_at > then)
@@ -163,8 +162,7 @@
 
 static host_t *find_host(const sr_emu_hosts_t *hosts, const char *name)
 {
-	sr_list_for_each(pos, &hosts->list)
-	{
+	sr_list_for_each (pos, &hosts->list) {
 		host_t *host = sr_list_entry(pos, host_t, link);
 
 		if (!strcmp(host->name, name))
@@ -175,8 +173,7 @@
 
 static host_t *find_token(const sr_emu_hosts_t *hosts, const char *token)
 {
-	sr_list_for_each(pos, &hosts->list)
-	{
+	sr_list_for_each (pos, &hosts->list) {
 		host_t *host = sr_list_entry(pos, host_t, link);
 
 		if (host->token && !strcmp(host->token, token))
@@ -193,8 +190,8 @@
 
 	host->name = g_strdup(name);
 	host->token = g_strdup(token);
-	host->failure_domain = g_strdup(
-		sr_emu_json_string(request, "failure_domain", ""));
+	host->failure_domain =
+		g_strdup(sr_emu_json_string(request, "failure_domain", ""));
 	host->class = g_strdup(sr_emu_json_string(request, "class", ""));
 	host->reclaimable = sr_emu_json_bool(request, "reclaimable", TRUE);
 	host->price_per_hour = sr_emu_json_number(
@@ -298,8 +295,7 @@
 	struct json_object *answer = json_object_new_object();
 	int reclaimed = 0;
 
-	sr_list_for_each(pos, &hosts->list)
-	{
+	sr_list_for_each (pos, &hosts->list) {
 		host_t *host = sr_list_entry(pos, host_t, link);
 		gboolean named = name && !strcmp(host->name, name);
 		gboolean wave = domain && host->reclaimable &&
--- a/emulator/objects.c
+++ b/emulator/objects.c
@@ -50,8 +50,8 @@
 {
 	sr_emu_objects_t *objects = g_new0(sr_emu_objects_t, 1);
 
-	objects->table = g_tree_new_full(compare_keys, NULL, g_free,
-					 free_object);
+	objects->table =
+		g_tree_new_full(compare_keys, NULL, g_free, free_object);
 	objects->reads.per_s = options->reads_per_s;
 	objects->writes.per_s = options->writes_per_s;
 	objects->clock = options->clock;
@@ -100,8 +100,7 @@
 {
 	set_etag(exchange, object->version);
 	objects->bytes_read += g_bytes_get_size(object->value);
-	sr_emu_answer(exchange, 200, "application/octet-stream",
-		      object->value);
+	sr_emu_answer(exchange, 200, "application/octet-stream", object->value);
 }
 
 static gboolean poll_watch(void *user, sr_emu_exchange_t *exchange,
@@ -182,8 +181,8 @@
 		more = json_object_array_length(entries) == limit;
 		if (more)
 			break;
-		json_object_array_add(
-			entries, list_entry(key, g_tree_node_value(node)));
+		json_object_array_add(entries,
+				      list_entry(key, g_tree_node_value(node)));
 	}
 	json_object_object_add(answer, "objects", entries);
 	json_object_object_add(answer, "more", json_object_new_boolean(more));
--- a/emulator/orders.c
+++ b/emulator/orders.c
@@ -54,9 +54,9 @@
 	const char *version = sr_emu_json_string(order, "version", NULL);
 	const char *role = sr_emu_json_string(order, "role", NULL);
 	guint at = 0;
-	gboolean loaded = version && g_ptr_array_find_with_equal_func(
-					     orders->versions, version,
-					     g_str_equal, &at);
+	gboolean loaded =
+		version && g_ptr_array_find_with_equal_func(
+				   orders->versions, version, g_str_equal, &at);
 
 	if (!strcmp(op, "load") && version) {
 		if (!loaded)
--- a/emulator/platform.c
+++ b/emulator/platform.c
@@ -58,8 +58,8 @@
 
 static int serve(platform_t *platform, const sr_emu_args_t *args)
 {
-	platform->server =
-		sr_emu_args_server(args, platform->clock, FALSE, handle, platform);
+	platform->server = sr_emu_args_server(args, platform->clock, FALSE,
+					      handle, platform);
 	if (!platform->server)
 		return 1;
 	sr_emu_objects_set_server(platform->objects, platform->server);
@@ -90,12 +90,12 @@
 					 "limit of the object API (2000)");
 	struct arg_dbl *writes = arg_dbl0(NULL, "writes-per-s", "N",
 					  "limit of the object API (400)");
-	struct arg_dbl *lag = arg_dbl0(NULL, "host-lag-ms", "N",
-				       "of the host list (3000)");
+	struct arg_dbl *lag =
+		arg_dbl0(NULL, "host-lag-ms", "N", "of the host list (3000)");
 	struct arg_int *weight_kb =
 		arg_int0(NULL, "weight-kb", "N", "size of weights (64)");
-	struct arg_dbl *weights = arg_dbl0(
-		NULL, "weights-per-s", "N", "limit of the weight store (10)");
+	struct arg_dbl *weights = arg_dbl0(NULL, "weights-per-s", "N",
+					   "limit of the weight store (10)");
 	void *table[] = { args.listen, reads,		lag,	   writes,
 			  weight_kb,   weights,		args.seed, args.fault,
 			  args.help,   args.latency_ms, args.end };
--- a/emulator/prefix_cache.h
+++ b/emulator/prefix_cache.h
@@ -48,10 +48,8 @@
  *
  * Returns the last sequence number that is published.
  */
-guint64 sr_emu_prefix_cache_events(const sr_emu_prefix_cache_t *cache,
-				   sr_usec_t now, guint64 after,
-				   void (*fn)(void *user,
-					      const sr_emu_cache_event_t *event),
-				   void *user);
+guint64 sr_emu_prefix_cache_events(
+	const sr_emu_prefix_cache_t *cache, sr_usec_t now, guint64 after,
+	void (*fn)(void *user, const sr_emu_cache_event_t *event), void *user);
 
 #endif
--- a/emulator/server.c
+++ b/emulator/server.c
@@ -114,9 +114,9 @@
 	if (data)
 		soup_server_message_set_response(message, type,
 						 SOUP_MEMORY_COPY, data, size);
-	exchange->timer = sr_timer_start(exchange->server->clock,
-					 exchange->delay_after, send_answer,
-					 exchange);
+	exchange->timer =
+		sr_timer_start(exchange->server->clock, exchange->delay_after,
+			       send_answer, exchange);
 }
 
 void sr_emu_answer_status(sr_emu_exchange_t *exchange, unsigned status)
@@ -181,8 +181,7 @@
 
 void sr_emu_server_wake(sr_emu_server_t *server)
 {
-	sr_list_for_each_safe(pos, &server->exchanges)
-	{
+	sr_list_for_each_safe (pos, &server->exchanges) {
 		sr_emu_exchange_t *exchange =
 			sr_list_entry(pos, sr_emu_exchange_t, link);
 
@@ -362,7 +361,7 @@
 	if (!server)
 		return;
 	soup_server_disconnect(server->soup);
-	sr_list_for_each_safe(pos, &server->exchanges)
+	sr_list_for_each_safe (pos, &server->exchanges)
 		exchange_free(sr_list_entry(pos, sr_emu_exchange_t, link));
 	g_object_unref(server->soup);
 	g_main_loop_unref(server->loop);
@@ -429,8 +428,8 @@
 {
 	guint64 number;
 
-	if (text && g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64,
-					       &number, NULL))
+	if (text &&
+	    g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &number, NULL))
 		return number;
 	return fallback;
 }
--- a/emulator/service.c
+++ b/emulator/service.c
@@ -45,9 +45,8 @@
 
 	json_object_object_add(answer, "key", json_object_new_string(key));
 	json_object_object_add(answer, "run", json_object_new_int((int)run));
-	json_object_object_add(
-		answer, "method",
-		json_object_new_string(sr_emu_method(exchange)));
+	json_object_object_add(answer, "method",
+			       json_object_new_string(sr_emu_method(exchange)));
 	json_object_object_add(answer, "path",
 			       json_object_new_string(sr_emu_path(exchange)));
 	json_object_object_add(answer, "request_id",
@@ -143,13 +142,12 @@
 static int serve(service_t *service, const sr_emu_args_t *args)
 {
 	service->clock = sr_clock_new_real();
-	service->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      NULL);
-	service->answers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_bytes_unref);
-	service->server =
-		sr_emu_args_server(args, service->clock, FALSE, handle, service);
+	service->runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	service->answers = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	service->server = sr_emu_args_server(args, service->clock, FALSE,
+					     handle, service);
 	if (!service->server)
 		return 1;
 	sr_emu_server_run(service->server);
@@ -165,13 +163,13 @@
 	sr_emu_args_t args = sr_emu_args_new();
 	struct arg_lit *outcomes = arg_lit0(
 		NULL, "outcomes", "keep answers; serve GET /outcome/KEY");
-	struct arg_dbl *delay_ms = arg_dbl0(
-		NULL, "delay-ms", "N", "from the run to its answer (0)");
-	struct arg_int *answer_bytes = arg_int0(
-		NULL, "answer-bytes", "N", "padding of each answer (0)");
-	void *table[] = { args.listen, outcomes,	delay_ms,
+	struct arg_dbl *delay_ms = arg_dbl0(NULL, "delay-ms", "N",
+					    "from the run to its answer (0)");
+	struct arg_int *answer_bytes = arg_int0(NULL, "answer-bytes", "N",
+						"padding of each answer (0)");
+	void *table[] = { args.listen,	outcomes,	 delay_ms,
 			  answer_bytes, args.latency_ms, args.fault,
-			  args.seed,	args.help,	args.end };
+			  args.seed,	args.help,	 args.end };
 	service_t service = { 0 };
 	int status = 0;
 
