--- a/emulator/args.c
+++ b/emulator/args.c
@@ -20,12 +20,12 @@
 	};
 }
 
-gboolean sr_emu_args_parse(const sr_emu_args_t *args, void **table, int argc,
-			   char **argv, int *status)
+gboolean sr_emu_parse(const struct arg_lit *help, struct arg_end *end,
+		      void **table, int argc, char **argv, int *status)
 {
 	int errors = arg_parse(argc, argv, table);
 
-	if (args->help->count > 0) {
+	if (help->count > 0) {
 		printf("usage: sassafras-emulator %s", argv[0]);
 		arg_print_syntax(stdout, table, "\n");
 		arg_print_glossary(stdout, table, "  %-28s %s\n");
@@ -33,13 +33,19 @@
 		return FALSE;
 	}
 	if (errors > 0) {
-		arg_print_errors(stderr, args->end, argv[0]);
+		arg_print_errors(stderr, end, argv[0]);
 		*status = 2;
 		return FALSE;
 	}
 	return TRUE;
 }
 
+gboolean sr_emu_args_parse(const sr_emu_args_t *args, void **table, int argc,
+			   char **argv, int *status)
+{
+	return sr_emu_parse(args->help, args->end, table, argc, argv, status);
+}
+
 static gboolean add_faults(const sr_emu_args_t *args, sr_emu_server_t *server)
 {
 	for (int i = 0; i < args->fault->count; i++) {
--- a/emulator/args.h
+++ b/emulator/args.h
@@ -31,6 +31,10 @@
 gboolean sr_emu_args_parse(const sr_emu_args_t *args, void **table, int argc,
 			   char **argv, int *status);
 
+/** sr_emu_parse - the same for a table without the shared options. */
+gboolean sr_emu_parse(const struct arg_lit *help, struct arg_end *end,
+		      void **table, int argc, char **argv, int *status);
+
 /**
  * sr_emu_args_server - server with the shared options, NULL after an error
  * that is printed
--- /dev/null
+++ b/test/process/cluster.sh
@@ -0,0 +1,258 @@
+# Two failure domains with stand-ins and entry hosts. For sourcing after
+# lib.sh. Names of files below $run: NAME.address of every upstream, and
+# NAME.caller, NAME.admin, NAME.pid of every entry host.
+
+operator_token=operator-secret
+upstreams=
+daemons=
+
+start_platform() {
+	stand_in platform platform --host-lag-ms 1000 "$@"
+	platform=$address
+}
+
+# start_upstream NAME SERVICE DOMAIN SUBCOMMAND OPTIONS...
+start_upstream() {
+	upstream=$1
+	upstreams="$upstreams$1 $2 $3
+"
+	domain=$3
+	shift 3
+	stand_in "$upstream" "$@"
+	echo "$address" >"$run/$upstream.address"
+	curl -s -m 5 -o "$run/answer" "http://$platform/admin/hosts" -d \
+		"{\"name\": \"$upstream\", \"failure_domain\": \"$domain\",
+		  \"class\": \"small\", \"reclaimable\": true}" ||
+		fail "the platform does not take the host $upstream"
+}
+
+# start_upstreams: both deployments in miniature, in both failure domains.
+start_upstreams() {
+	for domain in ahd gnr; do
+		start_upstream "paymodel-$domain" paymodel "$domain" engine
+		start_upstream "partitura-$domain" partitura-modeli "$domain" \
+			engine
+		start_upstream "payledger-$domain" payledger "$domain" \
+			service --outcomes
+		start_upstream "galds-$domain" pasutijumu-galds "$domain" \
+			service --outcomes
+	done
+	upstreams=${upstreams%?}
+}
+
+hash_token() {
+	echo "$1" | "$build/sassafrasctl" hash-token
+}
+
+upstream_json() {
+	echo "$upstreams" | while read -r name service domain; do
+		echo "$comma{\"name\": \"$name\", \"service\": \"$service\","
+		echo " \"version\": \"v1\", \"failure_domain\": \"$domain\","
+		echo " \"address\": \"$(cat "$run/$name.address")\","
+		echo " \"slots\": 8, \"reclaimable\": true,"
+		echo " \"checks_fencing\": true, \"price_per_hour\": 0.25}"
+		comma=,
+	done
+}
+
+account_json() {
+	echo "{\"name\": \"$1\", \"home\": \"$2\", \"weight\": 1,"
+	echo " \"token_sha256\": [\"$(hash_token "$1-token")\"]}"
+}
+
+# write_config: print the configuration; the token of an account is its name
+# and "-token".
+write_config() {
+	cat <<-END
+	{
+	// Both deployments in miniature.
+	"services": [
+	{"name": "paymodel", "kind": "model", "path": "/paymodel",
+	 "routes": [
+	  {"name": "lookup", "method": "POST", "path": "/paymodel/lookup",
+	   "priority": "lookup", "deadline_ms": 20000},
+	  {"name": "comparison", "method": "POST",
+	   "path": "/paymodel/comparison", "priority": "comparison",
+	   "deadline_ms": 30000}],
+	 "versions": [{"name": "v1", "share": 1}]},
+	{"name": "payledger", "kind": "plain", "path": "/payledger",
+	 "outcome_by_key": true,
+	 "routes": [
+	  {"name": "revision", "method": "POST",
+	   "path": "/payledger/revisions", "priority": "lookup",
+	   "idempotent": false, "deadline_ms": 20000},
+	  {"name": "read", "method": "GET", "path": "/payledger",
+	   "priority": "lookup", "idempotent": true, "deadline_ms": 5000}],
+	 "versions": [{"name": "v1", "share": 1}]},
+	{"name": "partitura-modeli", "kind": "model", "path": "/partitura",
+	 "routes": [
+	  {"name": "engrave", "method": "POST", "path": "/partitura/engrave",
+	   "priority": "bulk", "deadline_ms": 60000}],
+	 "versions": [{"name": "v1", "share": 1}]},
+	{"name": "pasutijumu-galds", "kind": "plain", "path": "/pasutijumi",
+	 "outcome_by_key": true,
+	 "routes": [
+	  {"name": "order", "method": "POST", "path": "/pasutijumi/orders",
+	   "priority": "lookup", "idempotent": false, "deadline_ms": 20000},
+	  {"name": "state", "method": "GET", "path": "/pasutijumi",
+	   "priority": "lookup", "idempotent": true, "deadline_ms": 5000}],
+	 "versions": [{"name": "v1", "share": 1}]}
+	],
+	"accounts": [
+	$(account_json branches ahd),
+	$(account_json payroll ahd),
+	$(account_json choir gnr)
+	],
+	"upstreams": [
+	$(comma= && upstream_json)
+	],
+	"operators": [
+	{"name": "demo",
+	 "token_sha256": ["$(hash_token $operator_token)"]}
+	]
+	}
+	END
+}
+
+# daemon_settings NAME DOMAIN
+daemon_settings() {
+	cat <<-END
+	{
+	"node": "$1",
+	"failure_domain": "$2",
+	"cluster_id": "demo",
+	"cluster_secret_file": "$run/cluster.secret",
+	"caller_address": "$(caller_address "$1")",
+	"admin_address": "$(admin_address "$1")",
+	"peer_address": "$(cat "$run/$1.peer")",
+	"peer_seeds": [$seeds],
+	"platform_address": "$platform",
+	"bootstrap_token_sha256": "$(hash_token $operator_token)",
+	"trace_file": "$run/$1.trace",
+	"trace_sample": 1,
+	"drain_grace_ms": 500,
+	"drain_limit_ms": 20000
+	}
+	END
+}
+
+caller_address() {
+	cat "$run/$1.caller"
+}
+
+admin_address() {
+	cat "$run/$1.admin"
+}
+
+pid_of() {
+	cat "$run/$1.pid"
+}
+
+# start_daemon NAME DOMAIN
+start_daemon() {
+	[ -f "$run/cluster.secret" ] || {
+		echo "$operator_token" >"$run/operator.token"
+		echo "0123456789abcdef0123456789abcdef" >"$run/cluster.secret"
+		chmod 600 "$run/cluster.secret" "$run/operator.token"
+	}
+	for kind in caller admin peer; do
+		free_port
+		echo "127.0.0.1:$port" >"$run/$1.$kind"
+	done
+	daemon_settings "$1" "$2" >"$run/$1.json"
+	start "$1" "$build/sassafrasd" --settings "$run/$1.json"
+	echo "$pid" >"$run/$1.pid"
+	daemons="$daemons $1"
+	seeds="${seeds:+$seeds, }\"$(cat "$run/$1.peer")\""
+}
+
+# restart_daemon NAME: a new process with the settings that it had.
+restart_daemon() {
+	start "$1" "$build/sassafrasd" --settings "$run/$1.json"
+	echo "$pid" >"$run/$1.pid"
+}
+
+is_ready() {
+	curl -sf -m 2 -o "$run/answer" "http://$(admin_address "$1")/readyz"
+}
+
+is_healthy() {
+	curl -sf -m 2 -o "$run/answer" "http://$(admin_address "$1")/healthz"
+}
+
+wait_daemons() {
+	for name in $daemons; do
+		wait_for 10 is_healthy "$name" || return 1
+	done
+}
+
+# ctl NAME COMMAND...: sassafrasctl at one entry host.
+ctl() {
+	name=$1
+	shift
+	"$build/sassafrasctl" --server "http://$(admin_address "$name")" \
+		--token-file "$run/operator.token" "$@"
+}
+
+# in_force_everywhere [GENERATION]: every daemon is ready and has it in force.
+in_force_everywhere() {
+	for name in $daemons; do
+		is_ready "$name" || return 1
+		generation=$(ctl "$name" status --json | number_of generation)
+		[ "${generation:-0}" -ge "${1:-1}" ] || return 1
+	done
+}
+
+# request_body PROMPT MAX_TOKENS
+request_body() {
+	printf '{"prompt": "%s", "max_tokens": %d}' "$1" "$2"
+}
+
+# call NAME ACCOUNT METHOD PATH FILE CURL_OPTIONS...: fails unless 2xx.
+call() {
+	name=$1
+	account=$2
+	method=$3
+	path=$4
+	file=$5
+	shift 5
+	curl -sfN -m 40 -X "$method" -H "Authorization: Bearer $account-token" \
+		-H 'Content-Type: application/json' --data-binary "@$file" \
+		"$@" "http://$(caller_address "$name")$path"
+}
+
+# verify NAME: check $run/NAME.sse against the request in $run/NAME.json.
+verify() {
+	"$emulator" verify --body "$run/$1.json" <"$run/$1.sse"
+}
+
+# runs_of SERVICE KEY: how often all of its upstreams ran it.
+runs_of() {
+	total=0
+	for name in $(echo "$upstreams" | sed -n "s/^\([^ ]*\) $1 .*/\1/p"); do
+		n=$(curl -s -m 5 \
+			"http://$(cat "$run/$name.address")/admin/runs" |
+			number_of "$2")
+		total=$((total + ${n:-0}))
+	done
+	echo "$total"
+}
+
+# requests_of UPSTREAM: requests that an engine was sent.
+requests_of() {
+	curl -s -m 5 "http://$(cat "$run/$1.address")/admin/stats" |
+		number_of requests
+}
+
+# reclaim_host NAME SECONDS
+reclaim_host() {
+	curl -sf -m 5 "http://$platform/admin/reclaim" \
+		-d "{\"host\": \"$1\", \"in_s\": $2}" >"$run/answer" ||
+		fail "the platform does not give notice"
+}
+
+# fault ADDRESS JSON
+fault() {
+	curl -sf -m 5 -o "$run/answer" "http://$1/admin/fault" -d "$2" ||
+		fail "the fault $2 is not taken"
+}
