Carry a request from a caller to an upstream and back

sassafrasd reads its settings, listens for callers and operators, checks each request against the configuration in force, asks the dispatcher and relays the answer with bounded memory. A token stream is checked offset by offset and resumed at another upstream where it breaks off; what cannot be completed ends in an error event and a cut connection.

A server message ends with the last byte of a stated length, before the upstream's answer has ended: the relay was then counted as cancelled. The last bytes therefore wait for the end of the upstream's answer.

soup_server_disconnect() cuts running messages, so the package accepts connections itself and stops only that.

--- /dev/null
+++ b/src/caller/connection.c
@@ -0,0 +1,215 @@
+#include "caller/connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/poll.h>
+
+#include "base/list.h"
+#include "base/settings.h"
+
+#define CONNECTION_KEY "sassafras-connection"
+#define BACKLOG 1024
+
+struct sr_listener {
+	sr_listener_options_t options;
+	GSocketService *service;
+	guint16 port;
+	sr_list_t connections;
+	unsigned n_connections;
+};
+
+struct sr_connection {
+	sr_list_t link;
+	sr_listener_t *listener;
+	GObject *stream; /* not referenced; it frees the connection */
+	GSocket *socket;
+	sr_timer_t *header_timer;
+};
+
+typedef struct {
+	sr_timer_fn fn;
+	void *user;
+} watch_t;
+
+void sr_connection_shut(sr_connection_t *connection)
+{
+	g_socket_shutdown(connection->socket, TRUE, TRUE, NULL);
+}
+
+static void on_header_timeout(void *user)
+{
+	sr_connection_t *connection = user;
+
+	connection->header_timer = NULL;
+	sr_connection_shut(connection);
+}
+
+void sr_connection_set_busy(sr_connection_t *connection, gboolean busy)
+{
+	const sr_listener_options_t *options = &connection->listener->options;
+
+	sr_timer_cancel(connection->header_timer);
+	connection->header_timer = NULL;
+	if (!busy)
+		connection->header_timer =
+			sr_timer_start(options->clock, options->header_timeout,
+				       on_header_timeout, connection);
+}
+
+static void on_closed(gpointer data, GObject *stream)
+{
+	sr_connection_t *connection = data;
+
+	g_assert(connection->listener->n_connections > 0);
+	connection->listener->n_connections--;
+	sr_list_remove(&connection->link);
+	sr_timer_cancel(connection->header_timer);
+	g_object_unref(connection->socket);
+	g_free(connection);
+}
+
+static gboolean on_incoming(GSocketService *service, GSocketConnection *stream,
+			    GObject *source, gpointer data)
+{
+	sr_listener_t *listener = data;
+	GSocketAddress *local;
+	GSocketAddress *remote;
+	sr_connection_t *connection;
+
+	if (listener->n_connections >= listener->options.max_connections)
+		return TRUE;
+	local = g_socket_connection_get_local_address(stream, NULL);
+	remote = g_socket_connection_get_remote_address(stream, NULL);
+	if (local && remote) {
+		connection = g_new0(sr_connection_t, 1);
+		connection->listener = listener;
+		connection->stream = G_OBJECT(stream);
+		connection->socket =
+			g_object_ref(g_socket_connection_get_socket(stream));
+		g_socket_set_option(connection->socket, IPPROTO_TCP,
+				    TCP_NODELAY, 1, NULL);
+		sr_list_append(&listener->connections, &connection->link);
+		listener->n_connections++;
+		g_object_weak_ref(G_OBJECT(stream), on_closed, connection);
+		/* The server gives this very object back with each message. */
+		g_object_set_data(G_OBJECT(remote), CONNECTION_KEY, connection);
+		sr_connection_set_busy(connection, FALSE);
+		soup_server_accept_iostream(listener->options.server,
+					    G_IO_STREAM(stream), local, remote,
+					    NULL);
+	}
+	g_clear_object(&local);
+	g_clear_object(&remote);
+	return TRUE;
+}
+
+sr_listener_t *sr_listener_new(const sr_listener_options_t *options)
+{
+	sr_listener_t *listener = g_new0(sr_listener_t, 1);
+
+	listener->options = *options;
+	sr_list_init(&listener->connections);
+	listener->service = g_socket_service_new();
+	g_socket_listener_set_backlog(G_SOCKET_LISTENER(listener->service),
+				      BACKLOG);
+	g_signal_connect(listener->service, "incoming", G_CALLBACK(on_incoming),
+			 listener);
+	return listener;
+}
+
+void sr_listener_free(sr_listener_t *listener)
+{
+	if (!listener)
+		return;
+	sr_list_for_each_safe (link, &listener->connections) {
+		sr_connection_t *connection =
+			sr_list_entry(link, sr_connection_t, link);
+
+		g_object_weak_unref(connection->stream, on_closed, connection);
+		on_closed(connection, connection->stream);
+	}
+	sr_listener_stop(listener);
+	g_object_unref(listener->service);
+	g_free(listener);
+}
+
+sr_err_t sr_listener_open(sr_listener_t *listener, const char *address,
+			  char **detail)
+{
+	GSocketAddress *wanted = sr_address_parse(address);
+	GSocketAddress *bound = NULL;
+	GError *error = NULL;
+
+	if (!wanted) {
+		*detail = g_strdup_printf("\"%s\" is not IP:PORT", address);
+		return SR_ERR_INVALID;
+	}
+	g_socket_listener_add_address(G_SOCKET_LISTENER(listener->service),
+				      wanted, G_SOCKET_TYPE_STREAM,
+				      G_SOCKET_PROTOCOL_TCP, NULL, &bound,
+				      &error);
+	g_object_unref(wanted);
+	if (error) {
+		*detail = g_strdup(error->message);
+		g_error_free(error);
+		return SR_ERR_IO;
+	}
+	listener->port =
+		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
+	g_object_unref(bound);
+	g_socket_service_start(listener->service);
+	return SR_OK;
+}
+
+guint16 sr_listener_port(const sr_listener_t *listener)
+{
+	return listener->port;
+}
+
+void sr_listener_stop(sr_listener_t *listener)
+{
+	g_socket_service_stop(listener->service);
+	g_socket_listener_close(G_SOCKET_LISTENER(listener->service));
+}
+
+unsigned sr_listener_n_connections(const sr_listener_t *listener)
+{
+	return listener->n_connections;
+}
+
+sr_connection_t *sr_connection_of(SoupServerMessage *message)
+{
+	GSocketAddress *remote =
+		soup_server_message_get_remote_address(message);
+	sr_connection_t *connection =
+		g_object_get_data(G_OBJECT(remote), CONNECTION_KEY);
+
+	g_assert(connection);
+	return connection;
+}
+
+static gboolean on_hangup(GSocket *socket, GIOCondition condition,
+			  gpointer data)
+{
+	watch_t *watch = data;
+
+	watch->fn(watch->user);
+	return G_SOURCE_REMOVE;
+}
+
+GSource *sr_connection_watch(sr_connection_t *connection, sr_timer_fn fn,
+			     void *user)
+{
+	/* A caller that closes sends FIN, which only POLLRDHUP shows. */
+	GIOCondition condition =
+		(GIOCondition)(G_IO_HUP | G_IO_ERR | POLLRDHUP);
+	GSource *source =
+		g_socket_create_source(connection->socket, condition, NULL);
+	watch_t *watch = g_new0(watch_t, 1);
+
+	watch->fn = fn;
+	watch->user = user;
+	g_source_set_callback(source, G_SOURCE_FUNC(on_hangup), watch, g_free);
+	g_source_attach(source, NULL);
+	return source;
+}
--- /dev/null
+++ b/src/caller/relay.c
@@ -0,0 +1,550 @@
+#include "caller/request.h"
+
+#include <string.h>
+
+#include "caller/prompt.h"
+#include "upstream/token_stream.h"
+
+struct sr_relay {
+	sr_request_t *request;
+	sr_call_t *call;
+	sr_target_t target; /* of the attempt under way */
+	sr_exchange_t *exchange;
+	sr_token_stream_t *tokens; /* NULL unless the answer is a stream */
+	GString *out;
+	sr_span_t *span;
+	unsigned status;
+	gint64 length;	     /* of the answer, -1 if it is not known */
+	gint64 remaining;    /* of the length */
+	gboolean discarding; /* the answer is a failure or a refusal */
+	gboolean not_run;    /* the upstream says that it did not run it */
+	gboolean got_data;
+	gboolean maybe_executed;
+};
+
+/* Header fields that concern both ends and pass through unchanged. */
+static const char *const request_fields[] = {
+	"Accept",	 "Accept-Language",   "Content-Encoding",    "If-Match",
+	"If-None-Match", "If-Modified-Since", "If-Unmodified-Since", "Range",
+	"User-Agent",
+};
+
+static const char *const answer_fields[] = {
+	"Content-Type",
+	"Content-Encoding",
+	"Content-Language",
+	"Content-Range",
+	"ETag",
+	"Last-Modified",
+	"Cache-Control",
+	"Location",
+	"Vary",
+	"Content-Disposition",
+	"Retry-After",
+	"Accept-Ranges",
+};
+
+static void start_attempt(sr_relay_t *relay);
+
+static sr_caller_t *caller_of(const sr_relay_t *relay)
+{
+	return relay->request->caller;
+}
+
+static sr_usec_t now_of(const sr_relay_t *relay)
+{
+	return sr_clock_now(caller_of(relay)->options.clock);
+}
+
+static unsigned n_tokens(const sr_relay_t *relay)
+{
+	return relay->tokens ? (unsigned)sr_token_stream_tokens(relay->tokens) :
+			       0;
+}
+
+static void free_relay(sr_relay_t *relay)
+{
+	g_assert(!relay->exchange && !relay->span);
+	sr_dispatch_finish(caller_of(relay)->options.dispatch, now_of(relay),
+			   relay->call);
+	relay->request->relay = NULL;
+	sr_token_stream_free(relay->tokens);
+	g_string_free(relay->out, TRUE);
+	g_free(relay);
+}
+
+static const char *end_name(sr_attempt_end_t end)
+{
+	switch (end) {
+	case SR_ATTEMPT_OK:
+		return "ok";
+	case SR_ATTEMPT_NOT_STARTED:
+		return "not-started";
+	case SR_ATTEMPT_FAILED:
+		return "failed";
+	case SR_ATTEMPT_BROKEN:
+		return "broken";
+	case SR_ATTEMPT_TIMED_OUT:
+		return "timed-out";
+	case SR_ATTEMPT_REFUSED:
+		return "refused";
+	case SR_ATTEMPT_CANCELLED:
+		return "cancelled";
+	}
+	g_assert_not_reached();
+}
+
+static void count_attempt(sr_relay_t *relay, sr_attempt_end_t end)
+{
+	char *labels = sr_metrics_labels("service", relay->target.service,
+					 "version", relay->target.version,
+					 "end", end_name(end), NULL);
+
+	sr_counter_add(sr_metrics_counter(caller_of(relay)->options.metrics,
+					  "sassafras_attempts_total",
+					  "attempts at upstreams by end",
+					  labels),
+		       1);
+	g_free(labels);
+}
+
+/* Tells the dispatcher; returns whether it decided on another attempt. */
+static gboolean report_end(sr_relay_t *relay, sr_attempt_end_t end,
+			   sr_decision_t *decision)
+{
+	g_assert(!relay->exchange);
+	count_attempt(relay, end);
+	sr_span_set(relay->span, "upstream", relay->target.name);
+	sr_span_set(relay->span, "version", relay->target.version);
+	sr_span_end(relay->span, end == SR_ATTEMPT_OK ? NULL : end_name(end));
+	relay->span = NULL;
+	if (end != SR_ATTEMPT_NOT_STARTED && end != SR_ATTEMPT_REFUSED)
+		relay->maybe_executed = TRUE;
+	return sr_dispatch_attempt_ended(caller_of(relay)->options.dispatch,
+					 now_of(relay), relay->call, end,
+					 n_tokens(relay), decision);
+}
+
+/* Removes what an attempt that failed has left. */
+static void clear_fields(sr_request_t *request)
+{
+	SoupMessageHeaders *headers =
+		soup_server_message_get_response_headers(request->message);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answer_fields); i++)
+		soup_message_headers_remove(headers, answer_fields[i]);
+}
+
+/* Ends the relay and gives the request its last answer. */
+static void fail(sr_relay_t *relay, sr_err_t err, const char *detail,
+		 sr_usec_t retry_after)
+{
+	sr_request_t *request = relay->request;
+	gboolean is_stream = relay->tokens != NULL;
+	sr_problem_t problem = {
+		.err = err,
+		.maybe_executed = relay->maybe_executed,
+		.retry_after = retry_after,
+	};
+	char *copy = g_strdup(detail);
+
+	problem.detail = copy;
+	free_relay(relay);
+	if (request->answer == SR_ANSWER_NONE)
+		clear_fields(request);
+	sr_answer_fail(request, &problem, is_stream);
+	g_free(copy);
+}
+
+static gboolean can_continue(const sr_relay_t *relay)
+{
+	if (relay->request->answer == SR_ANSWER_NONE)
+		return TRUE;
+	return relay->tokens && !sr_token_stream_detail(relay->tokens);
+}
+
+static void end_attempt(sr_relay_t *relay, sr_attempt_end_t end,
+			const char *detail)
+{
+	sr_decision_t decision;
+	gboolean again = report_end(relay, end, &decision);
+
+	if (again && can_continue(relay)) {
+		relay->target = decision.u.send;
+		if (n_tokens(relay))
+			sr_counter_add(caller_of(relay)->meters.resumed, 1);
+		start_attempt(relay);
+	} else if (again) {
+		fail(relay, SR_ERR_UPSTREAM_FAILED, detail, 0);
+	} else {
+		fail(relay, decision.u.refuse.err, detail,
+		     decision.u.refuse.retry_after);
+	}
+}
+
+/* The header waits for the first byte, so that a failure before it can still
+ * be retried or refused. */
+static void write_answer(sr_relay_t *relay, const void *data, gsize size)
+{
+	sr_request_t *request = relay->request;
+
+	if (!size)
+		return;
+	if (request->answer == SR_ANSWER_NONE)
+		sr_answer_begin(request, relay->status, relay->length);
+	sr_answer_write(request, data, size);
+	if (relay->exchange && request->queued >= SR_ANSWER_HIGH)
+		sr_exchange_pause(relay->exchange);
+}
+
+static void finish_ok(sr_relay_t *relay)
+{
+	sr_request_t *request = relay->request;
+	sr_decision_t decision;
+
+	report_end(relay, SR_ATTEMPT_OK, &decision);
+	if (!relay->tokens)
+		write_answer(relay, relay->out->str, relay->out->len);
+	if (request->answer == SR_ANSWER_NONE)
+		sr_answer_begin(request, relay->status, relay->length);
+	free_relay(relay);
+	sr_answer_end(request);
+}
+
+static void end_discarded(sr_relay_t *relay)
+{
+	char *detail =
+		g_strdup_printf("the upstream answered %u", relay->status);
+
+	end_attempt(relay,
+		    relay->not_run ? SR_ATTEMPT_REFUSED : SR_ATTEMPT_FAILED,
+		    detail);
+	g_free(detail);
+}
+
+static void on_end(void *user, sr_exchange_end_t end, const char *detail)
+{
+	sr_relay_t *relay = user;
+
+	relay->exchange = NULL;
+	if (end == SR_EXCHANGE_NOT_SENT)
+		end_attempt(relay, SR_ATTEMPT_NOT_STARTED, detail);
+	else if (relay->discarding)
+		end_discarded(relay);
+	else if (end == SR_EXCHANGE_BROKEN)
+		end_attempt(relay, SR_ATTEMPT_BROKEN, detail);
+	else if (relay->tokens && !sr_token_stream_is_done(relay->tokens))
+		end_attempt(relay, SR_ATTEMPT_BROKEN,
+			    "the stream ended without its closing event");
+	else
+		finish_ok(relay);
+}
+
+static void cancel_exchange(sr_relay_t *relay)
+{
+	sr_exchange_cancel(relay->exchange);
+	relay->exchange = NULL;
+}
+
+/* The server ends an answer with its last byte; that one waits until the
+ * upstream's answer has ended too. */
+static void relay_bytes(sr_relay_t *relay, const guint8 *data, gsize size)
+{
+	if (relay->length >= 0) {
+		relay->remaining -= (gint64)size;
+		if (relay->remaining <= 0) {
+			g_string_append_len(relay->out, (const char *)data,
+					    (gssize)size);
+			return;
+		}
+	}
+	write_answer(relay, data, size);
+}
+
+static void relay_tokens(sr_relay_t *relay, const guint8 *data, gsize size)
+{
+	guint64 before = sr_token_stream_tokens(relay->tokens);
+	sr_err_t err;
+
+	g_string_truncate(relay->out, 0);
+	err = sr_token_stream_feed(relay->tokens, data, size, relay->out);
+	sr_counter_add(caller_of(relay)->meters.tokens,
+		       sr_token_stream_tokens(relay->tokens) - before);
+	write_answer(relay, relay->out->str, relay->out->len);
+	if (err) {
+		cancel_exchange(relay);
+		end_attempt(relay, SR_ATTEMPT_BROKEN,
+			    sr_token_stream_detail(relay->tokens));
+	}
+}
+
+static void on_data(void *user, const guint8 *data, gsize size)
+{
+	sr_relay_t *relay = user;
+	sr_caller_t *caller = caller_of(relay);
+
+	if (relay->discarding)
+		return;
+	if (!relay->got_data) {
+		relay->got_data = TRUE;
+		sr_dispatch_first_token(caller->options.dispatch, now_of(relay),
+					relay->call);
+		sr_histogram_observe(
+			caller->meters.first_byte,
+			(double)(now_of(relay) - relay->request->arrived) /
+				SR_SEC);
+	}
+	if (relay->tokens)
+		relay_tokens(relay, data, size);
+	else
+		relay_bytes(relay, data, size);
+}
+
+static gboolean is_event_stream(SoupMessageHeaders *headers)
+{
+	const char *type = soup_message_headers_get_content_type(headers, NULL);
+
+	return type && !g_ascii_strcasecmp(type, "text/event-stream");
+}
+
+static void copy_fields(sr_relay_t *relay, SoupMessageHeaders *headers)
+{
+	SoupMessageHeaders *to = soup_server_message_get_response_headers(
+		relay->request->message);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answer_fields); i++) {
+		const char *value =
+			soup_message_headers_get_one(headers, answer_fields[i]);
+
+		soup_message_headers_remove(to, answer_fields[i]);
+		if (value)
+			soup_message_headers_append(to, answer_fields[i],
+						    value);
+	}
+}
+
+static void take_header(sr_relay_t *relay, SoupMessageHeaders *headers)
+{
+	gboolean is_stream =
+		relay->request->service->kind == SR_SERVICE_MODEL &&
+		relay->status == 200 && is_event_stream(headers);
+
+	sr_token_stream_free(relay->tokens);
+	relay->tokens = is_stream ? sr_token_stream_new() : NULL;
+	relay->length = -1;
+	if (!is_stream && soup_message_headers_get_encoding(headers) ==
+				  SOUP_ENCODING_CONTENT_LENGTH)
+		relay->length =
+			soup_message_headers_get_content_length(headers);
+	relay->remaining = relay->length;
+	g_string_truncate(relay->out, 0);
+	copy_fields(relay, headers);
+}
+
+static void on_headers(void *user, unsigned status, SoupMessageHeaders *headers)
+{
+	sr_relay_t *relay = user;
+	const char *executed =
+		soup_message_headers_get_one(headers, "X-Executed");
+
+	relay->status = status;
+	relay->not_run =
+		status == 503 && executed && !strcmp(executed, "not-run");
+	relay->discarding = status >= 500;
+	/* Only a stream can go on where another one broke off. */
+	if (relay->request->answer == SR_ANSWER_OPEN &&
+	    (status != 200 || !is_event_stream(headers)))
+		relay->discarding = TRUE;
+	if (!relay->discarding && relay->request->answer == SR_ANSWER_NONE)
+		take_header(relay, headers);
+}
+
+static unsigned add_fields(const sr_relay_t *relay, sr_header_t *headers,
+			   unsigned n)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(request_fields); i++) {
+		headers[n].name = request_fields[i];
+		headers[n].value =
+			sr_request_header(relay->request, request_fields[i]);
+		n++;
+	}
+	return n;
+}
+
+static void send_attempt(sr_relay_t *relay, const char *path)
+{
+	sr_request_t *request = relay->request;
+	sr_usec_t left = request->deadline - now_of(relay);
+	char left_ms[24];
+	char offset[24];
+	char priority[8];
+	char traceparent[SR_TRACEPARENT_SIZE];
+	sr_trace_context_t context;
+	sr_header_t headers[5 + G_N_ELEMENTS(request_fields)] = {
+		{ "X-Request-Id", request->id },
+		{ "X-Deadline-Ms", left_ms },
+		{ "X-Priority", priority },
+		{ "X-Resume-Offset", n_tokens(relay) ? offset : NULL },
+		{ "traceparent", traceparent },
+	};
+	const sr_exchange_options_t options = {
+		.address = relay->target.address,
+		.method = soup_server_message_get_method(request->message),
+		.path = path,
+		.headers = headers,
+		.n_headers = add_fields(relay, headers, 5),
+		.content_type = sr_request_header(request, "Content-Type"),
+		.body = g_bytes_get_size(request->body) ? request->body : NULL,
+		.idempotent = TRUE,
+		.on_headers = on_headers,
+		.on_data = on_data,
+		.on_end = on_end,
+		.user = relay,
+	};
+
+	g_snprintf(left_ms, sizeof(left_ms), "%" G_GINT64_FORMAT,
+		   MAX(left / SR_MSEC, 1));
+	g_snprintf(offset, sizeof(offset), "%u", n_tokens(relay));
+	g_snprintf(priority, sizeof(priority), "%d", (int)request->priority);
+	relay->span = sr_span_begin(caller_of(relay)->options.trace,
+				    &request->context, "upstream",
+				    SR_SPAN_CLIENT, &context);
+	sr_trace_format(&context, traceparent);
+	relay->exchange =
+		sr_upstream_send(caller_of(relay)->options.upstream, &options);
+}
+
+static void start_attempt(sr_relay_t *relay)
+{
+	sr_decision_t decision;
+	char *path = sr_request_path(relay->request);
+
+	relay->discarding = FALSE;
+	relay->not_run = FALSE;
+	relay->got_data = FALSE;
+	if (relay->tokens)
+		sr_token_stream_restart(relay->tokens);
+	send_attempt(relay, path);
+	g_free(path);
+	if (relay->exchange) {
+		if (relay->request->queued >= SR_ANSWER_HIGH)
+			sr_exchange_pause(relay->exchange);
+		return;
+	}
+	report_end(relay, SR_ATTEMPT_CANCELLED, &decision);
+	relay->maybe_executed = FALSE;
+	fail(relay, SR_ERR_INVALID, "the path cannot be sent", 0);
+}
+
+static void begin_call(sr_request_t *request, const sr_prompt_t *prompt)
+{
+	sr_caller_t *caller = request->caller;
+	const sr_call_options_t options = {
+		.service = request->service,
+		.route = request->route,
+		.account = request->account,
+		.priority = request->priority,
+		.deadline = request->deadline,
+		.idempotent = TRUE,
+		.blocks = prompt->blocks,
+		.n_blocks = prompt->n_blocks,
+		.prompt_tokens = prompt->prompt_tokens,
+		.max_tokens = prompt->max_tokens,
+	};
+	sr_decision_t decision;
+	sr_call_t *call = sr_dispatch_begin(caller->options.dispatch,
+					    sr_clock_now(caller->options.clock),
+					    &options, &decision);
+
+	if (!call) {
+		const sr_problem_t problem = {
+			.err = decision.u.refuse.err,
+			.retry_after = decision.u.refuse.retry_after,
+		};
+
+		sr_answer_problem(request, &problem);
+		return;
+	}
+	request->relay = g_new0(sr_relay_t, 1);
+	request->relay->request = request;
+	request->relay->call = call;
+	request->relay->target = decision.u.send;
+	request->relay->out = g_string_new(NULL);
+	start_attempt(request->relay);
+}
+
+void sr_relay_start(sr_request_t *request)
+{
+	const sr_problem_t invalid = {
+		.err = SR_ERR_INVALID,
+		.detail = "the body is not a JSON object, or nested too deep",
+	};
+	sr_prompt_t prompt = { .n_blocks = 0 };
+
+	if (request->service->kind == SR_SERVICE_MODEL &&
+	    g_bytes_get_size(request->body) &&
+	    sr_prompt_read(request->body, &prompt)) {
+		sr_answer_problem(request, &invalid);
+		return;
+	}
+	begin_call(request, &prompt);
+}
+
+void sr_relay_drained(sr_relay_t *relay)
+{
+	if (relay->exchange)
+		sr_exchange_resume(relay->exchange);
+}
+
+static void ignore_headers(void *user, unsigned status,
+			   SoupMessageHeaders *headers)
+{
+}
+
+static void ignore_data(void *user, const guint8 *data, gsize size)
+{
+}
+
+static void ignore_end(void *user, sr_exchange_end_t end, const char *detail)
+{
+}
+
+/* Asks the engine to stop computing an answer that nobody waits for. */
+static void send_cancel(const sr_relay_t *relay)
+{
+	char *path = g_strconcat("/requests/", relay->request->id, NULL);
+	const sr_exchange_options_t options = {
+		.address = relay->target.address,
+		.method = "DELETE",
+		.path = path,
+		.idempotent = TRUE,
+		.on_headers = ignore_headers,
+		.on_data = ignore_data,
+		.on_end = ignore_end,
+	};
+
+	if (relay->request->service->kind == SR_SERVICE_MODEL)
+		sr_upstream_send(caller_of(relay)->options.upstream, &options);
+	g_free(path);
+}
+
+static void stop_attempt(sr_relay_t *relay, sr_attempt_end_t end)
+{
+	sr_decision_t decision;
+
+	cancel_exchange(relay);
+	send_cancel(relay);
+	report_end(relay, end, &decision);
+}
+
+void sr_relay_deadline(sr_relay_t *relay)
+{
+	stop_attempt(relay, SR_ATTEMPT_TIMED_OUT);
+	fail(relay, SR_ERR_DEADLINE, NULL, 0);
+}
+
+void sr_relay_cancel(sr_relay_t *relay)
+{
+	stop_attempt(relay, SR_ATTEMPT_CANCELLED);
+	free_relay(relay);
+}
--- a/src/daemon/postings.h
+++ b/src/daemon/postings.h
@@ -64,8 +64,8 @@
  * sr_postings_submit - run a posting at most once
  *
  * done is called exactly once, never from inside this call, and at the latest
- * shortly after the deadline, unless sr_postings_forget() comes first. With
- * postings NULL the request is refused as not run with SR_ERR_PLATFORM.
+ * shortly after the deadline, unless sr_postings_forget() comes first.
+ * postings is never NULL: without one the caller package refuses.
  */
 void sr_postings_submit(sr_postings_t *postings, const sr_posting_t *posting);
 
