--- /dev/null
+++ b/src/core/journal_log.c
@@ -0,0 +1,631 @@
+#include "core/journal_log.h"
+
+#include <string.h>
+
+#define NEVER G_MAXINT64
+/* Shortest and longest wait before a failed call is made again. */
+#define RETRY_MIN (50 * SR_MSEC)
+#define RETRY_MAX (2 * SR_SEC)
+/* How often a claimant looks for new records within one lease. */
+#define POLLS_PER_LEASE 4
+
+typedef enum {
+	PHASE_OFF,
+	PHASE_MANIFEST,
+	PHASE_SEGMENT,
+	PHASE_READ,
+	PHASE_CLAIM,
+	PHASE_HELD,
+} phase_t;
+
+/* What the write under way waits for. */
+typedef enum {
+	WRITE_NONE,
+	WRITE_CREATE,
+	WRITE_READ_BACK, /* is the object at our number ours? */
+	WRITE_VERIFY,	 /* was our number free for good? */
+} write_t;
+
+struct sr_journal_log {
+	sr_store_t *store;
+	const sr_journal_log_ops_t *ops;
+	void *user;
+	char *prefix;
+	char *owner;
+	guint64 random;
+	sr_usec_t lease;
+	sr_usec_t interval;
+
+	phase_t phase;
+	gboolean wanted;
+	sr_usec_t due; /* earliest time of the next call */
+	unsigned failures;
+
+	sr_manifest_t *manifest;
+	guint64 manifest_version;
+	guint segment;
+
+	guint64 epoch;
+	guint64 next; /* first number not known to be taken */
+	gboolean released;
+	sr_usec_t quiet_since; /* no new record was seen from then on */
+
+	sr_usec_t time; /* shard time, as of the local time_at */
+	sr_usec_t time_at;
+
+	write_t write;
+	GBytes *write_value;
+	guint64 write_id;
+	gboolean write_release;
+	sr_usec_t write_began;
+	sr_usec_t lease_from;
+	sr_usec_t last_write; /* when the last one began */
+	sr_usec_t request_at; /* when the next one is to begin */
+	guint64 writes;
+
+	gboolean calling;
+	sr_usec_t call_began;
+	gboolean has_reply;
+	sr_store_status_t status;
+	guint64 version;
+	sr_usec_t retry_after;
+	GBytes *value;
+};
+
+static guint64 next_random(sr_journal_log_t *log)
+{
+	guint64 z = log->random += 0x9e3779b97f4a7c15ULL;
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 31);
+}
+
+sr_journal_log_t *sr_journal_log_new(const sr_journal_log_options_t *options)
+{
+	sr_journal_log_t *log = g_new0(sr_journal_log_t, 1);
+
+	log->store = options->store;
+	log->ops = options->ops;
+	log->user = options->user;
+	log->prefix = g_strdup(options->prefix);
+	log->owner = g_strdup(options->owner);
+	log->random = options->seed ^ ((guint64)g_str_hash(log->owner) << 32) ^
+		      g_str_hash(log->prefix);
+	log->lease = options->lease;
+	log->interval = options->interval;
+	log->request_at = NEVER;
+	return log;
+}
+
+void sr_journal_log_free(sr_journal_log_t *log)
+{
+	if (!log)
+		return;
+	sr_store_cancel_all(log->store, log);
+	g_clear_pointer(&log->value, g_bytes_unref);
+	g_clear_pointer(&log->write_value, g_bytes_unref);
+	sr_manifest_free(log->manifest);
+	g_free(log->prefix);
+	g_free(log->owner);
+	g_free(log);
+}
+
+gboolean sr_journal_log_is_held(const sr_journal_log_t *log)
+{
+	return log->phase == PHASE_HELD;
+}
+
+gboolean sr_journal_log_is_off(const sr_journal_log_t *log)
+{
+	return log->phase == PHASE_OFF;
+}
+
+static gboolean is_lease_valid(const sr_journal_log_t *log, sr_usec_t now)
+{
+	return now <= log->lease_from + log->lease;
+}
+
+gboolean sr_journal_log_is_ready(const sr_journal_log_t *log, sr_usec_t now,
+				 sr_usec_t patience)
+{
+	if (log->phase != PHASE_HELD || !log->wanted)
+		return FALSE;
+	if (log->write != WRITE_NONE && now > log->write_began + patience)
+		return FALSE;
+	return is_lease_valid(log, now);
+}
+
+sr_usec_t sr_journal_log_time(const sr_journal_log_t *log, sr_usec_t now)
+{
+	if (log->phase != PHASE_HELD)
+		return log->time;
+	return log->time + (now - log->time_at);
+}
+
+guint64 sr_journal_log_epoch(const sr_journal_log_t *log)
+{
+	return log->epoch;
+}
+
+guint64 sr_journal_log_last(const sr_journal_log_t *log)
+{
+	return log->next - 1;
+}
+
+guint64 sr_journal_log_writes(const sr_journal_log_t *log)
+{
+	return log->writes;
+}
+
+const sr_manifest_t *sr_journal_log_manifest(const sr_journal_log_t *log,
+					     guint64 *version)
+{
+	*version = log->manifest_version;
+	return log->manifest;
+}
+
+void sr_journal_log_set_manifest(sr_journal_log_t *log, sr_manifest_t *manifest,
+				 guint64 version)
+{
+	sr_manifest_free(log->manifest);
+	log->manifest = manifest;
+	log->manifest_version = version;
+}
+
+static guint64 base_of(const sr_manifest_t *manifest)
+{
+	return manifest ? manifest->base : 0;
+}
+
+static void on_reply(void *user, const sr_store_reply_t *reply)
+{
+	sr_journal_log_t *log = user;
+
+	g_assert(log->calling && !log->has_reply);
+	log->has_reply = TRUE;
+	log->status = reply->status;
+	log->version = reply->version;
+	log->retry_after = reply->retry_after;
+	log->value = reply->value ? g_bytes_ref(reply->value) : NULL;
+	log->ops->wake(log->user);
+}
+
+static void call(sr_journal_log_t *log, sr_usec_t now, sr_store_op_t op,
+		 char *key)
+{
+	sr_store_call_t store_call = {
+		.op = op,
+		.class = SR_STORE_JOURNAL,
+		.key = key,
+		.value = op == SR_STORE_CREATE ? log->write_value : NULL,
+		.done = on_reply,
+		.user = log,
+	};
+
+	g_assert(!log->calling);
+	log->calling = TRUE;
+	log->call_began = now;
+	sr_store_submit(log->store, &store_call);
+	g_free(key);
+}
+
+static char *number_key(const sr_journal_log_t *log, guint64 number)
+{
+	return g_strdup_printf("%s/log/%020" G_GUINT64_FORMAT, log->prefix,
+			       number);
+}
+
+static char *manifest_key(const sr_journal_log_t *log)
+{
+	return g_strdup_printf("%s/manifest", log->prefix);
+}
+
+/* Exponential backoff with full jitter, or what the platform asked for. */
+static void back_off(sr_journal_log_t *log, sr_usec_t now)
+{
+	unsigned shift = MIN(log->failures, 6);
+	sr_usec_t range = MIN(RETRY_MIN << shift, RETRY_MAX);
+	sr_usec_t jitter = (sr_usec_t)(next_random(log) % (guint64)range);
+
+	log->failures++;
+	log->due = now + RETRY_MIN + MAX(jitter, log->retry_after);
+}
+
+static void restart(sr_journal_log_t *log)
+{
+	log->phase = log->wanted ? PHASE_MANIFEST : PHASE_OFF;
+	log->write = WRITE_NONE;
+	log->request_at = NEVER;
+	g_clear_pointer(&log->write_value, g_bytes_unref);
+	log->due = 0;
+	log->ops->reset(log->user);
+}
+
+static void lose(sr_journal_log_t *log, sr_usec_t now, sr_log_lost_t how)
+{
+	gboolean was_held = log->phase == PHASE_HELD;
+
+	if (was_held)
+		log->ops->lost(log->user, now, how);
+	restart(log);
+}
+
+/* Reading */
+
+static void begin_read(sr_journal_log_t *log)
+{
+	log->epoch = 0;
+	log->time = 0;
+	log->next = base_of(log->manifest) + 1;
+	log->released = log->manifest == NULL;
+	log->segment = 0;
+	if (log->manifest) {
+		log->epoch = log->manifest->epoch;
+		log->phase = PHASE_SEGMENT;
+		if (log->manifest->segments->len > 0)
+			return;
+	}
+	log->phase = PHASE_READ;
+}
+
+static void on_manifest(sr_journal_log_t *log, sr_usec_t now)
+{
+	sr_manifest_t *manifest = NULL;
+
+	if (log->status == SR_STORE_OK &&
+	    sr_manifest_decode(log->value, &manifest) != SR_OK) {
+		back_off(log, now);
+		return;
+	}
+	if (log->status != SR_STORE_OK && log->status != SR_STORE_NOT_FOUND) {
+		back_off(log, now);
+		return;
+	}
+	sr_journal_log_set_manifest(log, manifest, manifest ? log->version : 0);
+	log->ops->reset(log->user);
+	log->quiet_since = now;
+	begin_read(log);
+}
+
+static void on_segment(sr_journal_log_t *log, sr_usec_t now)
+{
+	const sr_segment_ref_t *ref =
+		log->manifest->segments->pdata[log->segment];
+	GPtrArray *records;
+
+	if (log->status == SR_STORE_NOT_FOUND) {
+		restart(log);
+		back_off(log, now);
+		return;
+	}
+	if (log->status != SR_STORE_OK ||
+	    sr_segment_decode(log->value, &records) != SR_OK) {
+		back_off(log, now);
+		return;
+	}
+	log->time = MAX(log->time, ref->newest);
+	log->ops->load(log->user, records);
+	g_ptr_array_unref(records);
+	if (++log->segment == log->manifest->segments->len)
+		log->phase = PHASE_READ;
+}
+
+static void replay_batch(sr_journal_log_t *log, const sr_batch_t *batch)
+{
+	log->time = MAX(log->time, batch->time);
+	if (batch->epoch > log->epoch) {
+		log->epoch = batch->epoch;
+		log->ops->taken_over(log->user, log->time);
+	}
+	log->released = batch->release;
+	log->next++;
+	log->ops->replay(log->user, batch);
+}
+
+/*
+ * The log has ended. It may be claimed if it was given up, or if this very
+ * read was made a whole lease after the last record was first seen.
+ */
+static void on_end_of_log(sr_journal_log_t *log, sr_usec_t now)
+{
+	sr_usec_t quiet_until = log->quiet_since + log->lease;
+
+	if (log->released || log->call_began >= quiet_until) {
+		log->phase = PHASE_CLAIM;
+		return;
+	}
+	log->due = MIN(now + log->lease / POLLS_PER_LEASE, quiet_until);
+}
+
+static void on_read(sr_journal_log_t *log, sr_usec_t now)
+{
+	sr_batch_t *batch;
+
+	if (log->status == SR_STORE_NOT_FOUND) {
+		on_end_of_log(log, now);
+		return;
+	}
+	if (log->status != SR_STORE_OK ||
+	    sr_batch_decode(log->value, &batch) != SR_OK) {
+		back_off(log, now);
+		return;
+	}
+	log->quiet_since = now;
+	replay_batch(log, batch);
+	sr_batch_free(batch);
+}
+
+/* Writing */
+
+static void begin_write(sr_journal_log_t *log, sr_usec_t now, sr_batch_t *batch)
+{
+	g_assert(log->write == WRITE_NONE);
+	log->write_value = sr_batch_encode(batch);
+	g_assert(g_bytes_get_size(log->write_value) <= SR_STORE_VALUE_MAX);
+	log->write_id = batch->write_id;
+	log->write_release = batch->release;
+	log->write_began = now;
+	log->last_write = now;
+	log->write = WRITE_CREATE;
+	sr_batch_free(batch);
+}
+
+static void begin_claim(sr_journal_log_t *log, sr_usec_t now)
+{
+	sr_batch_t *batch =
+		sr_batch_new(log->owner, log->epoch + 1, next_random(log));
+
+	batch->time = sr_journal_log_time(log, now);
+	begin_write(log, now, batch);
+}
+
+static void begin_batch(sr_journal_log_t *log, sr_usec_t now)
+{
+	sr_batch_t *batch =
+		sr_batch_new(log->owner, log->epoch, next_random(log));
+	gboolean more;
+
+	batch->time = sr_journal_log_time(log, now);
+	more = log->ops->gather(log->user, batch);
+	log->request_at = NEVER;
+	batch->release = !log->wanted && !more;
+	begin_write(log, now, batch);
+	if (more)
+		sr_journal_log_request(log, now, 0);
+}
+
+static void accept_write(sr_journal_log_t *log, sr_usec_t now)
+{
+	gboolean claimed = log->phase == PHASE_CLAIM;
+
+	log->write = WRITE_NONE;
+	g_clear_pointer(&log->write_value, g_bytes_unref);
+	log->next++;
+	log->writes++;
+	log->lease_from = log->write_began;
+	if (claimed) {
+		log->epoch++;
+		log->phase = PHASE_HELD;
+		log->time_at = now;
+		log->ops->taken_over(log->user, log->time);
+		log->ops->owned(log->user, now);
+		return;
+	}
+	log->ops->durable(log->user, now);
+	if (log->write_release && log->phase == PHASE_HELD) {
+		log->ops->lost(log->user, now, SR_LOG_LOST_NOT_WRITTEN);
+		restart(log);
+	}
+}
+
+/*
+ * Our object is at our number. Within the lease nobody can have taken over,
+ * folded that number into a segment and deleted it; later, the manifest tells.
+ */
+static void on_written(sr_journal_log_t *log, sr_usec_t now)
+{
+	if (log->phase == PHASE_HELD && is_lease_valid(log, now))
+		accept_write(log, now);
+	else
+		log->write = WRITE_VERIFY;
+}
+
+static void on_verify(sr_journal_log_t *log, sr_usec_t now)
+{
+	sr_manifest_t *manifest = NULL;
+	guint64 base;
+
+	if (log->status == SR_STORE_NOT_FOUND) {
+		accept_write(log, now);
+		return;
+	}
+	if (log->status != SR_STORE_OK ||
+	    sr_manifest_decode(log->value, &manifest) != SR_OK) {
+		back_off(log, now);
+		return;
+	}
+	base = base_of(manifest);
+	sr_manifest_free(manifest);
+	if (base < log->next)
+		accept_write(log, now);
+	else
+		lose(log, now, SR_LOG_LOST_IN_DOUBT);
+}
+
+static void on_created(sr_journal_log_t *log, sr_usec_t now)
+{
+	switch (log->status) {
+	case SR_STORE_OK:
+		on_written(log, now);
+		break;
+	case SR_STORE_CONFLICT:
+		log->write = WRITE_READ_BACK;
+		break;
+	case SR_STORE_NOT_DONE:
+		back_off(log, now);
+		break;
+	default:
+		log->write = WRITE_READ_BACK;
+		break;
+	}
+}
+
+/*
+ * If nothing is at our number, the create may still arrive: the same object is
+ * created once more, and whichever create is first makes the other conflict.
+ * Past the lease another object there proves little: ours may have been folded
+ * and deleted, and a late create of yet another holder have taken the number.
+ */
+static void on_read_back(sr_journal_log_t *log, sr_usec_t now)
+{
+	sr_batch_t *batch;
+	gboolean ours;
+
+	if (log->status == SR_STORE_NOT_FOUND) {
+		log->write = WRITE_CREATE;
+		back_off(log, now);
+		return;
+	}
+	if (log->status != SR_STORE_OK ||
+	    sr_batch_decode(log->value, &batch) != SR_OK) {
+		back_off(log, now);
+		return;
+	}
+	ours = batch->write_id == log->write_id;
+	sr_batch_free(batch);
+	if (ours)
+		on_written(log, now);
+	else
+		lose(log, now,
+		     is_lease_valid(log, now) ? SR_LOG_LOST_NOT_WRITTEN :
+						SR_LOG_LOST_IN_DOUBT);
+}
+
+static void on_write_reply(sr_journal_log_t *log, sr_usec_t now)
+{
+	switch (log->write) {
+	case WRITE_CREATE:
+		on_created(log, now);
+		break;
+	case WRITE_READ_BACK:
+		on_read_back(log, now);
+		break;
+	case WRITE_VERIFY:
+		on_verify(log, now);
+		break;
+	case WRITE_NONE:
+		g_assert_not_reached();
+	}
+}
+
+static void take_reply(sr_journal_log_t *log, sr_usec_t now)
+{
+	unsigned failures = log->failures;
+
+	log->calling = FALSE;
+	log->has_reply = FALSE;
+	switch (log->phase) {
+	case PHASE_MANIFEST:
+		on_manifest(log, now);
+		break;
+	case PHASE_SEGMENT:
+		on_segment(log, now);
+		break;
+	case PHASE_READ:
+		on_read(log, now);
+		break;
+	case PHASE_CLAIM:
+	case PHASE_HELD:
+		on_write_reply(log, now);
+		break;
+	case PHASE_OFF:
+		break;
+	}
+	if (log->failures == failures)
+		log->failures = 0;
+	g_clear_pointer(&log->value, g_bytes_unref);
+}
+
+static void call_for_write(sr_journal_log_t *log, sr_usec_t now)
+{
+	switch (log->write) {
+	case WRITE_CREATE:
+		call(log, now, SR_STORE_CREATE, number_key(log, log->next));
+		break;
+	case WRITE_READ_BACK:
+		call(log, now, SR_STORE_GET, number_key(log, log->next));
+		break;
+	case WRITE_VERIFY:
+		call(log, now, SR_STORE_GET, manifest_key(log));
+		break;
+	case WRITE_NONE:
+		break;
+	}
+}
+
+static sr_usec_t next_write_at(const sr_journal_log_t *log)
+{
+	sr_usec_t renewal = log->lease_from + log->lease / 2;
+
+	if (!log->wanted)
+		return 0;
+	return MIN(renewal,
+		   MAX(log->request_at, log->last_write + log->interval));
+}
+
+static void call_next(sr_journal_log_t *log, sr_usec_t now)
+{
+	const sr_segment_ref_t *ref;
+
+	switch (log->phase) {
+	case PHASE_OFF:
+		break;
+	case PHASE_MANIFEST:
+		call(log, now, SR_STORE_GET, manifest_key(log));
+		break;
+	case PHASE_SEGMENT:
+		ref = log->manifest->segments->pdata[log->segment];
+		call(log, now, SR_STORE_GET,
+		     g_strdup_printf("%s/%s", log->prefix, ref->name));
+		break;
+	case PHASE_READ:
+		call(log, now, SR_STORE_GET, number_key(log, log->next));
+		break;
+	case PHASE_CLAIM:
+		if (log->write == WRITE_NONE)
+			begin_claim(log, now);
+		call_for_write(log, now);
+		break;
+	case PHASE_HELD:
+		if (log->write == WRITE_NONE && now >= next_write_at(log))
+			begin_batch(log, now);
+		call_for_write(log, now);
+		break;
+	}
+}
+
+void sr_journal_log_want(sr_journal_log_t *log, sr_usec_t now, gboolean want)
+{
+	log->wanted = want;
+	if (want && log->phase == PHASE_OFF)
+		log->phase = PHASE_MANIFEST;
+	if (!want && log->phase < PHASE_CLAIM && !log->calling)
+		log->phase = PHASE_OFF;
+}
+
+void sr_journal_log_request(sr_journal_log_t *log, sr_usec_t now,
+			    sr_usec_t delay)
+{
+	log->request_at = MIN(log->request_at, now + delay);
+}
+
+void sr_journal_log_tick(sr_journal_log_t *log, sr_usec_t now)
+{
+	if (log->has_reply)
+		take_reply(log, now);
+	if (!log->wanted && !log->calling && log->phase < PHASE_CLAIM)
+		log->phase = PHASE_OFF;
+	if (!log->calling && now >= log->due)
+		call_next(log, now);
+}
