--- /dev/null
+++ b/src/peer/peer.c
@@ -0,0 +1,308 @@
+#include "peer/peer.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+#include "peer/peer_internal.h"
+
+/* Datagrams read in a row before other events get their turn. */
+#define DATAGRAM_BATCH 64
+/* A datagram with its RPC header fits in this, in bytes. */
+#define PACKET_MAX 2048
+/* How often another port is tried if a free one is taken for one protocol. */
+#define PORT_TRIES 16
+
+GSocketAddress *sr_peer_parse_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	GSocketAddress *address = NULL;
+	guint64 port = 0;
+	char *host;
+
+	if (!colon ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 0, 65535, &port, NULL))
+		return NULL;
+	host = g_strndup(text, (gsize)(colon - text));
+	address = g_inet_socket_address_new_from_string(host, (guint)port);
+	g_free(host);
+	return address;
+}
+
+void sr_peer_nonce(guint8 nonce[SR_RPC_NONCE_SIZE])
+{
+	int failed = getentropy(nonce, SR_RPC_NONCE_SIZE);
+
+	g_assert(!failed);
+}
+
+void sr_peer_count(sr_peer_t *peer, int err)
+{
+	if (err == SR_ERR_UNAUTHENTICATED)
+		peer->stats.unauthenticated++;
+	else
+		peer->stats.malformed++;
+}
+
+gboolean sr_peer_write(sr_peer_t *peer, sr_stream_t *stream,
+		       const sr_mac_input_t *input)
+{
+	GByteArray *message = sr_rpc_seal(&peer->key, input);
+	gboolean good = sr_stream_send(stream, message);
+
+	if (good)
+		peer->stats.bytes_out += message->len;
+	else
+		peer->stats.refused++;
+	g_byte_array_unref(message);
+	return good;
+}
+
+static void take_packet(sr_peer_t *peer, const guint8 *data, gsize size)
+{
+	sr_rpc_header_t header;
+	sr_rpc_gossip gossip = { 0 };
+	int err = sr_rpc_open(&peer->key, SR_MESSAGE_CALL, peer->address, NULL,
+			      data, size, &header);
+
+	if (!err && header.procedure != SR_RPC_GOSSIP)
+		err = SR_ERR_PROTOCOL;
+	if (err) {
+		sr_peer_count(peer, err);
+		return;
+	}
+	if (!sr_replay_accept(peer->datagram_replay,
+			      sr_clock_now(peer->options.clock), header.sender,
+			      header.incarnation, header.sequence)) {
+		peer->stats.replayed++;
+		return;
+	}
+	if (!sr_rpc_unpack(&header, (xdrproc_t)xdr_sr_rpc_gossip, &gossip)) {
+		peer->stats.malformed++;
+		return;
+	}
+	peer->stats.datagrams_in++;
+	peer->options.datagram(peer->options.user,
+			       (const guint8 *)gossip.datagram.datagram_val,
+			       gossip.datagram.datagram_len);
+	xdr_free((xdrproc_t)xdr_sr_rpc_gossip, &gossip);
+}
+
+static gboolean on_packet(GSocket *socket, GIOCondition condition,
+			  gpointer data)
+{
+	sr_peer_t *peer = data;
+	guint8 packet[PACKET_MAX];
+
+	for (int i = 0; i < DATAGRAM_BATCH; i++) {
+		gssize size = g_socket_receive(socket, (char *)packet,
+					       sizeof(packet), NULL, NULL);
+
+		if (size < 0)
+			break;
+		peer->stats.bytes_in += (guint64)size;
+		take_packet(peer, packet, (gsize)size);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+void sr_peer_send(sr_peer_t *peer, const char *address, const guint8 *data,
+		  gsize size)
+{
+	GSocketAddress *to = sr_peer_parse_address(address);
+	GByteArray *payload = g_byte_array_new();
+	sr_rpc_gossip gossip = {
+		.datagram = { .datagram_val = (char *)data,
+			      .datagram_len = (u_int)size },
+	};
+	sr_mac_input_t input = {
+		.direction = SR_MESSAGE_CALL,
+		.xid = peer->next_xid++,
+		.procedure = SR_RPC_GOSSIP,
+		.sender = peer->options.node,
+		.receiver = address,
+		.incarnation = peer->options.incarnation,
+		.sequence = ++peer->datagram_sequence,
+	};
+
+	if (to && sr_rpc_pack(payload, (xdrproc_t)xdr_sr_rpc_gossip, &gossip)) {
+		GByteArray *packet;
+
+		input.payload = payload->data;
+		input.payload_size = payload->len;
+		packet = sr_rpc_seal(&peer->key, &input);
+		g_socket_send_to(peer->udp, to, (char *)packet->data,
+				 packet->len, NULL, NULL);
+		peer->stats.datagrams_out++;
+		peer->stats.bytes_out += packet->len;
+		g_byte_array_unref(packet);
+	}
+	g_byte_array_unref(payload);
+	g_clear_object(&to);
+}
+
+static GSocketAddress *with_port(GSocketAddress *address, guint16 port)
+{
+	return g_inet_socket_address_new(
+		g_inet_socket_address_get_address(
+			G_INET_SOCKET_ADDRESS(address)),
+		port);
+}
+
+static gboolean listen_tcp(sr_peer_t *peer, GSocketAddress *address,
+			   GSocketAddress **effective, GError **error)
+{
+	peer->service = g_socket_service_new();
+	return g_socket_listener_add_address(
+		G_SOCKET_LISTENER(peer->service), address, G_SOCKET_TYPE_STREAM,
+		G_SOCKET_PROTOCOL_TCP, NULL, effective, error);
+}
+
+static gboolean listen_udp(sr_peer_t *peer, GSocketAddress *address,
+			   GError **error)
+{
+	peer->udp = g_socket_new(g_socket_address_get_family(address),
+				 G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP,
+				 error);
+	if (!peer->udp || !g_socket_bind(peer->udp, address, FALSE, error))
+		return FALSE;
+	g_socket_set_blocking(peer->udp, FALSE);
+	return TRUE;
+}
+
+static void unlisten(sr_peer_t *peer)
+{
+	if (peer->service)
+		g_socket_listener_close(G_SOCKET_LISTENER(peer->service));
+	g_clear_object(&peer->service);
+	g_clear_object(&peer->udp);
+}
+
+/* TCP and UDP share one port number. */
+static gboolean listen_both(sr_peer_t *peer, GSocketAddress *address,
+			    GError **error)
+{
+	GSocketAddress *effective = NULL;
+	GInetSocketAddress *inet;
+	gboolean good;
+	char *host;
+
+	if (!listen_tcp(peer, address, &effective, error))
+		return FALSE;
+	inet = G_INET_SOCKET_ADDRESS(effective);
+	good = listen_udp(peer, effective, error);
+	host = g_inet_address_to_string(
+		g_inet_socket_address_get_address(inet));
+	g_free(peer->address);
+	peer->address = g_strdup_printf("%s:%u", host,
+					g_inet_socket_address_get_port(inet));
+	g_free(host);
+	g_object_unref(effective);
+	return good;
+}
+
+static gboolean start_listening(sr_peer_t *peer, char **problem)
+{
+	GSocketAddress *address = sr_peer_parse_address(peer->options.address);
+	GError *error = NULL;
+	gboolean good = FALSE;
+	guint16 port;
+
+	if (!address) {
+		*problem = g_strdup_printf("peer address '%s' is not IP:PORT",
+					   peer->options.address);
+		return FALSE;
+	}
+	port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
+	for (int i = 0; !good && i < (port ? 1 : PORT_TRIES); i++) {
+		GSocketAddress *one = with_port(address, port);
+
+		g_clear_error(&error);
+		unlisten(peer);
+		good = listen_both(peer, one, &error);
+		g_object_unref(one);
+	}
+	if (!good)
+		*problem =
+			g_strdup_printf("cannot listen on %s: %s",
+					peer->options.address, error->message);
+	g_clear_error(&error);
+	g_object_unref(address);
+	return good;
+}
+
+static void copy_options(sr_peer_t *peer, const sr_peer_options_t *options)
+{
+	peer->options = *options;
+	peer->options.address = g_strdup(options->address);
+	peer->options.cluster = g_strdup(options->cluster);
+	peer->options.node = g_strdup(options->node);
+	peer->options.secret = g_memdup2(options->secret, options->secret_size);
+	peer->key = (sr_auth_key_t){ .cluster = peer->options.cluster,
+				     .secret = peer->options.secret,
+				     .secret_size = options->secret_size };
+}
+
+sr_peer_t *sr_peer_new(const sr_peer_options_t *options, char **problem)
+{
+	sr_peer_t *peer;
+
+	*problem = NULL;
+	if (options->secret_size < SR_PEER_SECRET_MIN ||
+	    strlen(options->cluster) > SR_RPC_CLUSTER_MAX ||
+	    strlen(options->node) > SR_RPC_NAME_MAX) {
+		*problem = g_strdup_printf(
+			"the cluster secret needs %d bytes, the cluster id may "
+			"have %d and the node name %d",
+			SR_PEER_SECRET_MIN, SR_RPC_CLUSTER_MAX,
+			SR_RPC_NAME_MAX);
+		return NULL;
+	}
+	peer = g_new0(sr_peer_t, 1);
+	copy_options(peer, options);
+	peer->datagram_replay = sr_replay_new();
+	peer->hello_replay = sr_replay_new();
+	sr_client_start(peer);
+	sr_list_init(&peer->inbound);
+	sr_list_init(&peer->requests);
+	if (!start_listening(peer, problem)) {
+		sr_peer_free(peer);
+		return NULL;
+	}
+	sr_server_start(peer);
+	peer->udp_source = g_socket_create_source(peer->udp, G_IO_IN, NULL);
+	g_source_set_callback(peer->udp_source, G_SOURCE_FUNC(on_packet), peer,
+			      NULL);
+	g_source_attach(peer->udp_source, NULL);
+	return peer;
+}
+
+void sr_peer_free(sr_peer_t *peer)
+{
+	if (!peer)
+		return;
+	if (peer->udp_source) {
+		g_source_destroy(peer->udp_source);
+		g_source_unref(peer->udp_source);
+	}
+	sr_server_stop(peer);
+	sr_client_stop(peer);
+	unlisten(peer);
+	sr_replay_free(peer->datagram_replay);
+	sr_replay_free(peer->hello_replay);
+	g_free((char *)peer->options.address);
+	g_free((char *)peer->options.cluster);
+	g_free((char *)peer->options.node);
+	g_free((guint8 *)peer->options.secret);
+	g_free(peer->address);
+	g_free(peer);
+}
+
+const char *sr_peer_address(const sr_peer_t *peer)
+{
+	return peer->address;
+}
+
+const sr_peer_stats_t *sr_peer_stats(const sr_peer_t *peer)
+{
+	return &peer->stats;
+}
