Check that an answer reaches its own caller in the peer test

The test of answers out of order did not notice when the xid was ignored, since both calls had one caller; it now has two.

--- a/test/peer_test.c
+++ b/test/peer_test.c
@@ -33,6 +33,7 @@
 	sr_clock_t *clock;
 	node_t a;
 	node_t b;
+	node_t other; /* a second caller on a */
 } fixture_t;
 
 static void on_datagram(void *user, const guint8 *data, gsize size)
@@ -166,8 +167,8 @@
 	node->found = value != NULL;
 }
 
-static void forward(fixture_t *f, const char *address, const char *key,
-		    gsize size, sr_usec_t time_left)
+static void forward_for(fixture_t *f, node_t *caller, const char *address,
+			const char *key, gsize size, sr_usec_t time_left)
 {
 	GBytes *body = g_bytes_new_take(g_malloc0(size), size);
 	sr_forward_t request = { .account = "acme",
@@ -179,10 +180,16 @@
 				 .body = body,
 				 .time_left = time_left };
 
-	sr_peer_forward(f->a.peer, address, &request, on_result, &f->a);
+	sr_peer_forward(f->a.peer, address, &request, on_result, caller);
 	g_bytes_unref(body);
 }
 
+static void forward(fixture_t *f, const char *address, const char *key,
+		    gsize size, sr_usec_t time_left)
+{
+	forward_for(f, &f->a, address, key, size, time_left);
+}
+
 static void test_datagram_arrives(void **state)
 {
 	fixture_t *f = *state;
@@ -329,14 +336,17 @@
 	f->b.hold = TRUE;
 	forward(f, sr_peer_address(f->b.peer), "first", 1, SR_SEC);
 	wait_for(&f->b.forwards, 1);
-	forward(f, sr_peer_address(f->b.peer), "second", 1, SR_SEC);
+	forward_for(f, &f->other, sr_peer_address(f->b.peer), "second", 1,
+		    SR_SEC);
 	wait_for(&f->b.forwards, 2);
 	answer(f->b.held[1], "to second");
-	wait_for(&f->a.results, 1);
-	assert_string_equal(f->a.answer, "to second");
+	wait_for(&f->other.results, 1);
+	assert_string_equal(f->other.answer, "to second");
+	assert_int_equal(f->a.results, 0);
 	answer(f->b.held[0], "to first");
-	wait_for(&f->a.results, 2);
+	wait_for(&f->a.results, 1);
 	assert_string_equal(f->a.answer, "to first");
+	assert_int_equal(f->other.results, 1);
 }
 
 static void test_unreachable_owner_is_not_run(void **state)
