--- a/test/prove/main.c
+++ b/test/prove/main.c
@@ -9,6 +9,8 @@
 
 static const prove_model_t *const all_models[] = {
 	&prove_journal_model,
+	&prove_lease_model,
+	&prove_orders_model,
 	NULL,
 };
 
--- a/test/prove/prove.h
+++ b/test/prove/prove.h
@@ -32,6 +32,8 @@
 
 /* One line for each model; main.c lists them. */
 extern const prove_model_t prove_journal_model;
+extern const prove_model_t prove_lease_model;
+extern const prove_model_t prove_orders_model;
 extern const prove_model_t prove_gossip_model;
 extern const prove_model_t prove_config_model;
 extern const prove_model_t prove_dispatch_model;
