Add the load tool

Open or closed loops of callers; every answer is checked.

A trial at 300 postings/s against one service had a p95 of 1,310 ms. Ruled out: the service's own time (reads took 2 ms). Causes: libsoup listens with a queue of ten connections, so that others waited for a retransmission, and opens a connection for each POST.

--- a/emulator/commands.h
+++ b/emulator/commands.h
@@ -9,5 +9,6 @@
 int sr_emu_engine_main(int argc, char **argv);
 int sr_emu_service_main(int argc, char **argv);
 int sr_emu_verify_main(int argc, char **argv);
+int sr_emu_load_main(int argc, char **argv);
 
 #endif
--- a/emulator/main.c
+++ b/emulator/main.c
@@ -14,6 +14,8 @@
 	  "object API, host list, cloud API and weight store" },
 	{ "engine", sr_emu_engine_main, "a model engine" },
 	{ "service", sr_emu_service_main, "a plain service" },
+	{ "load", sr_emu_load_main,
+	  "send load, check every answer and measure" },
 	{ "verify", sr_emu_verify_main,
 	  "check a token stream on stdin against its request" },
 };
--- a/emulator/server.c
+++ b/emulator/server.c
@@ -9,6 +9,7 @@
 #include "fault.h"
 
 #define JSON_DEPTH 32
+#define LISTEN_BACKLOG 4096
 
 struct sr_emu_server {
 	SoupServer *soup;
@@ -323,6 +324,25 @@
 	return address;
 }
 
+/* A socket of its own: libsoup's would queue only ten new connections. */
+static gboolean listen_on(SoupServer *soup, GSocketAddress *address,
+			  GError **error)
+{
+	GSocket *socket = g_socket_new(g_socket_address_get_family(address),
+				       G_SOCKET_TYPE_STREAM,
+				       G_SOCKET_PROTOCOL_TCP, error);
+	gboolean ok;
+
+	if (!socket)
+		return FALSE;
+	g_socket_set_listen_backlog(socket, LISTEN_BACKLOG);
+	ok = g_socket_bind(socket, address, TRUE, error) &&
+	     g_socket_listen(socket, error) &&
+	     soup_server_listen_socket(soup, socket, 0, error);
+	g_object_unref(socket);
+	return ok;
+}
+
 sr_emu_server_t *sr_emu_server_new(const sr_emu_server_options_t *options)
 {
 	GSocketAddress *address = parse_address(options->listen);
@@ -345,7 +365,7 @@
 	server->user = options->user;
 	sr_list_init(&server->exchanges);
 	soup_server_add_handler(server->soup, NULL, on_request, server, NULL);
-	if (!soup_server_listen(server->soup, address, 0, &error)) {
+	if (!listen_on(server->soup, address, &error)) {
 		fprintf(stderr, "cannot listen on %s: %s\n", options->listen,
 			error->message);
 		g_error_free(error);
