--- a/test/process/cluster.sh
+++ b/test/process/cluster.sh
@@ -127,7 +127,7 @@
 	"peer_address": "$(cat "$run/$1.peer")",
 	"peer_seeds": [$seeds],
 	"platform_address": "$platform",
-	"bootstrap_token_sha256": "$(hash_token $operator_token)",
+	"config_file": "$run/config.json",
 	"trace_file": "$run/$1.trace",
 	"trace_sample": 1,
 	"drain_grace_ms": 500,
