--- /dev/null
+++ b/src/core/gossip.c
@@ -0,0 +1,556 @@
+#include "core/gossip.h"
+
+#include <string.h>
+
+#include "core/gossip_internal.h"
+
+/* How long a suspect has to refute. */
+#define SUSPECT_LIMIT (4 * SR_SEC)
+/* How long a dead member of the own domain is remembered. */
+#define DEAD_KEEP (10 * SR_MINUTE)
+/* Dead members of another domain that are kept to contact them again. */
+#define DEAD_PER_DOMAIN SR_DELEGATES
+#define PUSH_PERIOD (200 * SR_MSEC)
+#define SWEEP_PERIOD (500 * SR_MSEC)
+/* A longer gap between two ticks means that the process stood still. */
+#define PAUSE_MIN SR_SEC
+/* Members that hear of a planned stop at once. */
+#define LEAVE_FANOUT 8
+#define SEEDS_MAX 64
+
+sr_usec_t sr_gossip_jitter(sr_gossip_t *g, sr_usec_t time)
+{
+	return (sr_usec_t)(g_rand_double_range(g->random, 0.75, 1.25) *
+			   (double)time);
+}
+
+static void tell_member(sr_gossip_t *g, const sr_record_t *record)
+{
+	sr_member_t member;
+
+	sr_member_view(record, &member);
+	if (g->options.member_changed)
+		g->options.member_changed(g->options.user, &member);
+}
+
+static void tell_rumour(sr_gossip_t *g, const sr_record_t *record)
+{
+	sr_rumour_t rumour = { .kind = (sr_rumour_kind_t)record->kind,
+			       .key = record->key,
+			       .version = record->version,
+			       .value = record->value,
+			       .size = record->size };
+
+	if (g->options.heard)
+		g->options.heard(g->options.user, &rumour);
+}
+
+/* Others hold this node for suspect or dead: it rises above that. */
+static void refute(sr_gossip_t *g, guint64 version)
+{
+	guint64 incarnation = (version >> 2) + 1;
+
+	if (g->left || version <= g->self->version ||
+	    incarnation >= SR_GOSSIP_INCARNATION_MAX)
+		return;
+	g->stats.refuted++;
+	g->self->version = sr_member_version(incarnation, SR_MEMBER_ALIVE);
+	sr_gossip_enqueue(g, g->self);
+}
+
+/* Of another domain only the delegates stay, and some dead ones. */
+static void prune_domain(sr_gossip_t *g, const char *domain)
+{
+	const GPtrArray *list = sr_table_of_domain(&g->table, domain);
+	GPtrArray *surplus = g_ptr_array_new();
+	unsigned live = 0;
+	unsigned dead = 0;
+
+	for (guint i = 0; i < list->len; i++) {
+		sr_record_t *record = g_ptr_array_index(list, i);
+
+		if (sr_member_is_live(record) ? ++live > SR_DELEGATES :
+						++dead > DEAD_PER_DOMAIN)
+			g_ptr_array_add(surplus, record);
+	}
+	for (guint i = 0; i < surplus->len; i++)
+		sr_table_remove(&g->table, g_ptr_array_index(surplus, i));
+	g_ptr_array_unref(surplus);
+}
+
+static gboolean is_foreign(const sr_gossip_t *g, const sr_record_t *record)
+{
+	return strcmp(record->domain, g->table.domain) != 0;
+}
+
+static void take_member(sr_gossip_t *g, sr_record_t *record)
+{
+	char *domain = g_strdup(record->domain);
+	sr_member_state_t state = sr_member_state(record);
+	gboolean foreign = is_foreign(g, record);
+
+	if (state == SR_MEMBER_SUSPECT)
+		record->suspect_by = g->now + SUSPECT_LIMIT;
+	if (foreign || sr_member_is_live(record))
+		record->expires = 0;
+	else if (!record->expires)
+		record->expires = g->now + DEAD_KEEP;
+	sr_gossip_enqueue(g, record);
+	tell_member(g, record);
+	if (foreign)
+		prune_domain(g, domain);
+	g_free(domain);
+}
+
+/* A member of another domain that is gone and was not known is no news. */
+static gboolean is_needless(sr_gossip_t *g, const sr_wire_record_t *wire)
+{
+	const char *domain = (const char *)wire->value;
+
+	return (wire->version & 3) > 1 &&
+	       !sr_table_find(&g->table, wire->kind, wire->key) &&
+	       (!wire->size || !memchr(domain, '\0', wire->size) ||
+		strcmp(domain, g->table.domain) != 0);
+}
+
+void sr_gossip_merge(sr_gossip_t *g, const sr_wire_record_t *wire,
+		     gboolean from_outside)
+{
+	sr_record_t *record;
+
+	if (wire->kind == SR_RECORD_MEMBER) {
+		if (!strcmp(wire->key, g->options.name)) {
+			refute(g, wire->version);
+			return;
+		}
+		if (is_needless(g, wire))
+			return;
+	}
+	record = sr_table_merge(&g->table, wire, g->now);
+	if (!record)
+		return;
+	if (wire->kind == SR_RECORD_MEMBER) {
+		take_member(g, record);
+		return;
+	}
+	sr_gossip_enqueue(g, record);
+	if (from_outside)
+		tell_rumour(g, record);
+}
+
+void sr_gossip_set_state(sr_gossip_t *g, sr_record_t *record,
+			 sr_member_state_t state)
+{
+	guint64 incarnation = sr_member_incarnation(record);
+
+	record->version = sr_member_version(incarnation, state);
+	record->changed = g->now;
+	take_member(g, record);
+}
+
+static void add_self(sr_gossip_t *g)
+{
+	GByteArray *value =
+		sr_member_value(g->options.failure_domain, g->options.address);
+	sr_wire_record_t wire = {
+		.kind = SR_RECORD_MEMBER,
+		.key = g->options.name,
+		.version = sr_member_version(g->options.incarnation,
+					     SR_MEMBER_ALIVE),
+		.ttl_ms = SR_RECORD_FOREVER,
+		.value = value->data,
+		.size = value->len,
+	};
+
+	g->self = sr_table_merge(&g->table, &wire, g->now);
+	g_assert(g->self);
+	g_byte_array_unref(value);
+}
+
+static void clear_relay(gpointer data)
+{
+	g_free(((sr_relay_t *)data)->address);
+}
+
+static void check_options(const sr_gossip_options_t *options)
+{
+	g_assert(options->name[0] && options->failure_domain[0]);
+	g_assert(strlen(options->name) <= SR_GOSSIP_NAME_MAX);
+	g_assert(strlen(options->failure_domain) <= SR_GOSSIP_NAME_MAX);
+	g_assert(strlen(options->address) <= SR_GOSSIP_NAME_MAX);
+	g_assert(options->incarnation < SR_GOSSIP_INCARNATION_MAX);
+}
+
+sr_gossip_t *sr_gossip_new(const sr_gossip_options_t *options, sr_usec_t now)
+{
+	sr_gossip_t *g = g_new0(sr_gossip_t, 1);
+	guint32 seed[2] = { (guint32)options->seed,
+			    (guint32)(options->seed >> 32) };
+
+	check_options(options);
+	g->options = *options;
+	g->options.name = g_strdup(options->name);
+	g->options.failure_domain = g_strdup(options->failure_domain);
+	g->options.address = g_strdup(options->address);
+	g->random = g_rand_new_with_seed_array(seed, 2);
+	g->now = now;
+	g->last_tick = now;
+	g->tokens = SR_GOSSIP_BURST;
+	sr_list_init(&g->urgent);
+	sr_list_init(&g->bulk);
+	sr_table_init(&g->table, options->failure_domain);
+	g->seeds = g_ptr_array_new_with_free_func(g_free);
+	g->probe_order = g_ptr_array_new_with_free_func(g_free);
+	g->relays = g_array_new(FALSE, FALSE, sizeof(sr_relay_t));
+	g_array_set_clear_func(g->relays, clear_relay);
+	g->next_nonce = (guint64)g_rand_int(g->random) << 32;
+	add_self(g);
+	return g;
+}
+
+void sr_gossip_free(sr_gossip_t *g)
+{
+	if (!g)
+		return;
+	sr_table_clear(&g->table);
+	g_ptr_array_unref(g->seeds);
+	g_ptr_array_unref(g->probe_order);
+	g_array_unref(g->relays);
+	g_free(g->probe.name);
+	g_rand_free(g->random);
+	g_free((char *)g->options.name);
+	g_free((char *)g->options.failure_domain);
+	g_free((char *)g->options.address);
+	g_free(g);
+}
+
+void sr_gossip_seed(sr_gossip_t *g, const char *address)
+{
+	for (guint i = 0; i < g->seeds->len; i++)
+		if (!strcmp(g_ptr_array_index(g->seeds, i), address))
+			return;
+	if (g->seeds->len < SEEDS_MAX && strcmp(address, g->options.address))
+		g_ptr_array_add(g->seeds, g_strdup(address));
+}
+
+/* Collected first: a change of state may remove other records. */
+static GPtrArray *due_records(sr_gossip_t *g, gboolean expired)
+{
+	GPtrArray *out = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->table.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sr_record_t *record = value;
+		gboolean due;
+
+		if (expired)
+			due = record->expires && g->now >= record->expires;
+		else
+			due = record->kind == SR_RECORD_MEMBER &&
+			      sr_member_state(record) == SR_MEMBER_SUSPECT &&
+			      g->now >= record->suspect_by;
+		if (due)
+			g_ptr_array_add(out, record);
+	}
+	return out;
+}
+
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static void bury_suspects(sr_gossip_t *g)
+{
+	GPtrArray *due = due_records(g, FALSE);
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < due->len; i++) {
+		const sr_record_t *record = g_ptr_array_index(due, i);
+
+		g_ptr_array_add(names, g_strdup(record->key));
+	}
+	g_ptr_array_sort(names, compare_names);
+	for (guint i = 0; i < names->len; i++) {
+		sr_record_t *record =
+			sr_table_find(&g->table, SR_RECORD_MEMBER,
+				      g_ptr_array_index(names, i));
+
+		if (record)
+			sr_gossip_set_state(g, record, SR_MEMBER_DEAD);
+	}
+	g_ptr_array_unref(names);
+	g_ptr_array_unref(due);
+}
+
+static void sweep(sr_gossip_t *g)
+{
+	GPtrArray *expired;
+
+	if (g->now < g->next_sweep)
+		return;
+	g->next_sweep = g->now + SWEEP_PERIOD;
+	bury_suspects(g);
+	expired = due_records(g, TRUE);
+	for (guint i = 0; i < expired->len; i++)
+		sr_table_remove(&g->table, g_ptr_array_index(expired, i));
+	g_ptr_array_unref(expired);
+}
+
+/* Time that this process stood still does not count against suspects. */
+static void extend_suspicions(sr_gossip_t *g, sr_usec_t gap)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->table.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((sr_record_t *)value)->suspect_by += gap;
+}
+
+static void check_invariants(const sr_gossip_t *g)
+{
+	g_assert(g->left || sr_member_state(g->self) == SR_MEMBER_ALIVE);
+	g_assert(g_hash_table_size(g->table.by_id) <= SR_TABLE_MAX);
+}
+
+void sr_gossip_tick(sr_gossip_t *g, sr_usec_t now)
+{
+	sr_usec_t gap = now - g->last_tick;
+	gboolean was_paused = gap > PAUSE_MIN;
+
+	g->now = now;
+	g->last_tick = now;
+	sr_gossip_refill(g, gap);
+	if (was_paused)
+		extend_suspicions(g, gap);
+	sweep(g);
+	if (!g->left) {
+		sr_gossip_probe_tick(g, was_paused);
+		sr_gossip_sync_tick(g);
+		sr_gossip_reconnect_tick(g);
+	}
+	if (now >= g->next_push) {
+		g->next_push = now + PUSH_PERIOD;
+		sr_gossip_push(g);
+	}
+	check_invariants(g);
+}
+
+static void take_sender(sr_gossip_t *g, const sr_gossip_message_t *message)
+{
+	GByteArray *value = sr_member_value(message->domain, message->address);
+	sr_wire_record_t wire = {
+		.kind = SR_RECORD_MEMBER,
+		.key = message->sender,
+		.version = sr_member_version(message->incarnation,
+					     SR_MEMBER_ALIVE),
+		.ttl_ms = SR_RECORD_FOREVER,
+		.value = value->data,
+		.size = value->len,
+	};
+
+	sr_gossip_merge(g, &wire, TRUE);
+	g_byte_array_unref(value);
+}
+
+/* Whoever is held for suspect or dead must hear of it to refute. */
+static void warn_sender(sr_gossip_t *g, const sr_gossip_message_t *message)
+{
+	const sr_record_t *record =
+		sr_table_find(&g->table, SR_RECORD_MEMBER, message->sender);
+	sr_gossip_message_t push = sr_gossip_message(g, SR_GOSSIP_PUSH);
+
+	if (!record || sr_member_state(record) == SR_MEMBER_ALIVE ||
+	    sr_member_state(record) == SR_MEMBER_LEFT ||
+	    sr_member_incarnation(record) < message->incarnation)
+		return;
+	sr_gossip_send(g, message->address, NULL, &push, record);
+}
+
+/* Members of which the sender holds an older state than this node. */
+static void correct_sender(sr_gossip_t *g, const sr_gossip_datagram_t *datagram)
+{
+	GPtrArray *newer = g_ptr_array_new();
+
+	for (gsize i = 0; i < datagram->n_records; i++) {
+		const sr_wire_record_t *wire = &datagram->records[i];
+		sr_record_t *record;
+
+		if (wire->kind != SR_RECORD_MEMBER)
+			continue;
+		record = sr_table_find(&g->table, wire->kind, wire->key);
+		if (record && record->version > wire->version)
+			g_ptr_array_add(newer, record);
+	}
+	sr_gossip_send_records(g, datagram->message.address, newer);
+	g_ptr_array_unref(newer);
+}
+
+static void take_message(sr_gossip_t *g, const sr_gossip_message_t *message)
+{
+	switch (message->type) {
+	case SR_GOSSIP_PING:
+		sr_gossip_take_ping(g, message);
+		break;
+	case SR_GOSSIP_ACK:
+		sr_gossip_take_ack(g, message);
+		break;
+	case SR_GOSSIP_PING_REQUEST:
+		sr_gossip_take_ping_request(g, message);
+		break;
+	case SR_GOSSIP_SYNC:
+		sr_gossip_take_sync(g, message);
+		break;
+	case SR_GOSSIP_DIGEST:
+		sr_gossip_take_digest(g, message);
+		break;
+	case SR_GOSSIP_WANT:
+		sr_gossip_take_want(g, message);
+		break;
+	case SR_GOSSIP_PUSH:
+	case SR_GOSSIP_N_TYPES:
+		break;
+	}
+}
+
+void sr_gossip_receive(sr_gossip_t *g, sr_usec_t now, const guint8 *data,
+		       gsize size)
+{
+	sr_gossip_datagram_t datagram;
+
+	g->now = MAX(g->now, now);
+	g->stats.received++;
+	g->stats.bytes_received += size;
+	if (!sr_gossip_decode(data, size, &datagram)) {
+		g->stats.malformed++;
+		return;
+	}
+	if (strcmp(datagram.message.sender, g->options.name) != 0) {
+		take_sender(g, &datagram.message);
+		for (gsize i = 0; i < datagram.n_records; i++)
+			sr_gossip_merge(g, &datagram.records[i], TRUE);
+		take_message(g, &datagram.message);
+		warn_sender(g, &datagram.message);
+		if (datagram.message.type == SR_GOSSIP_PUSH)
+			correct_sender(g, &datagram);
+	}
+	sr_gossip_datagram_clear(&datagram);
+	check_invariants(g);
+}
+
+void sr_gossip_put(sr_gossip_t *g, sr_usec_t now, const sr_rumour_t *rumour,
+		   sr_usec_t ttl)
+{
+	sr_wire_record_t wire = {
+		.kind = (guint8)rumour->kind,
+		.key = rumour->key,
+		.version = rumour->version,
+		.ttl_ms = SR_RECORD_FOREVER,
+		.value = rumour->value,
+		.size = rumour->size,
+	};
+
+	g->now = MAX(g->now, now);
+	if (strlen(rumour->key) > SR_RUMOUR_KEY_MAX ||
+	    rumour->size > SR_RUMOUR_MAX) {
+		g->stats.refused++;
+		return;
+	}
+	if (ttl)
+		wire.ttl_ms = (guint32)CLAMP(ttl / SR_MSEC, 1,
+					     (sr_usec_t)SR_RECORD_FOREVER - 1);
+	sr_gossip_merge(g, &wire, FALSE);
+}
+
+static void view_rumour(const sr_record_t *record, sr_rumour_t *rumour)
+{
+	*rumour = (sr_rumour_t){ .kind = (sr_rumour_kind_t)record->kind,
+				 .key = record->key,
+				 .version = record->version,
+				 .value = record->value,
+				 .size = record->size };
+}
+
+gboolean sr_gossip_get(sr_gossip_t *g, sr_rumour_kind_t kind, const char *key,
+		       sr_rumour_t *rumour)
+{
+	const sr_record_t *record = sr_table_find(&g->table, (guint8)kind, key);
+
+	if (!record || strcmp(record->key, key) != 0)
+		return FALSE;
+	view_rumour(record, rumour);
+	return TRUE;
+}
+
+void sr_gossip_foreach(sr_gossip_t *g, sr_rumour_kind_t kind,
+		       void (*fn)(void *user, const sr_rumour_t *rumour),
+		       void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->table.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sr_rumour_t rumour;
+
+		if (((sr_record_t *)value)->kind != kind)
+			continue;
+		view_rumour(value, &rumour);
+		fn(user, &rumour);
+	}
+}
+
+void sr_gossip_foreach_member(sr_gossip_t *g,
+			      void (*fn)(void *user, const sr_member_t *member),
+			      void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->table.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sr_member_t member;
+
+		if (((sr_record_t *)value)->kind != SR_RECORD_MEMBER)
+			continue;
+		sr_member_view(value, &member);
+		fn(user, &member);
+	}
+}
+
+const sr_gossip_stats_t *sr_gossip_stats(const sr_gossip_t *g)
+{
+	return &g->stats;
+}
+
+unsigned sr_gossip_n_records(const sr_gossip_t *g)
+{
+	return g_hash_table_size(g->table.by_id);
+}
+
+void sr_gossip_leave(sr_gossip_t *g, sr_usec_t now)
+{
+	sr_gossip_message_t message;
+	GPtrArray *targets;
+	GPtrArray *far;
+
+	g->now = MAX(g->now, now);
+	g->left = TRUE;
+	g->self->version = sr_member_version(sr_member_incarnation(g->self),
+					     SR_MEMBER_LEFT);
+	sr_gossip_enqueue(g, g->self);
+	message = sr_gossip_message(g, SR_GOSSIP_PUSH);
+	targets = sr_gossip_near(g);
+	far = sr_gossip_far(g);
+	g_ptr_array_extend(targets, far, NULL, NULL);
+	for (guint i = 0; i < MIN(targets->len, LEAVE_FANOUT); i++) {
+		const sr_record_t *target = g_ptr_array_index(targets, i);
+
+		sr_gossip_send(g, target->address, NULL, &message, NULL);
+	}
+	g_ptr_array_unref(far);
+	g_ptr_array_unref(targets);
+}
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -14,6 +14,11 @@
  * idempotent. Every other module spreads what it must tell through rumours
  * and has no messages of its own for it.
  *
+ * A node knows all members of its own failure domain and a few delegates of
+ * each other one, so that its state does not grow with the fleet. Delegates
+ * are the living members of a domain that come first in an order that every
+ * node computes alike; only they talk across domains.
+ *
  * The module does no I/O: datagrams leave through send() and come in through
  * sr_gossip_receive(); time comes in as an argument.
  */
@@ -30,8 +35,12 @@
 	SR_RUMOUR_N_KINDS,
 } sr_rumour_kind_t;
 
-/** Largest value of a rumour, in bytes. */
+/** Largest value and key of a rumour, in bytes; larger ones are not taken. */
 #define SR_RUMOUR_MAX 512
+#define SR_RUMOUR_KEY_MAX 224
+
+/** Incarnations stay below this, so that they fit a version with the state. */
+#define SR_GOSSIP_INCARNATION_MAX (G_GUINT64_CONSTANT(1) << 60)
 
 typedef struct {
 	sr_rumour_kind_t kind;
@@ -99,10 +108,29 @@
 		       void (*fn)(void *user, const sr_rumour_t *rumour),
 		       void *user);
 
+/** sr_gossip_foreach_member - all that are known, this node among them. */
 void sr_gossip_foreach_member(sr_gossip_t *gossip,
 			      void (*fn)(void *user, const sr_member_t *member),
 			      void *user);
 
+/** Counters since the start. */
+typedef struct {
+	guint64 sent;
+	guint64 bytes_sent;
+	guint64 received;
+	guint64 bytes_received;
+	guint64 malformed;
+	guint64 refuted;  /* others held this node for suspect or dead */
+	guint64 suspects; /* that this node's own probes began */
+	guint64 syncs;	  /* exchanges of digests that found a difference */
+	guint64 refused;  /* rumours that found no room */
+} sr_gossip_stats_t;
+
+const sr_gossip_stats_t *sr_gossip_stats(const sr_gossip_t *gossip);
+
+/** sr_gossip_n_records - members and rumours that are held. */
+unsigned sr_gossip_n_records(const sr_gossip_t *gossip);
+
 /** sr_gossip_leave - tell the others of a planned stop. */
 void sr_gossip_leave(sr_gossip_t *gossip, sr_usec_t now);
 
--- /dev/null
+++ b/test/prove/gossip_model.c
@@ -0,0 +1,559 @@
+/*
+ * Nodes of three failure domains gossip over a network that loses, doubles,
+ * delays, reorders and mangles datagrams, is cut between domains or around a
+ * node, while nodes crash, restart, freeze and leave.
+ *
+ * The oracle: a rumour's version never falls at a node, a mangled datagram
+ * changes nothing, and a while after the last fault every running node knows
+ * its whole domain, the same delegates of each other one, no stopped node as
+ * live, and the highest version of each rumour.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/gossip_table.h"
+#include "peer/codec.h"
+#include "prove.h"
+
+#define DOMAINS 3
+#define PER_DOMAIN 4
+#define NODES (DOMAINS * PER_DOMAIN)
+#define KEYS 5
+#define TICK (100 * SR_MSEC)
+#define HELD_MAX 64
+#define SETTLE SR_MINUTE
+/* A percentage of datagrams. */
+#define LOSS_MAX 40
+
+typedef struct model model_t;
+
+typedef enum {
+	STOPPED,
+	RUNNING,
+	FROZEN,
+	LEFT, /* runs, but has said that it stops */
+} node_state_t;
+
+typedef struct {
+	model_t *model;
+	unsigned index;
+	char name[16];
+	char domain[16];
+	sr_gossip_t *gossip;
+	node_state_t state;
+	gboolean cut;
+	GPtrArray *held; /* datagrams that came while it was frozen */
+	guint64 heard[KEYS];
+} node_t;
+
+struct model {
+	sr_clock_t *clock;
+	GRand *random;
+	node_t nodes[NODES];
+	gboolean cut[DOMAINS][DOMAINS];
+	unsigned loss;
+	unsigned doubles;
+	unsigned delay_ms;
+	GHashTable *packets; /* set of packet_t under way */
+	gboolean mangle;     /* the next datagram */
+	guint64 version;
+	guint64 starts;
+	char *problem;
+};
+
+typedef struct {
+	model_t *model;
+	unsigned to;
+	GBytes *data;
+} packet_t;
+
+static void fail(model_t *m, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void fail(model_t *m, const char *format, ...)
+{
+	va_list args;
+
+	if (m->problem)
+		return;
+	va_start(args, format);
+	m->problem = g_strdup_vprintf(format, args);
+	va_end(args);
+}
+
+static gboolean is_up(const node_t *node)
+{
+	return node->state == RUNNING || node->state == LEFT;
+}
+
+static void free_packet(gpointer data)
+{
+	packet_t *packet = data;
+
+	g_bytes_unref(packet->data);
+	g_free(packet);
+}
+
+static void give(node_t *node, GBytes *data)
+{
+	gsize size;
+	const guint8 *bytes = g_bytes_get_data(data, &size);
+
+	sr_gossip_receive(node->gossip, sr_clock_now(node->model->clock), bytes,
+			  size);
+}
+
+static void on_arrival(void *user)
+{
+	packet_t *packet = user;
+	node_t *node = &packet->model->nodes[packet->to];
+
+	if (is_up(node))
+		give(node, packet->data);
+	else if (node->state == FROZEN && node->held->len < HELD_MAX)
+		g_ptr_array_add(node->held, g_bytes_ref(packet->data));
+	g_hash_table_remove(packet->model->packets, packet);
+}
+
+/* The peer layer must refuse what the network changed. */
+static void check_mangled(node_t *from, const guint8 *data, gsize size)
+{
+	model_t *m = from->model;
+	sr_auth_key_t key = { .cluster = "c",
+			      .secret = (const guint8 *)"0123456789abcdef",
+			      .secret_size = 16 };
+	sr_mac_input_t input = { .direction = SR_MESSAGE_CALL,
+				 .procedure = SR_RPC_GOSSIP,
+				 .sender = from->name,
+				 .receiver = "r",
+				 .payload = data,
+				 .payload_size = size };
+	GByteArray *message = sr_rpc_seal(&key, &input);
+	guint32 bit = (guint32)g_rand_int_range(m->random, 0,
+						(gint32)message->len * 8);
+	sr_rpc_header_t header;
+
+	message->data[bit / 8] ^= 1 << bit % 8;
+	if (!sr_rpc_open(&key, SR_MESSAGE_CALL, "r", NULL, message->data,
+			 message->len, &header))
+		fail(m, "a datagram with bit %u changed was accepted", bit);
+	g_byte_array_unref(message);
+}
+
+static void check_truncated(node_t *to, const guint8 *data, gsize size)
+{
+	model_t *m = to->model;
+	gsize cut = (gsize)g_rand_int_range(m->random, 0, (gint32)size);
+	unsigned before = sr_gossip_n_records(to->gossip);
+	sr_gossip_datagram_t datagram;
+
+	if (sr_gossip_decode(data, cut, &datagram)) {
+		sr_gossip_datagram_clear(&datagram);
+		return;
+	}
+	sr_gossip_receive(to->gossip, sr_clock_now(m->clock), data, cut);
+	if (sr_gossip_n_records(to->gossip) != before)
+		fail(m, "a truncated datagram changed %s", to->name);
+}
+
+static gboolean is_cut(const node_t *a, const node_t *b)
+{
+	const model_t *m = a->model;
+
+	return a->cut || b->cut ||
+	       m->cut[a->index / PER_DOMAIN][b->index / PER_DOMAIN];
+}
+
+static void post(node_t *from, unsigned to, const guint8 *data, gsize size)
+{
+	model_t *m = from->model;
+	packet_t *packet = g_new0(packet_t, 1);
+	gint32 delay = g_rand_int_range(m->random, 0, (gint32)m->delay_ms + 1);
+
+	packet->model = m;
+	packet->to = to;
+	packet->data = g_bytes_new(data, size);
+	g_hash_table_add(m->packets, packet);
+	sr_timer_start(m->clock, SR_MSEC + delay * SR_MSEC, on_arrival, packet);
+}
+
+static gboolean happens(model_t *m, unsigned percent)
+{
+	return g_rand_int_range(m->random, 0, 100) < (gint32)percent;
+}
+
+static void on_send(void *user, const char *address, const guint8 *data,
+		    gsize size)
+{
+	node_t *from = user;
+	model_t *m = from->model;
+	unsigned to = (unsigned)g_ascii_strtoull(address, NULL, 10);
+
+	if (size > SR_GOSSIP_DATAGRAM_MAX)
+		fail(m, "a datagram of %zu bytes", size);
+	g_assert(to < NODES);
+	if (is_cut(from, &m->nodes[to]) || happens(m, m->loss))
+		return;
+	if (m->mangle) {
+		m->mangle = FALSE;
+		check_mangled(from, data, size);
+		if (is_up(&m->nodes[to]) && &m->nodes[to] != from)
+			check_truncated(&m->nodes[to], data, size);
+		return;
+	}
+	post(from, to, data, size);
+	if (happens(m, m->doubles))
+		post(from, to, data, size);
+}
+
+static void on_heard(void *user, const sr_rumour_t *rumour)
+{
+	node_t *node = user;
+	unsigned key = (unsigned)(rumour->key[0] - 'a');
+
+	if (rumour->version <= node->heard[key])
+		fail(node->model, "%s heard an old version of %s", node->name,
+		     rumour->key);
+	node->heard[key] = rumour->version;
+}
+
+static void start_node(model_t *m, node_t *node)
+{
+	char address[16];
+	sr_gossip_options_t options = {
+		.name = node->name,
+		.failure_domain = node->domain,
+		.address = address,
+		.incarnation = ++m->starts * 1000,
+		.seed = g_rand_int(m->random),
+		.send = on_send,
+		.heard = on_heard,
+		.user = node,
+	};
+
+	g_snprintf(address, sizeof(address), "%u", node->index);
+	node->gossip = sr_gossip_new(&options, sr_clock_now(m->clock));
+	node->state = RUNNING;
+	memset(node->heard, 0, sizeof(node->heard));
+	for (unsigned d = 0; d < DOMAINS; d++) {
+		g_snprintf(address, sizeof(address), "%u", d * PER_DOMAIN);
+		if (d * PER_DOMAIN != node->index)
+			sr_gossip_seed(node->gossip, address);
+	}
+}
+
+static void stop_node(node_t *node)
+{
+	g_clear_pointer(&node->gossip, sr_gossip_free);
+	node->state = STOPPED;
+	g_ptr_array_set_size(node->held, 0);
+}
+
+static void thaw(node_t *node)
+{
+	if (node->state != FROZEN)
+		return;
+	node->state = RUNNING;
+	for (guint i = 0; i < node->held->len; i++)
+		give(node, g_ptr_array_index(node->held, i));
+	g_ptr_array_set_size(node->held, 0);
+}
+
+static void run(model_t *m, sr_usec_t time)
+{
+	for (; time > 0; time -= TICK) {
+		sr_clock_advance(m->clock, TICK);
+		for (unsigned i = 0; i < NODES; i++)
+			if (is_up(&m->nodes[i]))
+				sr_gossip_tick(m->nodes[i].gossip,
+					       sr_clock_now(m->clock));
+	}
+}
+
+static void put(node_t *node, unsigned key_index)
+{
+	model_t *m = node->model;
+	char key[2] = { (char)('a' + key_index), '\0' };
+	sr_rumour_t rumour = {
+		.kind = (sr_rumour_kind_t)(key_index % SR_RUMOUR_N_KINDS),
+		.key = key,
+		.version = ++m->version,
+		.value = (const guint8 *)key,
+		.size = 1,
+	};
+
+	sr_gossip_put(node->gossip, sr_clock_now(m->clock), &rumour, 0);
+	node->heard[key_index] = rumour.version;
+}
+
+static void *model_new(guint64 seed)
+{
+	model_t *m = g_new0(model_t, 1);
+
+	m->clock = sr_clock_new_manual(SR_SEC);
+	m->random = g_rand_new_with_seed((guint32)seed);
+	m->packets = g_hash_table_new_full(NULL, NULL, free_packet, NULL);
+	m->delay_ms = 5;
+	for (unsigned i = 0; i < NODES; i++) {
+		node_t *node = &m->nodes[i];
+
+		node->model = m;
+		node->index = i;
+		g_snprintf(node->name, sizeof(node->name), "node%u", i);
+		g_snprintf(node->domain, sizeof(node->domain), "domain%u",
+			   i / PER_DOMAIN);
+		node->held = g_ptr_array_new_with_free_func(
+			(GDestroyNotify)g_bytes_unref);
+		start_node(m, node);
+	}
+	return m;
+}
+
+typedef enum {
+	OP_WAIT,
+	OP_PUT,
+	OP_CRASH,
+	OP_RESTART,
+	OP_FREEZE,
+	OP_THAW,
+	OP_LEAVE,
+	OP_CUT_DOMAINS,
+	OP_HEAL_DOMAINS,
+	OP_CUT_NODE,
+	OP_HEAL_NODE,
+	OP_NETWORK,
+	OP_MANGLE,
+	N_OPS,
+} op_t;
+
+static const char *const op_names[] = {
+	"wait",	     "put",	"crash",       "restart",      "freeze",
+	"thaw",	     "leave",	"cut domains", "heal domains", "cut node",
+	"heal node", "network", "mangle",
+};
+
+static void change_node(model_t *m, op_t op, node_t *node)
+{
+	switch (op) {
+	case OP_CRASH:
+		if (node->state != STOPPED)
+			stop_node(node);
+		break;
+	case OP_RESTART:
+		if (node->state != STOPPED)
+			stop_node(node);
+		start_node(m, node);
+		break;
+	case OP_FREEZE:
+		if (node->state == RUNNING)
+			node->state = FROZEN;
+		break;
+	case OP_THAW:
+		thaw(node);
+		break;
+	case OP_LEAVE:
+		if (node->state != RUNNING)
+			break;
+		sr_gossip_leave(node->gossip, sr_clock_now(m->clock));
+		node->state = LEFT;
+		break;
+	default:
+		break;
+	}
+}
+
+static char *model_step(void *model, const prove_command_t *command)
+{
+	model_t *m = model;
+	node_t *node = &m->nodes[command->a % NODES];
+	unsigned x = command->b % DOMAINS;
+	unsigned y = command->b / DOMAINS % DOMAINS;
+	op_t op = (op_t)(command->op % N_OPS);
+
+	switch (op) {
+	case OP_WAIT:
+		run(m, (1 + command->b % 50) * TICK);
+		break;
+	case OP_PUT:
+		if (is_up(node))
+			put(node, command->b % KEYS);
+		break;
+	case OP_CUT_DOMAINS:
+	case OP_HEAL_DOMAINS:
+		if (x != y)
+			m->cut[x][y] = m->cut[y][x] = op == OP_CUT_DOMAINS;
+		break;
+	case OP_CUT_NODE:
+	case OP_HEAL_NODE:
+		node->cut = op == OP_CUT_NODE;
+		break;
+	case OP_NETWORK:
+		m->loss = command->a % LOSS_MAX;
+		m->doubles = command->b % 20;
+		m->delay_ms = command->b % 400;
+		break;
+	case OP_MANGLE:
+		m->mangle = TRUE;
+		break;
+	default:
+		change_node(m, op, node);
+		break;
+	}
+	run(m, TICK);
+	return g_steal_pointer(&m->problem);
+}
+
+static void heal(model_t *m)
+{
+	memset(m->cut, 0, sizeof(m->cut));
+	m->loss = 0;
+	m->doubles = 0;
+	m->delay_ms = 5;
+	m->mangle = FALSE;
+	for (unsigned i = 0; i < NODES; i++) {
+		m->nodes[i].cut = FALSE;
+		thaw(&m->nodes[i]);
+	}
+}
+
+typedef struct {
+	node_t *viewer;
+	gboolean live[NODES];
+} view_t;
+
+static void see_member(void *user, const sr_member_t *member)
+{
+	view_t *view = user;
+	unsigned index = (unsigned)g_ascii_strtoull(member->address, NULL, 10);
+
+	view->live[index] = member->state == SR_MEMBER_ALIVE ||
+			    member->state == SR_MEMBER_SUSPECT;
+	if (view->live[index] &&
+	    view->viewer->model->nodes[index].state != RUNNING)
+		fail(view->viewer->model, "%s holds stopped %s for live",
+		     view->viewer->name, member->name);
+}
+
+static void check_domain(model_t *m, const view_t *view, unsigned domain)
+{
+	node_t *viewer = view->viewer;
+	unsigned running = 0;
+	unsigned seen = 0;
+	gboolean own = viewer->index / PER_DOMAIN == domain;
+
+	for (unsigned i = 0; i < PER_DOMAIN; i++) {
+		node_t *node = &m->nodes[domain * PER_DOMAIN + i];
+
+		running += node->state == RUNNING;
+		seen += view->live[node->index];
+	}
+	if (!own)
+		running = MIN(running, SR_DELEGATES);
+	if (seen != running)
+		fail(m, "%s knows %u of %u in domain%u", viewer->name, seen,
+		     running, domain);
+}
+
+static void check_rumours(model_t *m, const guint64 *highest)
+{
+	for (unsigned k = 0; k < KEYS; k++) {
+		char key[2] = { (char)('a' + k), '\0' };
+		guint64 same = 0;
+
+		for (unsigned i = 0; i < NODES; i++) {
+			node_t *node = &m->nodes[i];
+			sr_rumour_t rumour = { .version = 0 };
+
+			if (node->state != RUNNING)
+				continue;
+			sr_gossip_get(node->gossip,
+				      (sr_rumour_kind_t)(k % SR_RUMOUR_N_KINDS),
+				      key, &rumour);
+			if (rumour.version < highest[k])
+				fail(m,
+				     "%s has %" G_GUINT64_FORMAT
+				     " of %s, not %" G_GUINT64_FORMAT,
+				     node->name, rumour.version, key,
+				     highest[k]);
+			if (same && rumour.version != same)
+				fail(m, "%s differs at %s", key, node->name);
+			same = rumour.version;
+		}
+	}
+}
+
+static void check_views(model_t *m)
+{
+	view_t first[DOMAINS] = { { 0 } };
+
+	for (unsigned i = 0; i < NODES; i++) {
+		node_t *node = &m->nodes[i];
+		view_t view = { .viewer = node };
+
+		if (node->state != RUNNING)
+			continue;
+		sr_gossip_foreach_member(node->gossip, see_member, &view);
+		for (unsigned d = 0; d < DOMAINS; d++)
+			check_domain(m, &view, d);
+		if (!first[i / PER_DOMAIN].viewer)
+			first[i / PER_DOMAIN] = view;
+		if (memcmp(first[i / PER_DOMAIN].live, view.live,
+			   sizeof(view.live)) != 0)
+			fail(m, "%s and %s disagree", node->name,
+			     first[i / PER_DOMAIN].viewer->name);
+	}
+}
+
+static void find_highest(model_t *m, guint64 *highest)
+{
+	memset(highest, 0, KEYS * sizeof(*highest));
+	for (unsigned i = 0; i < NODES; i++)
+		for (unsigned k = 0; k < KEYS; k++)
+			if (m->nodes[i].state == RUNNING)
+				highest[k] =
+					MAX(highest[k], m->nodes[i].heard[k]);
+}
+
+static char *model_finish(void *model)
+{
+	model_t *m = model;
+	guint64 highest[KEYS];
+
+	heal(m);
+	find_highest(m, highest);
+	run(m, SETTLE);
+	check_views(m);
+	check_rumours(m, highest);
+	return g_steal_pointer(&m->problem);
+}
+
+static char *model_describe(const prove_command_t *command)
+{
+	return g_strdup_printf("%s node%u %u", op_names[command->op % N_OPS],
+			       command->a % NODES, command->b);
+}
+
+static void model_free(void *model)
+{
+	model_t *m = model;
+
+	for (unsigned i = 0; i < NODES; i++) {
+		if (m->nodes[i].gossip)
+			sr_gossip_free(m->nodes[i].gossip);
+		g_ptr_array_unref(m->nodes[i].held);
+	}
+	sr_clock_free(m->clock);
+	g_hash_table_unref(m->packets);
+	g_rand_free(m->random);
+	g_free(m->problem);
+	g_free(m);
+}
+
+const prove_model_t prove_gossip_model = {
+	.name = "gossip",
+	.n_commands = 40,
+	.new = model_new,
+	.step = model_step,
+	.finish = model_finish,
+	.describe = model_describe,
+	.free = model_free,
+};
--- a/test/prove/main.c
+++ b/test/prove/main.c
@@ -8,6 +8,7 @@
 #define MAX_JOBS 10
 
 static const prove_model_t *const all_models[] = {
+	&prove_gossip_model,
 	NULL,
 };
 
