--- a/bench/bench.h
+++ b/bench/bench.h
@@ -16,5 +16,6 @@
 void bench_print(const char *subject, const char *figure, double value);
 
 void policy_bench_run(guint64 seed);
+void rollout_bench_run(guint64 seed);
 
 #endif
--- a/bench/main.c
+++ b/bench/main.c
@@ -7,6 +7,7 @@
 /* One line for each bench. */
 static const bench_t benches[] = {
 	{ "policy", policy_bench_run },
+	{ "rollout", rollout_bench_run },
 };
 
 void bench_print(const char *subject, const char *figure, double value)
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -48,12 +48,16 @@
 	GRand *random;
 	char *failure_domain;
 	unsigned n_calls;
+	void (*observe)(void *user, sr_usec_t now,
+			const sr_observation_t *seen);
+	void *observe_user;
 };
 
 struct sr_call {
 	sr_service_group_t *service;
 	sr_account_t *account;
 	sr_upstream_t *upstream; /* NULL between attempts */
+	char *route;		 /* name, owned once the call is sent */
 	sr_priority_t priority;
 	gboolean idempotent;
 	sr_usec_t deadline;
@@ -92,6 +96,15 @@
 	g_free(dispatch);
 }
 
+void sr_dispatch_set_observer(sr_dispatch_t *dispatch,
+			      void (*fn)(void *user, sr_usec_t now,
+					 const sr_observation_t *seen),
+			      void *user)
+{
+	dispatch->observe = fn;
+	dispatch->observe_user = user;
+}
+
 static void configure_accounts(sr_dispatch_t *dispatch,
 			       const sr_config_t *config,
 			       const char *service_name)
@@ -351,6 +364,7 @@
 	call->service = service;
 	call->account =
 		sr_account_share_get(service->accounts, options->account->name);
+	call->route = options->route->name;
 	call->priority = options->priority;
 	call->idempotent = options->idempotent;
 	call->deadline = options->deadline;
@@ -417,6 +431,7 @@
 	call = g_memdup2(&wanted, sizeof(wanted));
 	call->blocks = g_memdup2(wanted.blocks,
 				 sizeof(*wanted.blocks) * wanted.n_blocks);
+	call->route = g_strdup(wanted.route);
 	call->account->in_flight++;
 	dispatch->n_calls++;
 	send_to(dispatch, now, call, &route, decision);
@@ -510,6 +525,43 @@
 	}
 }
 
+static gboolean outcome_of(sr_attempt_end_t end, sr_outcome_t *outcome)
+{
+	switch (end) {
+	case SR_ATTEMPT_OK:
+		*outcome = SR_OUTCOME_ANSWERED;
+		return TRUE;
+	case SR_ATTEMPT_FAILED:
+		*outcome = SR_OUTCOME_FAILED;
+		return TRUE;
+	case SR_ATTEMPT_NOT_STARTED:
+	case SR_ATTEMPT_BROKEN:
+	case SR_ATTEMPT_TIMED_OUT:
+		*outcome = SR_OUTCOME_CONNECTION;
+		return TRUE;
+	case SR_ATTEMPT_REFUSED:
+	case SR_ATTEMPT_CANCELLED:
+		return FALSE;
+	}
+	g_assert_not_reached();
+}
+
+static void observe(const sr_dispatch_t *dispatch, sr_usec_t now,
+		    const sr_call_t *call, sr_attempt_end_t end)
+{
+	const sr_target_t *target = &call->upstream->target;
+	sr_usec_t first = call->first_token_at > 0 ? call->first_token_at : now;
+	sr_observation_t seen = { .service = target->service,
+				  .version = target->version,
+				  .route = call->route,
+				  .upstream = target->name,
+				  .failure_domain = target->failure_domain,
+				  .first_byte = first - call->sent_at };
+
+	if (dispatch->observe && outcome_of(end, &seen.outcome))
+		dispatch->observe(dispatch->observe_user, now, &seen);
+}
+
 /* May the request run again without a risk of running twice? */
 static gboolean may_repeat(const sr_call_t *call, sr_attempt_end_t end)
 {
@@ -579,6 +631,7 @@
 	sr_route_t route;
 
 	g_assert(call->upstream);
+	observe(dispatch, now, call, end);
 	learn(call, now, end, tokens);
 	again = may_repeat(call, end) && now < call->deadline &&
 		call->n_tried < ATTEMPTS_MAX && has_budget(call, end);
@@ -605,6 +658,7 @@
 	}
 	call->account->in_flight--;
 	dispatch->n_calls--;
+	g_free(call->route);
 	g_free(call->blocks);
 	g_free(call);
 }
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "core/config.h"
+#include "core/evidence.h"
 
 /**
  * sr_dispatch_t - decides for each request which upstream runs it, or that it
@@ -85,6 +86,15 @@
 sr_dispatch_t *sr_dispatch_new(const sr_dispatch_options_t *options);
 void sr_dispatch_free(sr_dispatch_t *dispatch);
 
+/**
+ * sr_dispatch_set_observer - what each attempt came to goes to fn, e.g. to
+ * sr_evidence_record(); attempts that say nothing of a version don't
+ */
+void sr_dispatch_set_observer(sr_dispatch_t *dispatch,
+			      void (*fn)(void *user, sr_usec_t now,
+					 const sr_observation_t *seen),
+			      void *user);
+
 /** sr_dispatch_set_config - a new generation is in force. */
 void sr_dispatch_set_config(sr_dispatch_t *dispatch, sr_usec_t now,
 			    sr_config_t *config);
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -6,6 +6,10 @@
 /** Upstreams that are looked at when no sampled one has headroom. */
 #define N_SCANNED 32
 
+/** Upstreams that the smallest share uses: one faulty host must differ from
+ * a faulty version. */
+#define IN_USE_MIN 2
+
 /** Round trip to an upstream of another failure domain. */
 #define OTHER_DOMAIN_S 0.003
 
@@ -129,7 +133,7 @@
 	double wanted = version->share * search->service->n_upstreams;
 	unsigned n = (unsigned)(wanted + 0.999);
 
-	return CLAMP(n, MIN(1, version->upstreams->len),
+	return CLAMP(n, MIN(IN_USE_MIN, version->upstreams->len),
 		     version->upstreams->len);
 }
 
