--- /dev/null
+++ b/src/upstream/query.c
@@ -0,0 +1,148 @@
+#include "upstream/query.h"
+
+#include <string.h>
+
+#include "base/fields.h"
+#include "base/list.h"
+
+#define ANSWER_DEPTH 8
+
+struct sr_queries {
+	sr_upstream_client_t *client;
+	sr_clock_t *clock;
+	sr_list_t open;
+};
+
+typedef struct {
+	sr_list_t link;
+	sr_exchange_t *exchange; /* NULL once it has ended */
+	sr_timer_t *timer;
+	GString *text;
+	unsigned status;
+	gboolean is_too_large;
+	sr_query_fn done;
+	void *user;
+} query_t;
+
+static void free_query(query_t *query)
+{
+	sr_list_remove(&query->link);
+	sr_timer_cancel(query->timer);
+	sr_exchange_cancel(query->exchange);
+	g_string_free(query->text, TRUE);
+	g_free(query);
+}
+
+static void end_query(query_t *query, unsigned status, json_object *answer)
+{
+	sr_query_fn done = query->done;
+	void *user = query->user;
+
+	free_query(query);
+	done(user, status, answer);
+	json_object_put(answer);
+}
+
+static void on_timeout(void *user)
+{
+	query_t *query = user;
+
+	query->timer = NULL;
+	end_query(query, 0, NULL);
+}
+
+static void on_headers(void *user, unsigned status, SoupMessageHeaders *headers)
+{
+	((query_t *)user)->status = status;
+}
+
+static void on_data(void *user, const guint8 *data, gsize size)
+{
+	query_t *query = user;
+
+	if (query->text->len + size > SR_QUERY_ANSWER_MAX)
+		query->is_too_large = TRUE;
+	else
+		g_string_append_len(query->text, (const char *)data,
+				    (gssize)size);
+}
+
+static json_object *parse(const query_t *query)
+{
+	GPtrArray *findings = sr_findings_new();
+	json_object *answer =
+		sr_json_read(query->text->str, query->text->len,
+			     SR_QUERY_ANSWER_MAX, ANSWER_DEPTH, findings);
+
+	g_ptr_array_unref(findings);
+	return answer;
+}
+
+static void on_end(void *user, sr_exchange_end_t end, const char *detail)
+{
+	query_t *query = user;
+
+	query->exchange = NULL;
+	if (end != SR_EXCHANGE_COMPLETE || query->is_too_large)
+		end_query(query, 0, NULL);
+	else
+		end_query(query, query->status, parse(query));
+}
+
+static GBytes *body_bytes(json_object *body)
+{
+	const char *text;
+
+	if (!body)
+		return NULL;
+	text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
+	return g_bytes_new(text, strlen(text));
+}
+
+sr_queries_t *sr_queries_new(sr_upstream_client_t *client, sr_clock_t *clock)
+{
+	sr_queries_t *queries = g_new0(sr_queries_t, 1);
+
+	queries->client = client;
+	queries->clock = clock;
+	sr_list_init(&queries->open);
+	return queries;
+}
+
+void sr_queries_free(sr_queries_t *queries)
+{
+	if (!queries)
+		return;
+	sr_list_for_each_safe(link, &queries->open)
+	{
+		free_query(sr_list_entry(link, query_t, link));
+	}
+	g_free(queries);
+}
+
+void sr_query(sr_queries_t *queries, const sr_query_options_t *options)
+{
+	query_t *query = g_new0(query_t, 1);
+	sr_exchange_options_t exchange = {
+		.address = options->address,
+		.method = options->method,
+		.path = options->path,
+		.content_type = options->body ? "application/json" : NULL,
+		.body = body_bytes(options->body),
+		.idempotent = TRUE,
+		.on_headers = on_headers,
+		.on_data = on_data,
+		.on_end = on_end,
+		.user = query,
+	};
+
+	query->done = options->done;
+	query->user = options->user;
+	query->text = g_string_new(NULL);
+	sr_list_append(&queries->open, &query->link);
+	/* the timer also ends a call that could not be started */
+	query->timer = sr_timer_start(queries->clock, SR_QUERY_TIMEOUT,
+				      on_timeout, query);
+	query->exchange = sr_upstream_send(queries->client, &exchange);
+	g_clear_pointer(&exchange.body, g_bytes_unref);
+}
