--- a/src/caller/answer.c
+++ b/src/caller/answer.c
@@ -22,7 +22,7 @@
 static void add_queued(sr_request_t *request, gsize size)
 {
 	request->queued += size;
-	request->caller->buffered += size;
+	sr_caller_add_buffered(request->caller, (gssize)size);
 }
 
 static void set_common_headers(sr_request_t *request)
@@ -159,7 +159,7 @@
 {
 	size = MIN(size, request->queued);
 	request->queued -= size;
-	request->caller->buffered -= size;
+	sr_caller_add_buffered(request->caller, -(gssize)size);
 	if (!request->queued && request->cut_when_written)
 		sr_answer_abort(request);
 	else if (request->relay && request->queued <= SR_ANSWER_LOW)
--- a/src/caller/connection.c
+++ b/src/caller/connection.c
@@ -3,6 +3,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/list.h"
 #include "base/settings.h"
@@ -13,6 +15,7 @@
 struct sr_listener {
 	sr_listener_options_t options;
 	GSocketService *service;
+	int silent_peer; /* other end of the server's silent socket */
 	guint16 port;
 	sr_list_t connections;
 	unsigned n_connections;
@@ -103,6 +106,24 @@
 	return TRUE;
 }
 
+/*
+ * A SoupServer without listeners closes each connection after its first
+ * answer. It gets a socket that never becomes readable, since its own
+ * listeners could not be stopped without cutting the connections.
+ */
+static void add_silent_listener(sr_listener_t *listener)
+{
+	GSocket *socket;
+	int ends[2];
+
+	g_assert(!socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends));
+	listener->silent_peer = ends[1];
+	socket = g_socket_new_from_fd(ends[0], NULL);
+	g_assert(socket);
+	soup_server_listen_socket(listener->options.server, socket, 0, NULL);
+	g_object_unref(socket);
+}
+
 sr_listener_t *sr_listener_new(const sr_listener_options_t *options)
 {
 	sr_listener_t *listener = g_new0(sr_listener_t, 1);
@@ -114,6 +135,7 @@
 				      BACKLOG);
 	g_signal_connect(listener->service, "incoming", G_CALLBACK(on_incoming),
 			 listener);
+	add_silent_listener(listener);
 	return listener;
 }
 
@@ -130,6 +152,7 @@
 	}
 	sr_listener_stop(listener);
 	g_object_unref(listener->service);
+	close(listener->silent_peer);
 	g_free(listener);
 }
 
--- a/src/caller/relay.c
+++ b/src/caller/relay.c
@@ -9,7 +9,7 @@
 	sr_request_t *request;
 	sr_call_t *call;
 	sr_target_t target; /* of the attempt under way */
-	sr_exchange_t *exchange;
+	sr_fetch_t *fetch;
 	sr_token_stream_t *tokens; /* NULL unless the answer is a stream */
 	GString *out;
 	sr_span_t *span;
@@ -64,7 +64,7 @@
 
 static void free_relay(sr_relay_t *relay)
 {
-	g_assert(!relay->exchange && !relay->span);
+	g_assert(!relay->fetch && !relay->span);
 	sr_dispatch_finish(caller_of(relay)->options.dispatch, now_of(relay),
 			   relay->call);
 	relay->request->relay = NULL;
@@ -112,7 +112,7 @@
 static gboolean report_end(sr_relay_t *relay, sr_attempt_end_t end,
 			   sr_decision_t *decision)
 {
-	g_assert(!relay->exchange);
+	g_assert(!relay->fetch);
 	count_attempt(relay, end);
 	sr_span_set(relay->span, "upstream", relay->target.name);
 	sr_span_set(relay->span, "version", relay->target.version);
@@ -193,8 +193,8 @@
 	if (request->answer == SR_ANSWER_NONE)
 		sr_answer_begin(request, relay->status, relay->length);
 	sr_answer_write(request, data, size);
-	if (relay->exchange && request->queued >= SR_ANSWER_HIGH)
-		sr_exchange_pause(relay->exchange);
+	if (relay->fetch && request->queued >= SR_ANSWER_HIGH)
+		sr_fetch_pause(relay->fetch);
 }
 
 static void finish_ok(sr_relay_t *relay)
@@ -222,16 +222,16 @@
 	g_free(detail);
 }
 
-static void on_end(void *user, sr_exchange_end_t end, const char *detail)
+static void on_end(void *user, sr_fetch_end_t end, const char *detail)
 {
 	sr_relay_t *relay = user;
 
-	relay->exchange = NULL;
-	if (end == SR_EXCHANGE_NOT_SENT)
+	relay->fetch = NULL;
+	if (end == SR_FETCH_NOT_SENT)
 		end_attempt(relay, SR_ATTEMPT_NOT_STARTED, detail);
 	else if (relay->discarding)
 		end_discarded(relay);
-	else if (end == SR_EXCHANGE_BROKEN)
+	else if (end == SR_FETCH_BROKEN)
 		end_attempt(relay, SR_ATTEMPT_BROKEN, detail);
 	else if (relay->tokens && !sr_token_stream_is_done(relay->tokens))
 		end_attempt(relay, SR_ATTEMPT_BROKEN,
@@ -240,10 +240,10 @@
 		finish_ok(relay);
 }
 
-static void cancel_exchange(sr_relay_t *relay)
+static void cancel_fetch(sr_relay_t *relay)
 {
-	sr_exchange_cancel(relay->exchange);
-	relay->exchange = NULL;
+	sr_fetch_cancel(relay->fetch);
+	relay->fetch = NULL;
 }
 
 /* The server ends an answer with its last byte; that one waits until the
@@ -272,7 +272,7 @@
 		       sr_token_stream_tokens(relay->tokens) - before);
 	write_answer(relay, relay->out->str, relay->out->len);
 	if (err) {
-		cancel_exchange(relay);
+		cancel_fetch(relay);
 		end_attempt(relay, SR_ATTEMPT_BROKEN,
 			    sr_token_stream_detail(relay->tokens));
 	}
@@ -387,7 +387,7 @@
 		{ "X-Resume-Offset", n_tokens(relay) ? offset : NULL },
 		{ "traceparent", traceparent },
 	};
-	const sr_exchange_options_t options = {
+	const sr_fetch_options_t options = {
 		.address = relay->target.address,
 		.method = soup_server_message_get_method(request->message),
 		.path = path,
@@ -410,7 +410,7 @@
 				    &request->context, "upstream",
 				    SR_SPAN_CLIENT, &context);
 	sr_trace_format(&context, traceparent);
-	relay->exchange =
+	relay->fetch =
 		sr_upstream_send(caller_of(relay)->options.upstream, &options);
 }
 
@@ -426,9 +426,9 @@
 		sr_token_stream_restart(relay->tokens);
 	send_attempt(relay, path);
 	g_free(path);
-	if (relay->exchange) {
+	if (relay->fetch) {
 		if (relay->request->queued >= SR_ANSWER_HIGH)
-			sr_exchange_pause(relay->exchange);
+			sr_fetch_pause(relay->fetch);
 		return;
 	}
 	report_end(relay, SR_ATTEMPT_CANCELLED, &decision);
@@ -492,8 +492,8 @@
 
 void sr_relay_drained(sr_relay_t *relay)
 {
-	if (relay->exchange)
-		sr_exchange_resume(relay->exchange);
+	if (relay->fetch)
+		sr_fetch_resume(relay->fetch);
 }
 
 static void ignore_headers(void *user, unsigned status,
@@ -505,7 +505,7 @@
 {
 }
 
-static void ignore_end(void *user, sr_exchange_end_t end, const char *detail)
+static void ignore_end(void *user, sr_fetch_end_t end, const char *detail)
 {
 }
 
@@ -513,7 +513,7 @@
 static void send_cancel(const sr_relay_t *relay)
 {
 	char *path = g_strconcat("/requests/", relay->request->id, NULL);
-	const sr_exchange_options_t options = {
+	const sr_fetch_options_t options = {
 		.address = relay->target.address,
 		.method = "DELETE",
 		.path = path,
@@ -532,7 +532,7 @@
 {
 	sr_decision_t decision;
 
-	cancel_exchange(relay);
+	cancel_fetch(relay);
 	send_cancel(relay);
 	report_end(relay, end, &decision);
 }
--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -111,7 +111,7 @@
 		refuse(request, SR_ERR_OVERLOADED, "no memory for the body");
 		return;
 	}
-	request->caller->buffered += size;
+	sr_caller_add_buffered(request->caller, (gssize)size);
 	g_byte_array_append(request->received, bytes, (guint)size);
 }
 
@@ -375,15 +375,17 @@
 
 static void release_body(sr_request_t *request)
 {
+	gsize held = request->queued;
+
 	if (request->received) {
-		request->caller->buffered -= request->received->len;
+		held += request->received->len;
 		g_byte_array_unref(request->received);
 	}
 	if (request->body) {
-		request->caller->buffered -= g_bytes_get_size(request->body);
+		held += g_bytes_get_size(request->body);
 		g_bytes_unref(request->body);
 	}
-	request->caller->buffered -= request->queued;
+	sr_caller_add_buffered(request->caller, -(gssize)held);
 }
 
 void sr_request_free(sr_request_t *request)
@@ -408,7 +410,6 @@
 	g_assert(caller->n_requests > 0);
 	caller->n_requests--;
 	sr_gauge_set(caller->meters.requests, caller->n_requests);
-	sr_gauge_set(caller->meters.buffered, (double)caller->buffered);
 	sr_config_unref(request->config);
 	g_object_unref(request->message);
 	g_free(request);
--- a/src/caller/request.h
+++ b/src/caller/request.h
@@ -166,6 +166,9 @@
 void sr_posting_deadline(sr_request_t *request);
 void sr_posting_cancel(sr_request_t *request);
 
+/** sr_caller_add_buffered - bytes are held, or released if negative. */
+void sr_caller_add_buffered(sr_caller_t *caller, gssize size);
+
 /** sr_caller_check_idle - tell the owner once a stopped server is idle. */
 void sr_caller_check_idle(sr_caller_t *caller);
 
--- a/src/caller/server.c
+++ b/src/caller/server.c
@@ -12,6 +12,13 @@
 	caller->idle(caller->idle_user);
 }
 
+void sr_caller_add_buffered(sr_caller_t *caller, gssize size)
+{
+	g_assert(size >= 0 || (gsize)-size <= caller->buffered);
+	caller->buffered += (gsize)size;
+	sr_gauge_set(caller->meters.buffered, (double)caller->buffered);
+}
+
 void sr_caller_check_idle(sr_caller_t *caller)
 {
 	if (!caller->idle || caller->n_requests || caller->idle_timer)
--- a/src/upstream/client.c
+++ b/src/upstream/client.c
@@ -1,5 +1,7 @@
 #include "upstream/client.h"
 
+#include <sys/poll.h>
+
 #include "base/list.h"
 
 /** Bytes read from an upstream at a time. */
@@ -11,19 +13,25 @@
 /** An idle connection is closed after this time, in seconds. */
 #define IDLE_TIMEOUT_S 30
 
+/** Least number of sockets before closed ones are looked for. */
+#define SWEEP_MIN 64
+
 struct sr_upstream_client {
 	SoupSession *session;
-	sr_list_t exchanges;
-	unsigned n_exchanges;
+	GHashTable *sockets; /* connection id -> GSocket */
+	guint sweep_at;	     /* size at which closed ones are forgotten */
+	sr_list_t fetches;
+	unsigned n_fetches;
 };
 
-struct sr_exchange {
+struct sr_fetch {
 	sr_list_t link;
 	sr_upstream_client_t *client; /* NULL once cancelled */
-	sr_exchange_options_t options;
+	sr_fetch_options_t options;
 	SoupMessage *message;
 	GInputStream *stream;
 	GCancellable *cancellable;
+	GSocket *socket;  /* of a connection that was opened for it */
 	gboolean started; /* a byte of the request may have been sent */
 	gboolean paused;
 	gboolean reading;
@@ -31,116 +39,185 @@
 	guint8 buffer[READ_SIZE];
 };
 
-static void read_more(sr_exchange_t *exchange);
+static void read_more(sr_fetch_t *fetch);
 
-static void unlink_exchange(sr_exchange_t *exchange)
+static void unlink_fetch(sr_fetch_t *fetch)
 {
-	if (!exchange->client)
+	if (!fetch->client)
 		return;
-	g_assert(exchange->client->n_exchanges > 0);
-	exchange->client->n_exchanges--;
-	exchange->client = NULL;
-	sr_list_remove(&exchange->link);
+	g_assert(fetch->client->n_fetches > 0);
+	fetch->client->n_fetches--;
+	fetch->client = NULL;
+	sr_list_remove(&fetch->link);
 }
 
-static void free_exchange(sr_exchange_t *exchange)
+static void free_fetch(sr_fetch_t *fetch)
 {
-	unlink_exchange(exchange);
-	g_signal_handlers_disconnect_by_data(exchange->message, exchange);
-	g_clear_object(&exchange->stream);
-	g_object_unref(exchange->message);
-	g_object_unref(exchange->cancellable);
-	g_free(exchange);
+	unlink_fetch(fetch);
+	g_signal_handlers_disconnect_by_data(fetch->message, fetch);
+	g_clear_object(&fetch->stream);
+	g_clear_object(&fetch->socket);
+	g_object_unref(fetch->message);
+	g_object_unref(fetch->cancellable);
+	g_free(fetch);
 }
 
-static void end_exchange(sr_exchange_t *exchange, sr_exchange_end_t end,
-			 const char *detail)
+static void end_fetch(sr_fetch_t *fetch, sr_fetch_end_t end, const char *detail)
 {
-	sr_exchange_options_t options = exchange->options;
+	sr_fetch_options_t options = fetch->options;
 
-	unlink_exchange(exchange);
+	unlink_fetch(fetch);
 	options.on_end(options.user, end, detail);
-	free_exchange(exchange);
+	free_fetch(fetch);
+}
+
+/*
+ * libsoup takes a connection that ends between two chunks for the end of the
+ * body. A server that did not announce it closes no connection after a whole
+ * answer, so a closed one means that the answer was cut.
+ */
+static gboolean is_cut(const sr_fetch_t *fetch)
+{
+	SoupMessageHeaders *headers =
+		soup_message_get_response_headers(fetch->message);
+	const char *connection =
+		soup_message_headers_get_one(headers, "Connection");
+
+	if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_CHUNKED)
+		return FALSE;
+	if (connection && !g_ascii_strcasecmp(connection, "close"))
+		return FALSE;
+	if (!fetch->socket || g_socket_is_closed(fetch->socket))
+		return TRUE;
+	return g_socket_condition_check(
+		       fetch->socket,
+		       (GIOCondition)(G_IO_HUP | G_IO_ERR | POLLRDHUP)) != 0;
 }
 
 static void on_read(GObject *source, GAsyncResult *result, gpointer data)
 {
-	sr_exchange_t *exchange = data;
+	sr_fetch_t *fetch = data;
 	GError *error = NULL;
 	gssize size = g_input_stream_read_finish(G_INPUT_STREAM(source), result,
 						 &error);
 
-	exchange->reading = FALSE;
-	if (!exchange->client) {
-		free_exchange(exchange);
+	fetch->reading = FALSE;
+	if (!fetch->client) {
+		free_fetch(fetch);
 	} else if (size < 0) {
-		end_exchange(exchange, SR_EXCHANGE_BROKEN, error->message);
+		end_fetch(fetch, SR_FETCH_BROKEN, error->message);
+	} else if (size == 0 && is_cut(fetch)) {
+		end_fetch(fetch, SR_FETCH_BROKEN,
+			  "the connection ended between two chunks");
 	} else if (size == 0) {
-		end_exchange(exchange, SR_EXCHANGE_COMPLETE, NULL);
+		end_fetch(fetch, SR_FETCH_COMPLETE, NULL);
 	} else {
-		exchange->in_callback = TRUE;
-		exchange->options.on_data(exchange->options.user,
-					  exchange->buffer, (gsize)size);
-		exchange->in_callback = FALSE;
-		if (!exchange->client)
-			free_exchange(exchange);
-		else if (!exchange->paused)
-			read_more(exchange);
+		fetch->in_callback = TRUE;
+		fetch->options.on_data(fetch->options.user, fetch->buffer,
+				       (gsize)size);
+		fetch->in_callback = FALSE;
+		if (!fetch->client)
+			free_fetch(fetch);
+		else if (!fetch->paused)
+			read_more(fetch);
 	}
 	g_clear_error(&error);
 }
 
-static void read_more(sr_exchange_t *exchange)
+static void read_more(sr_fetch_t *fetch)
 {
-	exchange->reading = TRUE;
-	g_input_stream_read_async(exchange->stream, exchange->buffer,
-				  sizeof(exchange->buffer), G_PRIORITY_DEFAULT,
-				  exchange->cancellable, on_read, exchange);
+	fetch->reading = TRUE;
+	g_input_stream_read_async(fetch->stream, fetch->buffer,
+				  sizeof(fetch->buffer), G_PRIORITY_DEFAULT,
+				  fetch->cancellable, on_read, fetch);
 }
 
 static void on_sent(GObject *source, GAsyncResult *result, gpointer data)
 {
-	sr_exchange_t *exchange = data;
+	sr_fetch_t *fetch = data;
 	GError *error = NULL;
 
-	exchange->stream =
+	fetch->stream =
 		soup_session_send_finish(SOUP_SESSION(source), result, &error);
-	exchange->reading = FALSE;
-	if (!exchange->client) {
-		free_exchange(exchange);
-	} else if (!exchange->stream) {
-		end_exchange(exchange,
-			     exchange->started ? SR_EXCHANGE_BROKEN :
-						 SR_EXCHANGE_NOT_SENT,
-			     error->message);
+	fetch->reading = FALSE;
+	if (!fetch->client) {
+		free_fetch(fetch);
+	} else if (!fetch->stream) {
+		end_fetch(fetch,
+			  fetch->started ? SR_FETCH_BROKEN : SR_FETCH_NOT_SENT,
+			  error->message);
 	} else {
-		exchange->in_callback = TRUE;
-		exchange->options.on_headers(
-			exchange->options.user,
-			soup_message_get_status(exchange->message),
-			soup_message_get_response_headers(exchange->message));
-		exchange->in_callback = FALSE;
-		if (!exchange->client)
-			free_exchange(exchange);
-		else if (!exchange->paused)
-			read_more(exchange);
+		fetch->in_callback = TRUE;
+		fetch->options.on_headers(
+			fetch->options.user,
+			soup_message_get_status(fetch->message),
+			soup_message_get_response_headers(fetch->message));
+		fetch->in_callback = FALSE;
+		if (!fetch->client)
+			free_fetch(fetch);
+		else if (!fetch->paused)
+			read_more(fetch);
 	}
 	g_clear_error(&error);
 }
 
+/* Forgets the sockets that are closed. */
+static void sweep_sockets(sr_upstream_client_t *client)
+{
+	GHashTableIter iter;
+	gpointer socket;
+
+	g_hash_table_iter_init(&iter, client->sockets);
+	while (g_hash_table_iter_next(&iter, NULL, &socket)) {
+		if (g_socket_is_closed(socket))
+			g_hash_table_iter_remove(&iter);
+	}
+	client->sweep_at = 2 * g_hash_table_size(client->sockets) + SWEEP_MIN;
+}
+
 /* The connection stands and the request is about to be written to it. */
 static void on_starting(SoupMessage *message, gpointer data)
 {
-	sr_exchange_t *exchange = data;
+	sr_fetch_t *fetch = data;
+	sr_upstream_client_t *client = fetch->client;
+	gpointer id = GSIZE_TO_POINTER(soup_message_get_connection_id(message));
+	GSocket *known;
 
-	exchange->started = TRUE;
+	fetch->started = TRUE;
+	if (!client)
+		return;
+	known = g_hash_table_lookup(client->sockets, id);
+	if (known) {
+		g_set_object(&fetch->socket, known);
+	} else if (fetch->socket) {
+		if (g_hash_table_size(client->sockets) >= client->sweep_at)
+			sweep_sockets(client);
+		g_hash_table_insert(client->sockets, id,
+				    g_object_ref(fetch->socket));
+	}
+}
+
+/* A connection is being opened for this message. */
+static void on_network_event(SoupMessage *message, GSocketClientEvent event,
+			     GIOStream *connection, gpointer data)
+{
+	sr_fetch_t *fetch = data;
+
+	if (event != G_SOCKET_CLIENT_CONNECTED ||
+	    !G_IS_SOCKET_CONNECTION(connection))
+		return;
+	g_set_object(&fetch->socket, g_socket_connection_get_socket(
+					     G_SOCKET_CONNECTION(connection)));
 }
 
 sr_upstream_client_t *sr_upstream_client_new(void)
 {
 	sr_upstream_client_t *client = g_new0(sr_upstream_client_t, 1);
 
-	sr_list_init(&client->exchanges);
+	sr_list_init(&client->fetches);
+	client->sockets =
+		g_hash_table_new_full(NULL, NULL, NULL, g_object_unref);
+	client->sweep_at = SWEEP_MIN;
 	client->session = soup_session_new_with_options(
 		"max-conns", MAX_CONNECTIONS, "max-conns-per-host",
 		MAX_CONNECTIONS, "timeout", 0U, "idle-timeout", IDLE_TIMEOUT_S,
@@ -157,14 +234,15 @@
 {
 	if (!client)
 		return;
-	sr_list_for_each_safe (link, &client->exchanges)
-		sr_exchange_cancel(sr_list_entry(link, sr_exchange_t, link));
+	sr_list_for_each_safe (link, &client->fetches)
+		sr_fetch_cancel(sr_list_entry(link, sr_fetch_t, link));
 	soup_session_abort(client->session);
 	g_object_unref(client->session);
+	g_hash_table_destroy(client->sockets);
 	g_free(client);
 }
 
-static SoupMessage *build_message(const sr_exchange_options_t *options)
+static SoupMessage *build_message(const sr_fetch_options_t *options)
 {
 	char *uri =
 		g_strconcat("http://", options->address, options->path, NULL);
@@ -192,56 +270,57 @@
 	return message;
 }
 
-sr_exchange_t *sr_upstream_send(sr_upstream_client_t *client,
-				const sr_exchange_options_t *options)
+sr_fetch_t *sr_upstream_send(sr_upstream_client_t *client,
+			     const sr_fetch_options_t *options)
 {
 	SoupMessage *message = build_message(options);
-	sr_exchange_t *exchange;
+	sr_fetch_t *fetch;
 
 	if (!message)
 		return NULL;
-	exchange = g_new0(sr_exchange_t, 1);
-	exchange->client = client;
-	exchange->options = *options;
-	exchange->message = message;
-	exchange->cancellable = g_cancellable_new();
-	exchange->reading = TRUE;
-	sr_list_append(&client->exchanges, &exchange->link);
-	client->n_exchanges++;
-	g_signal_connect(message, "starting", G_CALLBACK(on_starting),
-			 exchange);
+	fetch = g_new0(sr_fetch_t, 1);
+	fetch->client = client;
+	fetch->options = *options;
+	fetch->message = message;
+	fetch->cancellable = g_cancellable_new();
+	fetch->reading = TRUE;
+	sr_list_append(&client->fetches, &fetch->link);
+	client->n_fetches++;
+	g_signal_connect(message, "starting", G_CALLBACK(on_starting), fetch);
+	g_signal_connect(message, "network-event", G_CALLBACK(on_network_event),
+			 fetch);
 	soup_session_send_async(client->session, message, G_PRIORITY_DEFAULT,
-				exchange->cancellable, on_sent, exchange);
-	return exchange;
+				fetch->cancellable, on_sent, fetch);
+	return fetch;
 }
 
-void sr_exchange_pause(sr_exchange_t *exchange)
+void sr_fetch_pause(sr_fetch_t *fetch)
 {
-	exchange->paused = TRUE;
+	fetch->paused = TRUE;
 }
 
-void sr_exchange_resume(sr_exchange_t *exchange)
+void sr_fetch_resume(sr_fetch_t *fetch)
 {
-	if (!exchange->paused)
+	if (!fetch->paused)
 		return;
-	exchange->paused = FALSE;
-	if (!exchange->reading && !exchange->in_callback)
-		read_more(exchange);
+	fetch->paused = FALSE;
+	if (!fetch->reading && !fetch->in_callback)
+		read_more(fetch);
 }
 
-void sr_exchange_cancel(sr_exchange_t *exchange)
+void sr_fetch_cancel(sr_fetch_t *fetch)
 {
-	if (!exchange)
+	if (!fetch)
 		return;
-	g_assert(exchange->client);
-	unlink_exchange(exchange);
-	if (exchange->reading)
-		g_cancellable_cancel(exchange->cancellable);
-	else if (!exchange->in_callback)
-		free_exchange(exchange);
+	g_assert(fetch->client);
+	unlink_fetch(fetch);
+	if (fetch->reading)
+		g_cancellable_cancel(fetch->cancellable);
+	else if (!fetch->in_callback)
+		free_fetch(fetch);
 }
 
-unsigned sr_upstream_n_exchanges(const sr_upstream_client_t *client)
+unsigned sr_upstream_n_fetches(const sr_upstream_client_t *client)
 {
-	return client->n_exchanges;
+	return client->n_fetches;
 }
