--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -96,6 +96,7 @@
 	sr_usec_t
 		retention;  /* how long a key is kept after its posting ended */
 	sr_usec_t interval; /* least time between writes of a shard */
+	unsigned ring;	    /* slots of a shard's log; fixed as n_shards is */
 	unsigned max_entries; /* of one shard */
 	gsize max_bytes;      /* of one shard */
 
@@ -116,6 +117,7 @@
 #define SR_JOURNAL_LEASE (5 * SR_SEC)
 #define SR_JOURNAL_RETENTION (24 * SR_HOUR)
 #define SR_JOURNAL_INTERVAL (50 * SR_MSEC)
+#define SR_JOURNAL_RING 512
 #define SR_JOURNAL_MAX_ENTRIES 100000
 #define SR_JOURNAL_MAX_BYTES (24 * 1024 * 1024)
 #define SR_JOURNAL_SHARDS 4
--- a/src/core/journal_log.c
+++ b/src/core/journal_log.c
@@ -14,6 +14,7 @@
 	PHASE_MANIFEST,
 	PHASE_SEGMENT,
 	PHASE_READ,
+	PHASE_LIST,
 	PHASE_CLAIM,
 	PHASE_HELD,
 } phase_t;
@@ -21,9 +22,8 @@
 /* What the write under way waits for. */
 typedef enum {
 	WRITE_NONE,
-	WRITE_CREATE,
-	WRITE_READ_BACK, /* is the object at our number ours? */
-	WRITE_VERIFY,	 /* was our number free for good? */
+	WRITE_PUT,
+	WRITE_READ_BACK, /* is the batch in our slot ours? */
 } write_t;
 
 struct sr_journal_log {
@@ -35,6 +35,8 @@
 	guint64 random;
 	sr_usec_t lease;
 	sr_usec_t interval;
+	unsigned ring;
+	guint64 *versions; /* of the slots; 0 for none */
 
 	phase_t phase;
 	gboolean wanted;
@@ -70,6 +72,8 @@
 	guint64 version;
 	sr_usec_t retry_after;
 	GBytes *value;
+	gboolean more;
+	char *last_key; /* of a list */
 };
 
 static guint64 next_random(sr_journal_log_t *log)
@@ -95,6 +99,8 @@
 	log->lease = options->lease;
 	log->interval = options->interval;
 	log->request_at = NEVER;
+	log->ring = options->ring;
+	log->versions = g_new0(guint64, log->ring);
 	return log;
 }
 
@@ -106,6 +112,8 @@
 	g_clear_pointer(&log->value, g_bytes_unref);
 	g_clear_pointer(&log->write_value, g_bytes_unref);
 	sr_manifest_free(log->manifest);
+	g_free(log->versions);
+	g_free(log->last_key);
 	g_free(log->prefix);
 	g_free(log->owner);
 	g_free(log);
@@ -121,6 +129,23 @@
 	return log->phase == PHASE_OFF;
 }
 
+static guint64 base_of(const sr_manifest_t *manifest)
+{
+	return manifest ? manifest->base : 0;
+}
+
+/* Only the slot of a folded batch may be written over. */
+static gboolean has_free_slot(const sr_journal_log_t *log)
+{
+	return log->next - base_of(log->manifest) <= log->ring;
+}
+
+gboolean sr_journal_log_is_complete(const sr_journal_log_t *log)
+{
+	return log->phase == PHASE_HELD ||
+	       (log->phase == PHASE_CLAIM && !has_free_slot(log));
+}
+
 static gboolean is_lease_valid(const sr_journal_log_t *log, sr_usec_t now)
 {
 	return now <= log->lease_from + log->lease;
@@ -133,7 +158,7 @@
 		return FALSE;
 	if (log->write != WRITE_NONE && now > log->write_began + patience)
 		return FALSE;
-	return is_lease_valid(log, now);
+	return is_lease_valid(log, now) && has_free_slot(log);
 }
 
 sr_usec_t sr_journal_log_time(const sr_journal_log_t *log, sr_usec_t now)
@@ -173,9 +198,29 @@
 	log->manifest_version = version;
 }
 
-static guint64 base_of(const sr_manifest_t *manifest)
+static unsigned slot_of(const sr_journal_log_t *log, guint64 number)
 {
-	return manifest ? manifest->base : 0;
+	return (unsigned)(number % log->ring);
+}
+
+/*
+ * Versions of the slots, as of before the claim. That of the next number is
+ * known from reading it; a list may be newer and would not guard it.
+ */
+static void note_versions(sr_journal_log_t *log, const sr_store_reply_t *reply)
+{
+	g_clear_pointer(&log->last_key, g_free);
+	log->more = reply->more;
+	for (guint i = 0; i < reply->list->len; i++) {
+		const sr_store_entry_t *entry = reply->list->pdata[i];
+		guint64 slot = g_ascii_strtoull(strrchr(entry->key, '/') + 1,
+						NULL, 10);
+
+		if (slot < log->ring && slot != slot_of(log, log->next))
+			log->versions[slot] = entry->version;
+		if (i + 1 == reply->list->len)
+			log->last_key = g_strdup(entry->key);
+	}
 }
 
 static void on_reply(void *user, const sr_store_reply_t *reply)
@@ -188,6 +233,8 @@
 	log->version = reply->version;
 	log->retry_after = reply->retry_after;
 	log->value = reply->value ? g_bytes_ref(reply->value) : NULL;
+	if (reply->list)
+		note_versions(log, reply);
 	log->ops->wake(log->user);
 }
 
@@ -198,7 +245,13 @@
 		.op = op,
 		.class = SR_STORE_JOURNAL,
 		.key = key,
-		.value = op == SR_STORE_CREATE ? log->write_value : NULL,
+		.value = op == SR_STORE_CREATE || op == SR_STORE_UPDATE ?
+				 log->write_value :
+				 NULL,
+		.if_version = op == SR_STORE_UPDATE ?
+				      log->versions[slot_of(log, log->next)] :
+				      0,
+		.after = op == SR_STORE_LIST ? log->last_key : NULL,
 		.done = on_reply,
 		.user = log,
 	};
@@ -210,10 +263,10 @@
 	g_free(key);
 }
 
-static char *number_key(const sr_journal_log_t *log, guint64 number)
+static char *slot_key(const sr_journal_log_t *log)
 {
-	return g_strdup_printf("%s/log/%020" G_GUINT64_FORMAT, log->prefix,
-			       number);
+	return g_strdup_printf("%s/log/%06u", log->prefix,
+			       slot_of(log, log->next));
 }
 
 static char *manifest_key(const sr_journal_log_t *log)
@@ -251,6 +304,15 @@
 	restart(log);
 }
 
+void sr_journal_log_give_up(sr_journal_log_t *log, sr_usec_t now)
+{
+	sr_store_cancel_all(log->store, log);
+	log->calling = FALSE;
+	log->has_reply = FALSE;
+	g_clear_pointer(&log->value, g_bytes_unref);
+	lose(log, now, SR_LOG_LOST_IN_DOUBT);
+}
+
 /* Reading */
 
 static void begin_read(sr_journal_log_t *log)
@@ -284,6 +346,7 @@
 	}
 	sr_journal_log_set_manifest(log, manifest, manifest ? log->version : 0);
 	log->ops->reset(log->user);
+	memset(log->versions, 0, log->ring * sizeof(*log->versions));
 	log->quiet_since = now;
 	begin_read(log);
 }
@@ -316,7 +379,7 @@
 	log->time = MAX(log->time, batch->time);
 	if (batch->epoch > log->epoch) {
 		log->epoch = batch->epoch;
-		log->ops->taken_over(log->user, log->time);
+		log->ops->taken_over(log->user, batch->number, log->time);
 	}
 	log->released = batch->release;
 	log->next++;
@@ -332,7 +395,8 @@
 	sr_usec_t quiet_until = log->quiet_since + log->lease;
 
 	if (log->released || log->call_began >= quiet_until) {
-		log->phase = PHASE_CLAIM;
+		log->phase = PHASE_LIST;
+		g_clear_pointer(&log->last_key, g_free);
 		return;
 	}
 	log->due = MIN(now + log->lease / POLLS_PER_LEASE, quiet_until);
@@ -343,6 +407,7 @@
 	sr_batch_t *batch;
 
 	if (log->status == SR_STORE_NOT_FOUND) {
+		log->versions[slot_of(log, log->next)] = 0;
 		on_end_of_log(log, now);
 		return;
 	}
@@ -351,23 +416,39 @@
 		back_off(log, now);
 		return;
 	}
-	log->quiet_since = now;
-	replay_batch(log, batch);
+	log->versions[slot_of(log, log->next)] = log->version;
+	if (batch->number == log->next) {
+		log->quiet_since = now;
+		replay_batch(log, batch);
+	} else if (batch->number < log->next) {
+		on_end_of_log(log, now);
+	} else { /* the holder has used the slot again since */
+		restart(log);
+	}
 	sr_batch_free(batch);
 }
 
+static void on_list(sr_journal_log_t *log, sr_usec_t now)
+{
+	if (log->status != SR_STORE_OK)
+		back_off(log, now);
+	else if (!log->more || !log->last_key)
+		log->phase = PHASE_CLAIM;
+}
+
 /* Writing */
 
 static void begin_write(sr_journal_log_t *log, sr_usec_t now, sr_batch_t *batch)
 {
 	g_assert(log->write == WRITE_NONE);
+	batch->number = log->next;
 	log->write_value = sr_batch_encode(batch);
 	g_assert(g_bytes_get_size(log->write_value) <= SR_STORE_VALUE_MAX);
 	log->write_id = batch->write_id;
 	log->write_release = batch->release;
 	log->write_began = now;
 	log->last_write = now;
-	log->write = WRITE_CREATE;
+	log->write = WRITE_PUT;
 	sr_batch_free(batch);
 }
 
@@ -398,7 +479,9 @@
 static void accept_write(sr_journal_log_t *log, sr_usec_t now)
 {
 	gboolean claimed = log->phase == PHASE_CLAIM;
+	guint64 number = log->next;
 
+	log->versions[slot_of(log, number)] = log->version;
 	log->write = WRITE_NONE;
 	g_clear_pointer(&log->write_value, g_bytes_unref);
 	log->next++;
@@ -408,59 +491,22 @@
 		log->epoch++;
 		log->phase = PHASE_HELD;
 		log->time_at = now;
-		log->ops->taken_over(log->user, log->time);
+		log->ops->taken_over(log->user, number, log->time);
 		log->ops->owned(log->user, now);
 		return;
 	}
-	log->ops->durable(log->user, now);
+	log->ops->durable(log->user, now, number);
 	if (log->write_release && log->phase == PHASE_HELD) {
 		log->ops->lost(log->user, now, SR_LOG_LOST_NOT_WRITTEN);
 		restart(log);
 	}
 }
 
-/*
- * Our object is at our number. Within the lease nobody can have taken over,
- * folded that number into a segment and deleted it; later, the manifest tells.
- */
-static void on_written(sr_journal_log_t *log, sr_usec_t now)
-{
-	if (log->phase == PHASE_HELD && is_lease_valid(log, now))
-		accept_write(log, now);
-	else
-		log->write = WRITE_VERIFY;
-}
-
-static void on_verify(sr_journal_log_t *log, sr_usec_t now)
-{
-	sr_manifest_t *manifest = NULL;
-	guint64 base;
-
-	if (log->status == SR_STORE_NOT_FOUND) {
-		accept_write(log, now);
-		return;
-	}
-	if (log->status != SR_STORE_OK ||
-	    sr_manifest_decode(log->value, &manifest) != SR_OK) {
-		back_off(log, now);
-		return;
-	}
-	base = base_of(manifest);
-	sr_manifest_free(manifest);
-	if (base < log->next)
-		accept_write(log, now);
-	else
-		lose(log, now, SR_LOG_LOST_IN_DOUBT);
-}
-
-static void on_created(sr_journal_log_t *log, sr_usec_t now)
+static void on_put(sr_journal_log_t *log, sr_usec_t now)
 {
 	switch (log->status) {
 	case SR_STORE_OK:
-		on_written(log, now);
-		break;
-	case SR_STORE_CONFLICT:
-		log->write = WRITE_READ_BACK;
+		accept_write(log, now);
 		break;
 	case SR_STORE_NOT_DONE:
 		back_off(log, now);
@@ -471,20 +517,27 @@
 	}
 }
 
+/* Nothing is at our number yet; the same batch is put once more. */
+static void put_again(sr_journal_log_t *log, sr_usec_t now, guint64 version)
+{
+	log->versions[slot_of(log, log->next)] = version;
+	log->write = WRITE_PUT;
+	back_off(log, now);
+}
+
 /*
- * If nothing is at our number, the create may still arrive: the same object is
- * created once more, and whichever create is first makes the other conflict.
- * Past the lease another object there proves little: ours may have been folded
- * and deleted, and a late create of yet another holder have taken the number.
+ * Did a put take effect whose reply was lost or told of a conflict? A put that
+ * is still on its way conflicts with the next one, or the next one with it.
+ * If the slot was used again, our batch may have been there and been folded.
  */
 static void on_read_back(sr_journal_log_t *log, sr_usec_t now)
 {
 	sr_batch_t *batch;
+	guint64 number;
 	gboolean ours;
 
 	if (log->status == SR_STORE_NOT_FOUND) {
-		log->write = WRITE_CREATE;
-		back_off(log, now);
+		put_again(log, now, 0);
 		return;
 	}
 	if (log->status != SR_STORE_OK ||
@@ -492,28 +545,28 @@
 		back_off(log, now);
 		return;
 	}
+	number = batch->number;
 	ours = batch->write_id == log->write_id;
 	sr_batch_free(batch);
-	if (ours)
-		on_written(log, now);
+	if (number < log->next)
+		put_again(log, now, log->version);
+	else if (number > log->next)
+		lose(log, now, SR_LOG_LOST_IN_DOUBT);
+	else if (ours)
+		accept_write(log, now);
 	else
-		lose(log, now,
-		     is_lease_valid(log, now) ? SR_LOG_LOST_NOT_WRITTEN :
-						SR_LOG_LOST_IN_DOUBT);
+		lose(log, now, SR_LOG_LOST_NOT_WRITTEN);
 }
 
 static void on_write_reply(sr_journal_log_t *log, sr_usec_t now)
 {
 	switch (log->write) {
-	case WRITE_CREATE:
-		on_created(log, now);
+	case WRITE_PUT:
+		on_put(log, now);
 		break;
 	case WRITE_READ_BACK:
 		on_read_back(log, now);
 		break;
-	case WRITE_VERIFY:
-		on_verify(log, now);
-		break;
 	case WRITE_NONE:
 		g_assert_not_reached();
 	}
@@ -535,6 +588,9 @@
 	case PHASE_READ:
 		on_read(log, now);
 		break;
+	case PHASE_LIST:
+		on_list(log, now);
+		break;
 	case PHASE_CLAIM:
 	case PHASE_HELD:
 		on_write_reply(log, now);
@@ -549,15 +605,15 @@
 
 static void call_for_write(sr_journal_log_t *log, sr_usec_t now)
 {
+	gboolean is_used = log->versions[slot_of(log, log->next)] != 0;
+
 	switch (log->write) {
-	case WRITE_CREATE:
-		call(log, now, SR_STORE_CREATE, number_key(log, log->next));
+	case WRITE_PUT:
+		call(log, now, is_used ? SR_STORE_UPDATE : SR_STORE_CREATE,
+		     slot_key(log));
 		break;
 	case WRITE_READ_BACK:
-		call(log, now, SR_STORE_GET, number_key(log, log->next));
-		break;
-	case WRITE_VERIFY:
-		call(log, now, SR_STORE_GET, manifest_key(log));
+		call(log, now, SR_STORE_GET, slot_key(log));
 		break;
 	case WRITE_NONE:
 		break;
@@ -590,15 +646,20 @@
 		     g_strdup_printf("%s/%s", log->prefix, ref->name));
 		break;
 	case PHASE_READ:
-		call(log, now, SR_STORE_GET, number_key(log, log->next));
+		call(log, now, SR_STORE_GET, slot_key(log));
+		break;
+	case PHASE_LIST:
+		call(log, now, SR_STORE_LIST,
+		     g_strdup_printf("%s/log/", log->prefix));
 		break;
 	case PHASE_CLAIM:
-		if (log->write == WRITE_NONE)
+		if (log->write == WRITE_NONE && has_free_slot(log))
 			begin_claim(log, now);
 		call_for_write(log, now);
 		break;
 	case PHASE_HELD:
-		if (log->write == WRITE_NONE && now >= next_write_at(log))
+		if (log->write == WRITE_NONE && now >= next_write_at(log) &&
+		    has_free_slot(log))
 			begin_batch(log, now);
 		call_for_write(log, now);
 		break;
--- a/src/core/journal_private.h
+++ b/src/core/journal_private.h
@@ -3,6 +3,7 @@
 
 #include "base/list.h"
 #include "core/journal.h"
+#include "core/journal_checkpoint.h"
 #include "core/journal_log.h"
 #include "core/journal_table.h"
 
@@ -30,6 +31,7 @@
 	unsigned index;
 	sr_journal_log_t *log;
 	sr_journal_table_t *table;
+	sr_journal_checkpoint_t *checkpoint;
 	sr_list_t queue;  /* entries whose pending record is to be written */
 	sr_list_t flight; /* entries whose pending record is being written */
 	sr_list_t work;	  /* entries to run or to ask for */
--- a/src/core/journal_record.c
+++ b/src/core/journal_record.c
@@ -4,12 +4,12 @@
 
 #include "core/store.h"
 
-#define FORMAT_BATCH 0x73724201U
+#define FORMAT_BATCH 0x73724202U
 #define FORMAT_SEGMENT 0x73725301U
 #define FORMAT_MANIFEST 0x73724d01U
 
 #define RECORD_TYPE "(yssstttttqayay)"
-#define BATCH_TYPE "(uttsbta" RECORD_TYPE ")"
+#define BATCH_TYPE "(utttsbta" RECORD_TYPE ")"
 #define SEGMENT_TYPE "(ua" RECORD_TYPE ")"
 #define MANIFEST_TYPE "(uttta(st))"
 
@@ -207,10 +207,10 @@
 
 GBytes *sr_batch_encode(const sr_batch_t *batch)
 {
-	return encode(g_variant_new("(uttsbt@a" RECORD_TYPE ")", FORMAT_BATCH,
-				    batch->epoch, batch->write_id, batch->owner,
-				    batch->release, (guint64)batch->time,
-				    records_variant(batch->records)));
+	return encode(g_variant_new(
+		"(utttsbt@a" RECORD_TYPE ")", FORMAT_BATCH, batch->number,
+		batch->epoch, batch->write_id, batch->owner, batch->release,
+		(guint64)batch->time, records_variant(batch->records)));
 }
 
 sr_err_t sr_batch_decode(GBytes *bytes, sr_batch_t **batch)
@@ -225,9 +225,9 @@
 	if (!variant)
 		return SR_ERR_PROTOCOL;
 	decoded = sr_batch_new(NULL, 0, 0);
-	g_variant_get(variant, "(uttsbt@a" RECORD_TYPE ")", &format,
-		      &decoded->epoch, &decoded->write_id, &owner,
-		      &decoded->release, &time, &records);
+	g_variant_get(variant, "(utttsbt@a" RECORD_TYPE ")", &format,
+		      &decoded->number, &decoded->epoch, &decoded->write_id,
+		      &owner, &decoded->release, &time, &records);
 	g_variant_unref(variant);
 	decoded->owner = owner;
 	decoded->time = (sr_usec_t)time;
--- a/src/core/journal_record.h
+++ b/src/core/journal_record.h
@@ -48,6 +48,7 @@
 
 /** sr_batch_t - one object of the log. */
 typedef struct {
+	guint64 number; /* place in the log, from 1 */
 	guint64 epoch;
 	guint64 write_id;
 	char *owner;
--- a/src/core/journal_shard.c
+++ b/src/core/journal_shard.c
@@ -8,6 +8,8 @@
 #define ASK_MAX (60 * SR_SEC)
 /* Postings started and questions asked by one tick of a shard. */
 #define WORK_PER_TICK 64
+/* Checkpoints while the log goes once around its ring. */
+#define CHECKPOINTS_PER_RING 4
 
 static sr_journal_entry_t *entry_of_queue(sr_list_t *link)
 {
@@ -45,6 +47,7 @@
 {
 	sr_journal_shard_t *shard = user;
 
+	sr_journal_checkpoint_abort(shard->checkpoint);
 	sr_journal_table_clear(shard->table);
 	g_assert(sr_list_is_empty(&shard->queue));
 	g_assert(sr_list_is_empty(&shard->flight));
@@ -65,11 +68,12 @@
 	sr_journal_shard_t *shard = user;
 
 	for (guint i = 0; i < batch->records->len; i++)
-		sr_journal_table_apply(shard->table, batch->records->pdata[i]);
+		sr_journal_table_apply(shard->table, batch->records->pdata[i],
+				       batch->number);
 }
 
 /* What the old holder dispatched and did not end may or may not have run. */
-static void on_taken_over(void *user, sr_usec_t time)
+static void on_taken_over(void *user, guint64 number, sr_usec_t time)
 {
 	sr_journal_shard_t *shard = user;
 	GPtrArray *entries = sr_journal_table_entries(shard->table);
@@ -78,7 +82,8 @@
 		sr_journal_entry_t *entry = entries->pdata[i];
 
 		if (entry->state == SR_ENTRY_DISPATCHED)
-			sr_journal_table_lose(shard->table, entry, time);
+			sr_journal_table_lose(shard->table, entry, time,
+					      number);
 	}
 	g_ptr_array_unref(entries);
 }
@@ -180,7 +185,7 @@
 
 /* The entry's pending record is in the log. */
 static void follow_record(sr_journal_shard_t *shard, sr_usec_t now,
-			  sr_journal_entry_t *entry)
+			  sr_journal_entry_t *entry, guint64 number)
 {
 	sr_record_kind_t kind = entry->pending;
 	sr_record_t *record =
@@ -189,7 +194,7 @@
 
 	entry->pending = 0;
 	entry->in_flight = FALSE;
-	entry = sr_journal_table_apply(shard->table, record);
+	entry = sr_journal_table_apply(shard->table, record, number);
 	sr_record_free(record);
 	g_assert(sr_journal_table_violations(shard->table) == violations);
 	switch (kind) {
@@ -215,7 +220,7 @@
 	}
 }
 
-static void on_durable(void *user, sr_usec_t now)
+static void on_durable(void *user, sr_usec_t now, guint64 number)
 {
 	sr_journal_shard_t *shard = user;
 
@@ -223,7 +228,7 @@
 		sr_journal_entry_t *entry = entry_of_queue(shard->flight.next);
 
 		sr_list_remove(&entry->queue);
-		follow_record(shard, now, entry);
+		follow_record(shard, now, entry, number);
 	}
 }
 
@@ -294,6 +299,24 @@
 	.wake = on_wake,
 };
 
+static void init_checkpoint(sr_journal_shard_t *shard, const char *prefix)
+{
+	const sr_journal_options_t *options = &shard->journal->options;
+	sr_journal_checkpoint_options_t checkpoint_options = {
+		.store = options->store,
+		.log = shard->log,
+		.table = shard->table,
+		.prefix = prefix,
+		.seed = options->seed,
+		.retention = options->retention,
+		.batches = options->ring / CHECKPOINTS_PER_RING,
+		.wake = on_wake,
+		.user = shard,
+	};
+
+	shard->checkpoint = sr_journal_checkpoint_new(&checkpoint_options);
+}
+
 void sr_journal_shard_init(sr_journal_t *journal, unsigned index)
 {
 	sr_journal_shard_t *shard = &journal->shards[index];
@@ -306,6 +329,7 @@
 		.seed = journal->options.seed,
 		.lease = journal->options.lease,
 		.interval = journal->options.interval,
+		.ring = journal->options.ring,
 		.ops = &log_ops,
 		.user = shard,
 	};
@@ -317,11 +341,13 @@
 	sr_list_init(&shard->flight);
 	sr_list_init(&shard->work);
 	shard->log = sr_journal_log_new(&options);
+	init_checkpoint(shard, prefix);
 	g_free(prefix);
 }
 
 void sr_journal_shard_clear(sr_journal_shard_t *shard)
 {
+	sr_journal_checkpoint_free(shard->checkpoint);
 	sr_journal_log_free(shard->log);
 	sr_journal_table_free(shard->table);
 }
@@ -508,6 +534,8 @@
 	if (shard->releasing)
 		advance_release(shard, now);
 	sr_journal_log_tick(shard->log, now);
+	if (sr_journal_log_is_complete(shard->log))
+		sr_journal_checkpoint_tick(shard->checkpoint, now);
 	if (!sr_journal_log_is_held(shard->log))
 		return;
 	ready = sr_journal_log_is_ready(shard->log, now, SR_JOURNAL_PATIENCE);
--- a/src/core/journal_table.c
+++ b/src/core/journal_table.c
@@ -5,9 +5,16 @@
 /* Memory of an entry beside its names and bodies, in bytes. */
 #define ENTRY_OVERHEAD (sizeof(sr_journal_entry_t) + 128)
 
+/* A posting that was withdrawn, but may stand in a segment. */
+typedef struct {
+	sr_record_t *record;
+	guint64 number;
+} tombstone_t;
+
 struct sr_journal_table {
 	GHashTable *entries; /* "ACCOUNT\nKEY" -> sr_journal_entry_t */
 	sr_list_t expiry;
+	GPtrArray *withdrawn; /* tombstone_t, since the last checkpoint */
 	sr_usec_t retention;
 	gsize bytes;
 	guint64 violations;
@@ -51,6 +58,14 @@
 	g_free(entry);
 }
 
+static void tombstone_free(gpointer data)
+{
+	tombstone_t *tombstone = data;
+
+	sr_record_free(tombstone->record);
+	g_free(tombstone);
+}
+
 sr_journal_table_t *sr_journal_table_new(sr_usec_t retention)
 {
 	sr_journal_table_t *table = g_new0(sr_journal_table_t, 1);
@@ -58,6 +73,7 @@
 	table->entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	table->retention = retention;
+	table->withdrawn = g_ptr_array_new_with_free_func(tombstone_free);
 	sr_list_init(&table->expiry);
 	return table;
 }
@@ -73,11 +89,13 @@
 		sr_journal_entry_free(entry);
 	}
 	table->bytes = 0;
+	g_ptr_array_set_size(table->withdrawn, 0);
 }
 
 void sr_journal_table_free(sr_journal_table_t *table)
 {
 	sr_journal_table_clear(table);
+	g_ptr_array_unref(table->withdrawn);
 	g_hash_table_unref(table->entries);
 	g_free(table);
 }
@@ -249,8 +267,22 @@
 	       record->kind == SR_RECORD_DISPATCHED;
 }
 
+static void bury(sr_journal_table_t *table, sr_journal_entry_t *entry,
+		 const sr_record_t *record, guint64 number)
+{
+	tombstone_t *tombstone = g_new0(tombstone_t, 1);
+
+	g_assert(sr_list_is_empty(&entry->waiters));
+	tombstone->record = sr_journal_entry_record(entry, SR_RECORD_WITHDRAWN,
+						    record->time);
+	tombstone->number = number;
+	g_ptr_array_add(table->withdrawn, tombstone);
+	sr_journal_table_remove(table, entry);
+}
+
 sr_journal_entry_t *sr_journal_table_apply(sr_journal_table_t *table,
-					   const sr_record_t *record)
+					   const sr_record_t *record,
+					   guint64 number)
 {
 	sr_journal_entry_t *entry = find(table, record->account, record->key);
 
@@ -265,14 +297,14 @@
 					     record->hash);
 	if (!may_follow(entry, record)) {
 		table->violations++;
-		sr_journal_table_lose(table, entry, record->time);
+		sr_journal_table_lose(table, entry, record->time, number);
 		return entry;
 	}
-	if (record->kind == SR_RECORD_WITHDRAWN &&
-	    sr_list_is_empty(&entry->waiters)) {
-		sr_journal_table_remove(table, entry);
+	if (record->kind == SR_RECORD_WITHDRAWN) {
+		bury(table, entry, record, number);
 		return NULL;
 	}
+	entry->number = number;
 	set_state(table, entry, record);
 	return entry;
 }
@@ -291,10 +323,11 @@
 }
 
 void sr_journal_table_lose(sr_journal_table_t *table, sr_journal_entry_t *entry,
-			   sr_usec_t time)
+			   sr_usec_t time, guint64 number)
 {
 	entry->state = SR_ENTRY_UNKNOWN;
 	entry->time = time;
+	entry->number = number;
 	sr_list_remove(&entry->expiry);
 	sr_list_append(&table->expiry, &entry->expiry);
 }
@@ -335,6 +368,56 @@
 	return record;
 }
 
+static sr_record_t *copy_tombstone(const sr_record_t *record)
+{
+	sr_record_t *copy = g_new0(sr_record_t, 1);
+
+	*copy = *record;
+	copy->account = g_strdup(record->account);
+	copy->key = g_strdup(record->key);
+	copy->service = g_strdup(record->service);
+	return copy;
+}
+
+GPtrArray *sr_journal_table_changes(const sr_journal_table_t *table,
+				    guint64 base, sr_usec_t dropped)
+{
+	GPtrArray *records =
+		g_ptr_array_new_with_free_func((GDestroyNotify)sr_record_free);
+	GPtrArray *entries = sr_journal_table_entries(table);
+
+	for (guint i = 0; i < table->withdrawn->len; i++) {
+		const tombstone_t *tombstone = table->withdrawn->pdata[i];
+
+		if (tombstone->number > base)
+			g_ptr_array_add(records,
+					copy_tombstone(tombstone->record));
+	}
+	for (guint i = 0; i < entries->len; i++) {
+		const sr_journal_entry_t *entry = entries->pdata[i];
+
+		if (entry->state != SR_ENTRY_NEW &&
+		    (entry->number > base || entry->time <= dropped))
+			g_ptr_array_add(
+				records,
+				sr_journal_entry_record(entry, 0, entry->time));
+	}
+	g_ptr_array_unref(entries);
+	return records;
+}
+
+void sr_journal_table_folded(sr_journal_table_t *table, guint64 base)
+{
+	for (guint i = 0; i < table->withdrawn->len;) {
+		const tombstone_t *tombstone = table->withdrawn->pdata[i];
+
+		if (tombstone->number <= base)
+			g_ptr_array_remove_index(table->withdrawn, i);
+		else
+			i++;
+	}
+}
+
 GPtrArray *sr_journal_table_entries(const sr_journal_table_t *table)
 {
 	GPtrArray *entries = g_ptr_array_new();
--- a/src/core/journal_table.h
+++ b/src/core/journal_table.h
@@ -31,6 +31,7 @@
 	guint64 run;
 	guint64 epoch;
 	sr_usec_t time; /* shard time of the last transition */
+	guint64 number; /* of the batch with the last transition */
 	unsigned status;
 	GBytes *request;
 	GBytes *result;
@@ -85,7 +86,8 @@
  * the entry's state leaves it UNKNOWN and is counted.
  */
 sr_journal_entry_t *sr_journal_table_apply(sr_journal_table_t *table,
-					   const sr_record_t *record);
+					   const sr_record_t *record,
+					   guint64 number);
 
 /** sr_journal_table_load - a record of a segment: it replaces what was there.
  */
@@ -94,7 +96,19 @@
 
 /** sr_journal_table_lose - the outcome of a dispatched entry is not known. */
 void sr_journal_table_lose(sr_journal_table_t *table, sr_journal_entry_t *entry,
-			   sr_usec_t time);
+			   sr_usec_t time, guint64 number);
+
+/**
+ * sr_journal_table_changes - what a checkpoint has to write
+ *
+ * Returns records (owned by the caller) of what changed in batches above base,
+ * withdrawn postings too, and of what is alive and not newer than dropped.
+ */
+GPtrArray *sr_journal_table_changes(const sr_journal_table_t *table,
+				    guint64 base, sr_usec_t dropped);
+
+/** sr_journal_table_folded - batches up to base are in segments. */
+void sr_journal_table_folded(sr_journal_table_t *table, guint64 base);
 
 /** sr_journal_table_expire - forget what ended a retention time ago. */
 void sr_journal_table_expire(sr_journal_table_t *table, sr_usec_t time);
--- a/test/prove/journal_model.c
+++ b/test/prove/journal_model.c
@@ -11,6 +11,10 @@
 #define N_KEYS 12
 #define LEASE (1 * SR_SEC)
 #define TICK (20 * SR_MSEC)
+/* Slots of a shard's log: this many, or two or four times as many. */
+#define RING 4
+/* Of a shard: the ring, the manifest and its segments. */
+#define MAX_OBJECTS (4 * RING + 1 + 200)
 /* How long after its deadline a caller may still wait for its answer. */
 #define ANSWER_SLACK (60 * SR_MSEC)
 /* Within this time everything has settled once all faults have ended. */
@@ -72,6 +76,7 @@
 	fake_platform_t *platform;
 	node_t nodes[N_NODES];
 	sr_usec_t now;
+	unsigned ring;
 	guint64 random;
 	GPtrArray *submissions;
 	GPtrArray *jobs;
@@ -322,6 +327,7 @@
 		.lease = LEASE,
 		.retention = SR_HOUR,
 		.interval = 20 * SR_MSEC,
+		.ring = model->ring,
 		.max_entries = 1000,
 		.max_bytes = 1000000,
 		.run = on_run,
@@ -570,6 +576,9 @@
 	node_t *node = &model->nodes[command->a % N_NODES];
 	sr_usec_t span = (1 + command->b % 4000) * SR_MSEC;
 
+	if (command->a >= 192)
+		span *= 4;
+
 	switch (op_of(command)) {
 	case OP_SUBMIT:
 		submit_to_holder(model, command);
@@ -669,6 +678,9 @@
 		sr_journal_foreach_unknown(model->nodes[i].journal, model->now,
 					   note_unknown, model);
 	}
+	if (fake_platform_n_objects(model->platform, "journal/") >
+	    N_SHARDS * MAX_OBJECTS)
+		fail(model, "too many objects are kept");
 	if (held != N_SHARDS)
 		fail(model, "%u of %d shards are held", held, N_SHARDS);
 }
@@ -724,6 +736,7 @@
 	model_t *model = g_new0(model_t, 1);
 
 	model->random = seed;
+	model->ring = RING << (seed % 3);
 	model->platform = fake_platform_new(prove_random(&model->random));
 	model->submissions = g_ptr_array_new_with_free_func(g_free);
 	model->jobs = g_ptr_array_new_with_free_func(g_free);
