--- a/src/core/gossip.c
+++ b/src/core/gossip.c
@@ -58,21 +58,45 @@
 	sr_gossip_enqueue(g, g->self);
 }
 
-/* Of another domain only the delegates stay, and some dead ones. */
+/* The dead member of a list that has been dead for the longest time. */
+static sr_record_t *oldest_dead(const GPtrArray *list, unsigned *n_dead)
+{
+	sr_record_t *oldest = NULL;
+
+	*n_dead = 0;
+	for (guint i = 0; i < list->len; i++) {
+		sr_record_t *record = g_ptr_array_index(list, i);
+
+		if (sr_member_is_live(record))
+			continue;
+		++*n_dead;
+		if (!oldest || record->changed < oldest->changed)
+			oldest = record;
+	}
+	return oldest;
+}
+
+/*
+ * Of another domain only the delegates stay, and the latest dead: their death
+ * still has to be passed on.
+ */
 static void prune_domain(sr_gossip_t *g, const char *domain)
 {
 	const GPtrArray *list = sr_table_of_domain(&g->table, domain);
 	GPtrArray *surplus = g_ptr_array_new();
+	sr_record_t *oldest;
+	unsigned n_dead;
 	unsigned live = 0;
-	unsigned dead = 0;
 
 	for (guint i = 0; i < list->len; i++) {
 		sr_record_t *record = g_ptr_array_index(list, i);
 
-		if (sr_member_is_live(record) ? ++live > SR_DELEGATES :
-						++dead > DEAD_PER_DOMAIN)
+		if (sr_member_is_live(record) && ++live > SR_DELEGATES)
 			g_ptr_array_add(surplus, record);
 	}
+	oldest = oldest_dead(list, &n_dead);
+	if (n_dead > DEAD_PER_DOMAIN)
+		g_ptr_array_add(surplus, oldest);
 	for (guint i = 0; i < surplus->len; i++)
 		sr_table_remove(&g->table, g_ptr_array_index(surplus, i));
 	g_ptr_array_unref(surplus);
--- a/src/core/gossip_send.c
+++ b/src/core/gossip_send.c
@@ -137,6 +137,17 @@
 	return message;
 }
 
+/* A message says that its sender lives, so one that leaves adds its state. */
+static void start_datagram(sr_gossip_t *g, sr_gossip_encoder_t *encoder,
+			   const sr_gossip_message_t *message)
+{
+	sr_wire_record_t wire;
+
+	sr_gossip_encoder_start(encoder, message);
+	if (g->left && sr_record_to_wire(g->self, g->now, &wire))
+		sr_gossip_encoder_add(encoder, &wire);
+}
+
 static void emit(sr_gossip_t *g, const char *address,
 		 sr_gossip_encoder_t *encoder)
 {
@@ -199,10 +210,7 @@
 	sr_gossip_encoder_t encoder;
 	sr_wire_record_t wire;
 
-	sr_gossip_encoder_start(&encoder, message);
-	/* The message itself says that its sender lives. */
-	if (g->left && sr_record_to_wire(g->self, g->now, &wire))
-		sr_gossip_encoder_add(&encoder, &wire);
+	start_datagram(g, &encoder, message);
 	if (first && first != g->self &&
 	    sr_record_to_wire(first, g->now, &wire))
 		sr_gossip_encoder_add(&encoder, &wire);
@@ -229,7 +237,7 @@
 
 		if (g->tokens <= 0)
 			return;
-		sr_gossip_encoder_start(&encoder, &message);
+		start_datagram(g, &encoder, &message);
 		for (; i < records->len; i++) {
 			if (!sr_record_to_wire(g_ptr_array_index(records, i),
 					       g->now, &wire))
