--- a/test/process/cluster.sh
+++ b/test/process/cluster.sh
@@ -192,24 +192,24 @@
 }
 
 wait_daemons() {
-	for name in $daemons; do
-		wait_for 10 is_healthy "$name" || return 1
+	for node in $daemons; do
+		wait_for 10 is_healthy "$node" || return 1
 	done
 }
 
 # ctl NAME COMMAND...: sassafrasctl at one entry host.
 ctl() {
-	name=$1
+	node=$1
 	shift
-	"$build/sassafrasctl" --server "http://$(admin_address "$name")" \
+	"$build/sassafrasctl" --server "http://$(admin_address "$node")" \
 		--token-file "$run/operator.token" "$@"
 }
 
 # in_force_everywhere [GENERATION]: every daemon is ready and has it in force.
 in_force_everywhere() {
-	for name in $daemons; do
-		is_ready "$name" || return 1
-		generation=$(ctl "$name" status --json | number_of generation)
+	for member in $daemons; do
+		is_ready "$member" || return 1
+		generation=$(ctl "$member" status --json | number_of generation)
 		[ "${generation:-0}" -ge "${1:-1}" ] || return 1
 	done
 }
@@ -221,7 +221,7 @@
 
 # call NAME ACCOUNT METHOD PATH FILE CURL_OPTIONS...: fails unless 2xx.
 call() {
-	name=$1
+	node=$1
 	account=$2
 	method=$3
 	path=$4
@@ -229,7 +229,7 @@
 	shift 5
 	curl -sfN -m 40 -X "$method" -H "Authorization: Bearer $account-token" \
 		-H 'Content-Type: application/json' --data-binary "@$file" \
-		"$@" "http://$(caller_address "$name")$path"
+		"$@" "http://$(caller_address "$node")$path"
 }
 
 # verify NAME: check $run/NAME.sse against the request in $run/NAME.json.
@@ -240,9 +240,10 @@
 # runs_of SERVICE KEY: how often all of its upstreams ran it.
 runs_of() {
 	total=0
-	for name in $(echo "$upstreams" | sed -n "s/^\([^ ]*\) $1 .*/\1/p"); do
+	for upstream in $(echo "$upstreams" |
+		sed -n "s/^\([^ ]*\) $1 .*/\1/p"); do
 		n=$(curl -s -m 5 \
-			"http://$(cat "$run/$name.address")/admin/runs" |
+			"http://$(cat "$run/$upstream.address")/admin/runs" |
 			number_of "$2")
 		total=$((total + ${n:-0}))
 	done
--- a/test/process/lib.sh
+++ b/test/process/lib.sh
@@ -1,5 +1,5 @@
 # Starts processes on loopback and ends exactly those. For sourcing; the
-# caller sets $build and may set $keep.
+# caller sets $build. No function sets a variable named "name".
 
 run=$(mktemp -d) || exit 1
 pids=
@@ -43,9 +43,9 @@
 
 # start NAME COMMAND...: run it in the background; sets $pid.
 start() {
-	name=$1
+	start_name=$1
 	shift
-	"$@" >"$run/$name.out" 2>"$run/$name.err" &
+	"$@" >"$run/$start_name.out" 2>"$run/$start_name.err" &
 	pid=$!
 	pids="$pids $pid"
 }
@@ -63,12 +63,14 @@
 
 # stand_in NAME SUBCOMMAND OPTIONS...: sets $address and $pid.
 stand_in() {
-	name=$1
+	stand_in_name=$1
 	subcommand=$2
 	shift 2
-	start "$name" "$emulator" "$subcommand" --listen 127.0.0.1:0 "$@"
-	wait_for 5 test -s "$run/$name.out" || fail "$name does not start"
-	address=$(sed -n 's/^listening on //p' "$run/$name.out")
+	start "$stand_in_name" "$emulator" "$subcommand" \
+		--listen 127.0.0.1:0 "$@"
+	wait_for 5 test -s "$run/$stand_in_name.out" ||
+		fail "$stand_in_name does not start"
+	address=$(sed -n 's/^listening on //p' "$run/$stand_in_name.out")
 }
 
 # free_port: sets $port to one that nothing listens on. The range lies below
