Prove refusals, hostile callers and the graceful stop

Found by test_endless_chunked_body: a refused body stayed in memory until its connection was cut; it is now given back with the refusal.

--- a/src/caller/request.c
+++ b/src/caller/request.c
@@ -92,6 +92,15 @@
 		sr_answer_abort(request);
 }
 
+/* The body will not be used: gives its memory back at once. */
+static void drop_body(sr_request_t *request)
+{
+	sr_caller_add_buffered(request->caller,
+			       -(gssize)request->received->len);
+	g_byte_array_unref(request->received);
+	request->received = g_byte_array_new();
+}
+
 static void on_chunk(SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
 	sr_request_t *request = data;
@@ -104,10 +113,12 @@
 		return;
 	}
 	if (request->received->len + size > options->request_bytes) {
+		drop_body(request);
 		refuse(request, SR_ERR_TOO_LARGE, "the body is too large");
 		return;
 	}
 	if (request->caller->buffered + size > options->buffered_bytes) {
+		drop_body(request);
 		refuse(request, SR_ERR_OVERLOADED, "no memory for the body");
 		return;
 	}
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -103,6 +103,20 @@
 	return SR_OK;
 }
 
+/* Names the ports, which the settings may have left open. */
+static void log_started(sr_daemon_t *daemon)
+{
+	char caller_port[8];
+	char admin_port[8];
+
+	g_snprintf(caller_port, sizeof(caller_port), "%u",
+		   sr_caller_port(daemon->caller));
+	g_snprintf(admin_port, sizeof(admin_port), "%u",
+		   sr_probes_port(daemon->probes));
+	sr_log_event(daemon->log, SR_LOG_INFO, "started", "caller_port",
+		     caller_port, "admin_port", admin_port, NULL);
+}
+
 sr_err_t sr_daemon_start(sr_daemon_t *daemon, char **detail)
 {
 	const sr_settings_t *settings = daemon->settings;
@@ -120,9 +134,7 @@
 			       detail);
 	if (err)
 		return err;
-	sr_log_event(daemon->log, SR_LOG_INFO, "started", "caller",
-		     settings->caller_address, "admin", settings->admin_address,
-		     NULL);
+	log_started(daemon);
 	return SR_OK;
 }
 
@@ -183,6 +195,7 @@
 	daemon->drain_timer = sr_timer_start(
 		daemon->clock, settings->drain_limit - settings->drain_grace,
 		on_drain_limit, daemon);
+	sr_log_event(daemon->log, SR_LOG_INFO, "accepting-stopped", NULL);
 	sr_caller_stop(daemon->caller, on_idle, daemon);
 }
 
--- a/test/caller_rig.h
+++ b/test/caller_rig.h
@@ -15,6 +15,7 @@
 #define RIG_TOKENS 8
 #define RIG_UPSTREAMS 2
 #define RIG_WAIT_S 20
+#define RIG_LONG_SIZE 500000
 
 /* SHA-256 of "t" and of "u". */
 #define RIG_HASH_T \
@@ -34,6 +35,7 @@
 	RIG_HANG,	 /* does not answer until rig_release() */
 	RIG_FLOOD,	 /* as many bytes as the reader takes */
 	RIG_PLAIN,	 /* "whole answer" with its length */
+	RIG_LONG,	 /* RIG_LONG_SIZE bytes with their length */
 	RIG_PLAIN_CUT,	 /* `at` bytes of it, then closes */
 	RIG_EMPTY,	 /* 200 with a length of 0 */
 } rig_mode_t;
@@ -199,6 +201,14 @@
 		soup_message_headers_set_content_length(headers, 0);
 		return;
 	}
+	if (upstream->mode == RIG_LONG) {
+		soup_message_headers_set_content_length(headers, RIG_LONG_SIZE);
+		soup_message_body_append_take(
+			soup_server_message_get_response_body(message),
+			(guchar *)g_strnfill(RIG_LONG_SIZE, 'x'),
+			RIG_LONG_SIZE);
+		return;
+	}
 	soup_message_headers_set_content_length(headers, strlen(text));
 	if (upstream->mode == RIG_PLAIN) {
 		rig_add_text(message, text);
@@ -232,6 +242,7 @@
 		return;
 	case RIG_FLOOD:
 	case RIG_PLAIN:
+	case RIG_LONG:
 	case RIG_PLAIN_CUT:
 	case RIG_EMPTY:
 		rig_plain(upstream, message);
