--- /dev/null
+++ b/src/core/config_sync.c
@@ -0,0 +1,290 @@
+#include "core/config_sync.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/config_sync_internal.h"
+
+/* How often the version of the object is compared. */
+#define POLL_WATCHER (3 * SR_SEC)
+#define POLL_OTHERS SR_MINUTE
+/* How long the start waits for a rumour before it asks the platform. */
+#define POLL_FIRST (2 * SR_SEC)
+/* Pause after a watch that failed. */
+#define WATCH_RETRY SR_SEC
+#define WATCH_TIMEOUT (30 * SR_SEC)
+
+sr_usec_t sr_config_sync_jitter(sr_config_sync_t *sync, sr_usec_t time)
+{
+	return (sr_usec_t)(g_rand_double_range(sync->random, 0.75, 1.25) *
+			   (double)time);
+}
+
+static gboolean is_in(const sr_part_list_t *manifest, const sr_hash_t *hash)
+{
+	for (guint i = 0; manifest && i < manifest->parts->len; i++)
+		if (sr_hash_equal(hash, &g_array_index(manifest->parts,
+						       sr_hash_t, i)))
+			return TRUE;
+	return FALSE;
+}
+
+static gboolean is_unused(gpointer key, gpointer value, gpointer user)
+{
+	const sr_config_sync_t *sync = user;
+
+	return !is_in(sync->manifest, key) && !is_in(sync->previous, key);
+}
+
+static void set_manifest(sr_config_sync_t *sync)
+{
+	gsize size;
+	const void *data;
+
+	sr_part_list_free(sync->previous);
+	sync->previous = sync->manifest;
+	sync->manifest = sr_parts_split(sync->text, sync->generation,
+					sync->version, sync->parts);
+	g_hash_table_foreach_remove(sync->parts, is_unused, sync);
+	g_clear_pointer(&sync->manifest_bytes, g_bytes_unref);
+	sync->manifest_bytes = sr_part_list_encode(sync->manifest);
+	data = g_bytes_get_data(sync->manifest_bytes, &size);
+	sync->digest = sr_hash_of(data, size);
+}
+
+void sr_config_sync_adopt(sr_config_sync_t *sync, guint64 generation,
+			  guint64 version, GBytes *text)
+{
+	gsize size;
+	const char *data = g_bytes_get_data(text, &size);
+
+	g_assert(generation > sync->generation);
+	sync->generation = generation;
+	sync->version = version;
+	sync->seen_version = version;
+	g_clear_pointer(&sync->text, g_bytes_unref);
+	sync->text = g_bytes_ref(text);
+	set_manifest(sync);
+	sync->options.in_force(sync->options.user, data, size, generation);
+	sync->options.announce(sync->options.user, generation,
+			       sync->digest.bytes, sizeof(sync->digest.bytes));
+}
+
+void sr_config_sync_take(sr_config_sync_t *sync, GBytes *value, guint64 version,
+			 const sr_config_object_t *object)
+{
+	GBytes *text;
+
+	sync->seen_version = version;
+	sync->stats.bytes_from_platform += g_bytes_get_size(value);
+	if (object->generation <= sync->generation)
+		return;
+	sync->stats.from_platform++;
+	text = g_bytes_new_from_bytes(
+		value, g_bytes_get_size(value) - object->size, object->size);
+	sr_config_sync_adopt(sync, object->generation, version, text);
+	g_bytes_unref(text);
+}
+
+static void take_reply(sr_config_sync_t *sync, const sr_store_reply_t *reply)
+{
+	sr_config_object_t object;
+
+	if (sr_config_object_decode(reply->value, &object))
+		sr_config_sync_take(sync, reply->value, reply->version,
+				    &object);
+	else
+		sync->seen_version = reply->version;
+}
+
+static void on_read(void *user, const sr_store_reply_t *reply)
+{
+	sr_config_sync_t *sync = user;
+
+	sync->reading = FALSE;
+	if (reply->status == SR_STORE_OK)
+		take_reply(sync, reply);
+}
+
+void sr_config_sync_read(sr_config_sync_t *sync)
+{
+	sr_store_call_t call = { .op = SR_STORE_GET,
+				 .class = SR_STORE_CONFIG,
+				 .key = SR_CONFIG_KEY,
+				 .done = on_read,
+				 .user = sync };
+
+	if (sync->reading)
+		return;
+	sync->reading = TRUE;
+	sr_store_submit(sync->options.store, &call);
+}
+
+static void on_watch(void *user, const sr_store_reply_t *reply)
+{
+	sr_config_sync_t *sync = user;
+	sr_usec_t pause = sr_config_sync_jitter(sync, WATCH_RETRY);
+
+	sync->watching = FALSE;
+	switch (reply->status) {
+	case SR_STORE_OK:
+		take_reply(sync, reply);
+		sync->next_watch = sync->now;
+		return;
+	case SR_STORE_NOT_MODIFIED:
+		sync->next_watch = sync->now;
+		return;
+	default:
+		sync->next_watch = sync->now + MAX(pause, reply->retry_after);
+		return;
+	}
+}
+
+static void watch_tick(sr_config_sync_t *sync)
+{
+	sr_store_call_t call = { .op = SR_STORE_WATCH,
+				 .class = SR_STORE_CONFIG,
+				 .key = SR_CONFIG_KEY,
+				 .if_version = sync->seen_version,
+				 .timeout = WATCH_TIMEOUT,
+				 .done = on_watch,
+				 .user = sync };
+
+	if (!sync->watcher || sync->watching || sync->now < sync->next_watch)
+		return;
+	sync->watching = TRUE;
+	sr_store_submit(sync->options.store, &call);
+}
+
+static void on_poll(void *user, const sr_store_reply_t *reply)
+{
+	sr_config_sync_t *sync = user;
+	const sr_store_entry_t *entry;
+
+	sync->polling = FALSE;
+	if (reply->status != SR_STORE_OK || !reply->list->len)
+		return;
+	entry = g_ptr_array_index(reply->list, 0);
+	if (!strcmp(entry->key, SR_CONFIG_KEY) &&
+	    entry->version != sync->seen_version)
+		sr_config_sync_read(sync);
+}
+
+static void poll_tick(sr_config_sync_t *sync)
+{
+	gboolean often = sync->watcher || !sync->generation;
+	sr_store_call_t call = { .op = SR_STORE_LIST,
+				 .class = SR_STORE_CONFIG,
+				 .key = SR_CONFIG_KEY,
+				 .limit = 1,
+				 .done = on_poll,
+				 .user = sync };
+
+	if (sync->polling || sync->now < sync->next_poll)
+		return;
+	sync->polling = TRUE;
+	sync->stats.polls++;
+	sync->next_poll =
+		sync->now +
+		sr_config_sync_jitter(sync, often ? POLL_WATCHER : POLL_OTHERS);
+	sr_store_submit(sync->options.store, &call);
+}
+
+sr_config_sync_t *sr_config_sync_new(const sr_config_sync_options_t *options,
+				     sr_usec_t now)
+{
+	sr_config_sync_t *sync = g_new0(sr_config_sync_t, 1);
+	guint32 seed[2] = { (guint32)options->seed,
+			    (guint32)(options->seed >> 32) };
+
+	sync->options = *options;
+	sync->options.node = g_strdup(options->node);
+	sync->random = g_rand_new_with_seed_array(seed, 2);
+	sync->now = now;
+	sync->parts = g_hash_table_new_full(sr_hash_hash, sr_hash_equal, g_free,
+					    (GDestroyNotify)g_bytes_unref);
+	sync->watcher = TRUE;
+	sync->next_poll = now + sr_config_sync_jitter(sync, POLL_FIRST);
+	sr_list_init(&sync->publications);
+	return sync;
+}
+
+void sr_config_sync_free(sr_config_sync_t *sync)
+{
+	if (!sync)
+		return;
+	sr_publish_clear(sync);
+	sr_fetch_clear(sync);
+	sr_store_cancel_all(sync->options.store, sync);
+	sr_part_list_free(sync->manifest);
+	sr_part_list_free(sync->previous);
+	g_clear_pointer(&sync->manifest_bytes, g_bytes_unref);
+	g_clear_pointer(&sync->text, g_bytes_unref);
+	g_hash_table_unref(sync->parts);
+	g_rand_free(sync->random);
+	g_free((char *)sync->options.node);
+	g_free(sync);
+}
+
+void sr_config_sync_tick(sr_config_sync_t *sync, sr_usec_t now)
+{
+	g_assert(now >= sync->now);
+	sync->now = now;
+	watch_tick(sync);
+	poll_tick(sync);
+	sr_fetch_tick(sync);
+	sr_publish_tick(sync);
+}
+
+static guint64 rank(const char *name)
+{
+	return XXH64(name, strlen(name), 2);
+}
+
+void sr_config_sync_set_members(sr_config_sync_t *sync,
+				const char *const *names, gsize n)
+{
+	const char *self = sync->options.node;
+	gboolean was_watcher = sync->watcher;
+	gsize before = 0;
+
+	for (gsize i = 0; i < n; i++)
+		if (strcmp(names[i], self) != 0 && rank(names[i]) < rank(self))
+			before++;
+	sync->watcher = before < SR_CONFIG_WATCHERS;
+	if (sync->watcher && !was_watcher)
+		sync->next_poll = sync->now;
+}
+
+GBytes *sr_config_sync_serve(sr_config_sync_t *sync, const char *key)
+{
+	sr_hash_t hash;
+	GBytes *found = NULL;
+
+	if (sr_hash_parse_key("part", key, &hash))
+		found = g_hash_table_lookup(sync->parts, &hash);
+	else if (sync->manifest && sr_hash_parse_key("manifest", key, &hash) &&
+		 sr_hash_equal(&hash, &sync->digest))
+		found = sync->manifest_bytes;
+	return found ? g_bytes_ref(found) : NULL;
+}
+
+guint64 sr_config_sync_generation(const sr_config_sync_t *sync)
+{
+	return sync->generation;
+}
+
+GBytes *sr_config_sync_text(const sr_config_sync_t *sync)
+{
+	return sync->text;
+}
+
+gboolean sr_config_sync_is_watcher(const sr_config_sync_t *sync)
+{
+	return sync->watcher;
+}
+
+const sr_config_sync_stats_t *sr_config_sync_stats(const sr_config_sync_t *sync)
+{
+	return &sync->stats;
+}
--- /dev/null
+++ b/src/core/config_sync_object.c
@@ -0,0 +1,98 @@
+#include "core/config_sync_object.h"
+
+#include <json.h>
+#include <string.h>
+
+/* Longest first line, in bytes. */
+#define HEADER_MAX 2048
+#define HEADER_DEPTH 4
+
+GBytes *sr_config_object_encode(const sr_config_object_t *object)
+{
+	GString *out = g_string_new(NULL);
+	gsize size;
+
+	g_string_append_printf(
+		out, "{\"generation\": %" G_GUINT64_FORMAT ", \"writes\": [",
+		object->generation);
+	for (unsigned i = 0; i < object->n_writes; i++)
+		g_string_append_printf(out, "%s\"%016" G_GINT64_MODIFIER "x\"",
+				       i ? ", " : "", object->writes[i]);
+	g_string_append(out, "]}\n");
+	g_string_append_len(out, object->text, (gssize)object->size);
+	size = out->len;
+	return g_bytes_new_take(g_string_free(out, FALSE), size);
+}
+
+static gboolean read_writes(json_object *list, sr_config_object_t *object)
+{
+	if (!json_object_is_type(list, json_type_array))
+		return FALSE;
+	object->n_writes = (unsigned)MIN(json_object_array_length(list),
+					 SR_CONFIG_HISTORY);
+	for (unsigned i = 0; i < object->n_writes; i++) {
+		json_object *write = json_object_array_get_idx(list, i);
+		const char *text = json_object_get_string(write);
+
+		if (!json_object_is_type(write, json_type_string) ||
+		    !g_ascii_string_to_unsigned(text, 16, 0, G_MAXUINT64,
+						&object->writes[i], NULL))
+			return FALSE;
+	}
+	return object->n_writes > 0;
+}
+
+static gboolean read_header(json_object *root, sr_config_object_t *object)
+{
+	json_object *generation = NULL;
+	json_object *writes = NULL;
+	gint64 number;
+
+	if (!json_object_is_type(root, json_type_object) ||
+	    !json_object_object_get_ex(root, "generation", &generation) ||
+	    !json_object_object_get_ex(root, "writes", &writes) ||
+	    !json_object_is_type(generation, json_type_int))
+		return FALSE;
+	number = json_object_get_int64(generation);
+	if (number <= 0 || number == G_MAXINT64)
+		return FALSE;
+	object->generation = (guint64)number;
+	return read_writes(writes, object);
+}
+
+gboolean sr_config_object_decode(GBytes *value, sr_config_object_t *object)
+{
+	gsize size;
+	const char *data = g_bytes_get_data(value, &size);
+	const char *end =
+		data ? memchr(data, '\n', MIN(size, HEADER_MAX)) : NULL;
+	json_tokener *tokener;
+	json_object *root;
+	gboolean good;
+
+	memset(object, 0, sizeof(*object));
+	if (!end)
+		return FALSE;
+	tokener = json_tokener_new_ex(HEADER_DEPTH);
+	root = json_tokener_parse_ex(tokener, data, (int)(end - data));
+	good = json_tokener_get_error(tokener) == json_tokener_success &&
+	       read_header(root, object);
+	json_object_put(root);
+	json_tokener_free(tokener);
+	object->text = end + 1;
+	object->size = size - (gsize)(end + 1 - data);
+	return good;
+}
+
+sr_write_owner_t sr_config_object_owner(const sr_config_object_t *object,
+					guint64 generation, guint64 write)
+{
+	guint64 back;
+
+	if (generation > object->generation)
+		return SR_WRITE_OTHER;
+	back = object->generation - generation;
+	if (back >= object->n_writes)
+		return SR_WRITE_TOO_OLD;
+	return object->writes[back] == write ? SR_WRITE_OURS : SR_WRITE_OTHER;
+}
--- /dev/null
+++ b/src/core/config_sync_parts.c
@@ -0,0 +1,252 @@
+#include "core/config_sync_parts.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define MANIFEST_TYPE "(ttta(ayu))"
+
+/* One line in this many ends a part. */
+#define SPLIT_LINES 64
+
+sr_hash_t sr_hash_of(const void *data, gsize size)
+{
+	GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+	guint8 full[32];
+	gsize full_size = sizeof(full);
+	sr_hash_t hash;
+
+	g_checksum_update(checksum, data, (gssize)size);
+	g_checksum_get_digest(checksum, full, &full_size);
+	g_checksum_free(checksum);
+	memcpy(hash.bytes, full, sizeof(hash.bytes));
+	return hash;
+}
+
+guint sr_hash_hash(gconstpointer hash)
+{
+	guint first;
+
+	memcpy(&first, ((const sr_hash_t *)hash)->bytes, sizeof(first));
+	return first;
+}
+
+gboolean sr_hash_equal(gconstpointer a, gconstpointer b)
+{
+	return !memcmp(a, b, sizeof(sr_hash_t));
+}
+
+static sr_part_list_t *new_manifest(guint64 generation, guint64 version,
+				    gsize size)
+{
+	sr_part_list_t *manifest = g_new0(sr_part_list_t, 1);
+
+	manifest->generation = generation;
+	manifest->version = version;
+	manifest->size = size;
+	manifest->parts = g_array_new(FALSE, FALSE, sizeof(sr_hash_t));
+	manifest->sizes = g_array_new(FALSE, FALSE, sizeof(guint32));
+	return manifest;
+}
+
+void sr_part_list_free(sr_part_list_t *manifest)
+{
+	if (!manifest)
+		return;
+	g_array_unref(manifest->parts);
+	g_array_unref(manifest->sizes);
+	g_free(manifest);
+}
+
+/* Size of the part that starts here. */
+static gsize part_size(const char *data, gsize left)
+{
+	gsize at = 0;
+
+	while (at < left) {
+		const char *end = memchr(data + at, '\n', left - at);
+		gsize line = end ? (gsize)(end - data) + 1 - at : left - at;
+		gboolean splits = XXH64(data + at, line, 0) % SPLIT_LINES == 0;
+
+		if (at && at + line > SR_PART_MAX)
+			return at;
+		at += line;
+		if (at >= SR_PART_MAX)
+			return SR_PART_MAX;
+		if (splits && at >= SR_PART_MIN)
+			return at;
+	}
+	return left;
+}
+
+sr_part_list_t *sr_parts_split(GBytes *text, guint64 generation,
+			       guint64 version, GHashTable *store)
+{
+	gsize size;
+	const char *data = g_bytes_get_data(text, &size);
+	sr_part_list_t *manifest = new_manifest(generation, version, size);
+	gsize at = 0;
+
+	while (at < size) {
+		gsize one = part_size(data + at, size - at);
+		guint32 short_size = (guint32)one;
+		sr_hash_t hash = sr_hash_of(data + at, one);
+
+		g_array_append_val(manifest->parts, hash);
+		g_array_append_val(manifest->sizes, short_size);
+		if (!g_hash_table_contains(store, &hash))
+			g_hash_table_insert(store,
+					    g_memdup2(&hash, sizeof(hash)),
+					    g_bytes_new(data + at, one));
+		at += one;
+	}
+	return manifest;
+}
+
+int sr_parts_missing(const sr_part_list_t *manifest, GHashTable *store)
+{
+	for (guint i = 0; i < manifest->parts->len; i++)
+		if (!g_hash_table_contains(
+			    store,
+			    &g_array_index(manifest->parts, sr_hash_t, i)))
+			return (int)i;
+	return -1;
+}
+
+GBytes *sr_parts_join(const sr_part_list_t *manifest, GHashTable *store)
+{
+	GByteArray *text = g_byte_array_new();
+
+	if (sr_parts_missing(manifest, store) >= 0) {
+		g_byte_array_unref(text);
+		return NULL;
+	}
+	for (guint i = 0; i < manifest->parts->len; i++) {
+		gsize size;
+		const guint8 *data = g_bytes_get_data(
+			g_hash_table_lookup(
+				store,
+				&g_array_index(manifest->parts, sr_hash_t, i)),
+			&size);
+
+		g_byte_array_append(text, data, (guint)size);
+	}
+	if (text->len != manifest->size) {
+		g_byte_array_unref(text);
+		return NULL;
+	}
+	return g_byte_array_free_to_bytes(text);
+}
+
+static GVariant *in_wire_order(GVariant *value)
+{
+	if (G_BYTE_ORDER == G_LITTLE_ENDIAN)
+		return value;
+	return g_variant_byteswap(value);
+}
+
+GBytes *sr_part_list_encode(const sr_part_list_t *manifest)
+{
+	GVariantBuilder builder;
+	GVariant *value;
+	GBytes *bytes;
+
+	g_variant_builder_init(&builder, G_VARIANT_TYPE("a(ayu)"));
+	for (guint i = 0; i < manifest->parts->len; i++) {
+		const sr_hash_t *hash =
+			&g_array_index(manifest->parts, sr_hash_t, i);
+
+		g_variant_builder_add(
+			&builder, "(@ayu)",
+			g_variant_new_fixed_array(G_VARIANT_TYPE_BYTE,
+						  hash->bytes,
+						  sizeof(hash->bytes), 1),
+			g_array_index(manifest->sizes, guint32, i));
+	}
+	value = g_variant_ref_sink(g_variant_new(
+		"(ttta(ayu))", manifest->generation, manifest->version,
+		(guint64)manifest->size, &builder));
+	value = in_wire_order(value);
+	bytes = g_variant_get_data_as_bytes(value);
+	g_variant_unref(value);
+	return bytes;
+}
+
+static gboolean read_parts(GVariant *list, sr_part_list_t *manifest)
+{
+	gsize total = 0;
+
+	for (gsize i = 0; i < g_variant_n_children(list); i++) {
+		GVariant *name;
+		guint32 size;
+		gsize length;
+		const guint8 *bytes;
+		sr_hash_t hash;
+
+		g_variant_get_child(list, i, "(@ayu)", &name, &size);
+		bytes = g_variant_get_fixed_array(name, &length, 1);
+		if (length == sizeof(hash.bytes))
+			memcpy(hash.bytes, bytes, length);
+		g_variant_unref(name);
+		if (length != sizeof(hash.bytes) || !size || size > SR_PART_MAX)
+			return FALSE;
+		g_array_append_val(manifest->parts, hash);
+		g_array_append_val(manifest->sizes, size);
+		total += size;
+	}
+	return total == manifest->size && total <= SR_CONFIG_TEXT_MAX;
+}
+
+sr_part_list_t *sr_part_list_decode(GBytes *value)
+{
+	GVariant *raw = g_variant_ref_sink(g_variant_new_from_bytes(
+		G_VARIANT_TYPE(MANIFEST_TYPE), value, FALSE));
+	sr_part_list_t *manifest;
+	GVariant *list;
+	guint64 generation;
+	guint64 version;
+	guint64 size;
+	gboolean good;
+
+	if (!g_variant_is_normal_form(raw)) {
+		g_variant_unref(raw);
+		return NULL;
+	}
+	raw = in_wire_order(raw);
+	g_variant_get(raw, "(ttt@a(ayu))", &generation, &version, &size, &list);
+	manifest = new_manifest(generation, version, size);
+	good = generation > 0 && generation < G_MAXINT64 &&
+	       read_parts(list, manifest);
+	g_variant_unref(list);
+	g_variant_unref(raw);
+	if (!good)
+		g_clear_pointer(&manifest, sr_part_list_free);
+	return manifest;
+}
+
+char *sr_hash_key(const char *kind, const sr_hash_t *hash)
+{
+	GString *key = g_string_new(kind);
+
+	g_string_append_c(key, '/');
+	for (gsize i = 0; i < sizeof(hash->bytes); i++)
+		g_string_append_printf(key, "%02x", hash->bytes[i]);
+	return g_string_free(key, FALSE);
+}
+
+gboolean sr_hash_parse_key(const char *kind, const char *key, sr_hash_t *hash)
+{
+	gsize skip = strlen(kind) + 1;
+
+	if (!g_str_has_prefix(key, kind) || key[skip - 1] != '/' ||
+	    strlen(key + skip) != 2 * sizeof(hash->bytes))
+		return FALSE;
+	for (gsize i = 0; i < sizeof(hash->bytes); i++) {
+		int high = g_ascii_xdigit_value(key[skip + 2 * i]);
+		int low = g_ascii_xdigit_value(key[skip + 2 * i + 1]);
+
+		if (high < 0 || low < 0)
+			return FALSE;
+		hash->bytes[i] = (guint8)(high << 4 | low);
+	}
+	return TRUE;
+}
