--- /dev/null
+++ b/test/fuzz/journal_model_fuzz.c
@@ -0,0 +1,41 @@
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../prove/fake_platform.c" /* NOLINT(bugprone-suspicious-include) */
+#define submit model_submit
+#include "../prove/journal_model.c" /* NOLINT(bugprone-suspicious-include) */
+
+#define MAX_COMMANDS 100
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* The first eight bytes are the seed, each four after them a command. */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	guint64 seed = 1;
+	void *model;
+	char *why = NULL;
+
+	if (size < sizeof(seed))
+		return 0;
+	memcpy(&seed, data, sizeof(seed));
+	model = prove_journal_model.new(seed);
+	for (size_t i = sizeof(seed);
+	     !why && i + 4 <= size && i < 4 * MAX_COMMANDS; i += 4) {
+		prove_command_t command = {
+			.op = data[i],
+			.a = data[i + 1],
+			.b = (guint16)(data[i + 2] | data[i + 3] << 8),
+		};
+
+		why = prove_journal_model.step(model, &command);
+	}
+	if (!why)
+		why = prove_journal_model.finish(model);
+	if (why)
+		fprintf(stderr, "%s\n", why);
+	g_assert(!why);
+	prove_journal_model.free(model);
+	return 0;
+}
--- a/test/prove/driver.c
+++ b/test/prove/driver.c
@@ -38,15 +38,6 @@
 	unsigned passed;
 } drive_t;
 
-guint64 prove_random(guint64 *state)
-{
-	guint64 z = *state += 0x9e3779b97f4a7c15ULL;
-
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-	return z ^ (z >> 31);
-}
-
 static const prove_model_t *model_of(const drive_t *drive, unsigned run)
 {
 	g_assert(drive->n_models > 0);
--- a/test/prove/driver.h
+++ b/test/prove/driver.h
@@ -32,6 +32,13 @@
 prove_total_t prove_drive(const prove_options_t *options);
 
 /** prove_random - next number of a small generator (splitmix64). */
-guint64 prove_random(guint64 *state);
+static inline guint64 prove_random(guint64 *state)
+{
+	guint64 z = *state += 0x9e3779b97f4a7c15ULL;
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+	return z ^ (z >> 31);
+}
 
 #endif
