--- /dev/null
+++ b/src/daemon/posting_owner.c
@@ -0,0 +1,151 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "daemon/postings_internal.h"
+
+typedef struct {
+	const sr_postings_t *postings;
+	const char *home;
+	unsigned shard;
+	const char *name; /* only this member; NULL for the best one */
+	guint64 best_score;
+	char best_name[128];
+	char best_address[64];
+} search_t;
+
+/* Rendezvous hashing: each host scores each shard; the highest should own. */
+static guint64 score(const char *node, unsigned shard)
+{
+	return XXH64(node, strlen(node), shard + 1);
+}
+
+static void look_at_member(void *user, const sr_member_t *member)
+{
+	search_t *search = user;
+	guint64 member_score = score(member->name, search->shard);
+
+	if (member->state != SR_MEMBER_ALIVE &&
+	    member->state != SR_MEMBER_SUSPECT)
+		return;
+	if (strcmp(member->failure_domain, search->home) != 0)
+		return;
+	if (search->name && strcmp(member->name, search->name) != 0)
+		return;
+	if (*search->best_name && member_score <= search->best_score)
+		return;
+	search->best_score = member_score;
+	g_strlcpy(search->best_name, member->name, sizeof(search->best_name));
+	g_strlcpy(search->best_address, member->address,
+		  sizeof(search->best_address));
+}
+
+static gboolean find_member(const sr_postings_t *postings, search_t *search)
+{
+	search->postings = postings;
+	if (!postings->options.gossip)
+		return FALSE;
+	sr_gossip_foreach_member(postings->options.gossip, look_at_member,
+				 search);
+	return *search->best_name != '\0';
+}
+
+void sr_posting_view(sr_postings_t *postings)
+{
+	const sr_postings_options_t *options = &postings->options;
+	sr_usec_t now = sr_clock_now(options->clock);
+
+	for (unsigned shard = 0; shard < SR_JOURNAL_SHARDS; shard++) {
+		search_t search = {
+			.home = options->failure_domain,
+			.shard = shard,
+		};
+		gboolean want = TRUE;
+
+		if (find_member(postings, &search))
+			want = !strcmp(search.best_name, options->node);
+		sr_journal_want(postings->journal, now, shard, want);
+	}
+}
+
+static char *rumour_key(const char *home, unsigned shard)
+{
+	return g_strdup_printf("%s/%u", home, shard);
+}
+
+void sr_posting_owner_changed(void *user, unsigned shard, guint64 epoch,
+			      gboolean held)
+{
+	sr_postings_t *postings = user;
+	const sr_postings_options_t *options = &postings->options;
+	char number[24];
+	char *key = rumour_key(options->failure_domain, shard);
+	char *value;
+	sr_rumour_t rumour = {
+		.kind = SR_RUMOUR_SHARD_OWNER,
+		.key = key,
+		.version = epoch,
+	};
+
+	g_snprintf(number, sizeof(number), "%" G_GUINT64_FORMAT, epoch);
+	sr_log_event(options->log, SR_LOG_INFO,
+		     held ? "shard-held" : "shard-lost", "shard", key, "epoch",
+		     number, NULL);
+	if (held && options->gossip && options->peer) {
+		value = g_strdup_printf("%s %s", options->node,
+					sr_peer_address(options->peer));
+		rumour.value = (const guint8 *)value;
+		rumour.size = strlen(value);
+		sr_gossip_put(options->gossip, sr_clock_now(options->clock),
+			      &rumour, 0);
+		g_free(value);
+	}
+	g_free(key);
+}
+
+/* The holder that was heard of last, unless it is known to be gone. */
+static char *heard_owner(sr_postings_t *postings, const char *home,
+			 unsigned shard)
+{
+	char *key = rumour_key(home, shard);
+	char *text = NULL;
+	char *address = NULL;
+	sr_rumour_t rumour;
+	search_t search = { .home = home, .shard = shard };
+
+	if (sr_gossip_get(postings->options.gossip, SR_RUMOUR_SHARD_OWNER, key,
+			  &rumour)) {
+		text = g_strndup((const char *)rumour.value, rumour.size);
+		address = strchr(text, ' ');
+	}
+	g_free(key);
+	if (!address) {
+		g_free(text);
+		return NULL;
+	}
+	*address++ = '\0';
+	search.name = text;
+	if (!strcmp(text, postings->options.node) ||
+	    (!strcmp(home, postings->options.failure_domain) &&
+	     !find_member(postings, &search)))
+		address = NULL;
+	address = g_strdup(address);
+	g_free(text);
+	return address;
+}
+
+char *sr_posting_owner(sr_postings_t *postings, const char *home,
+		       unsigned shard)
+{
+	search_t search = { .home = home, .shard = shard };
+	char *address;
+
+	if (!postings->options.gossip || !postings->options.peer)
+		return NULL;
+	address = heard_owner(postings, home, shard);
+	if (address)
+		return address;
+	if (!find_member(postings, &search) ||
+	    !strcmp(search.best_name, postings->options.node))
+		return NULL;
+	return g_strdup(search.best_address);
+}
--- a/src/daemon/postings.h
+++ b/src/daemon/postings.h
@@ -5,7 +5,16 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/trace.h"
 #include "core/config.h"
+#include "core/dispatch.h"
+#include "core/gossip.h"
+#include "core/journal.h"
+#include "core/store.h"
+#include "peer/peer.h"
+#include "upstream/client.h"
 
 /**
  * sr_postings_t - runs the requests of routes that are not idempotent
@@ -60,6 +69,48 @@
 	void *user;
 } sr_posting_t;
 
+/** sr_postings_options_t - all parts outlive the postings. */
+typedef struct {
+	sr_clock_t *clock;
+	sr_log_t *log;
+	sr_metrics_t *metrics;
+	sr_trace_t *trace;
+	sr_dispatch_t *dispatch;
+	sr_upstream_client_t *upstream;
+	sr_store_t *store;
+	sr_gossip_t *gossip; /* NULL for a host that is alone */
+	sr_peer_t *peer;     /* NULL for a host that is alone */
+	const char *node;
+	const char *failure_domain;
+	guint64 seed;	     /* must differ between processes */
+	sr_usec_t lease;     /* 0 for SR_JOURNAL_LEASE */
+	sr_usec_t retention; /* 0 for SR_JOURNAL_RETENTION */
+} sr_postings_options_t;
+
+sr_postings_t *sr_postings_new(const sr_postings_options_t *options);
+
+/** sr_postings_free - callers that still wait are not called back. */
+void sr_postings_free(sr_postings_t *postings);
+
+/** sr_postings_set_config - a new generation is in force. */
+void sr_postings_set_config(sr_postings_t *postings, sr_config_t *config);
+
+/** sr_postings_serve - another entry host forwarded a posting. */
+void sr_postings_serve(sr_postings_t *postings, sr_peer_request_t *request,
+		       const sr_forward_t *forward);
+
+/**
+ * sr_postings_release - stop taking postings and hand over the shards
+ *
+ * A shard is handed over once its runs have ended, at the latest at limit
+ * (absolute). Postings for other hosts are still forwarded.
+ */
+void sr_postings_release(sr_postings_t *postings, sr_usec_t limit);
+gboolean sr_postings_is_released(const sr_postings_t *postings);
+
+/** sr_postings_journal - to inspect; owned by the postings. */
+sr_journal_t *sr_postings_journal(sr_postings_t *postings);
+
 /**
  * sr_postings_submit - run a posting at most once
  *
--- a/test/journal_test.c
+++ b/test/journal_test.c
@@ -455,6 +455,7 @@
 	guint64 random = 4;
 	unsigned refused = 0;
 
+	assert_true(size > 0);
 	for (gsize cut = 0; cut < size; cut++) {
 		GBytes *part = g_bytes_new(data, cut);
 		sr_batch_t *batch = NULL;
