--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -1,5 +1,6 @@
 #include "core/dispatch.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "core/prefix_index.h"
@@ -270,7 +271,8 @@
 		    sr_ejection_state(&upstream->ejection, now) ==
 			    SR_EJECTION_EJECTED)
 			continue;
-		service->capacity += upstream->limit.value;
+		/* Only whole requests fit below a limit. */
+		service->capacity += floor(upstream->limit.value);
 		service->in_flight += sr_load_estimate_total(
 			&upstream->load, now, upstream->in_flight);
 	}
@@ -336,7 +338,8 @@
 
 static sr_routing_result_t choose(sr_dispatch_t *dispatch,
 				  const sr_call_t *call, double headroom,
-				  sr_usec_t now, sr_route_t *route)
+				  gboolean may_be_sole, sr_usec_t now,
+				  sr_route_t *route)
 {
 	const sr_routing_t routing = { .upstreams = dispatch->upstreams,
 				       .index = dispatch->index,
@@ -350,6 +353,7 @@
 		.max_tokens = call->max_tokens,
 		.deadline = call->deadline,
 		.headroom = headroom,
+		.may_be_sole = may_be_sole,
 		.tried = call->tried,
 		.n_tried = call->n_tried,
 	};
@@ -390,7 +394,7 @@
 		       retry_after(dispatch, service, headroom, now));
 		return FALSE;
 	}
-	switch (choose(dispatch, call, headroom, now, route)) {
+	switch (choose(dispatch, call, headroom, !over, now, route)) {
 	case SR_ROUTING_FOUND:
 		return TRUE;
 	case SR_ROUTING_NO_UPSTREAM:
@@ -638,8 +642,8 @@
 	leave_upstream(dispatch, now, call);
 	call->max_tokens -= MIN(call->max_tokens, tokens - call->tokens_before);
 	call->tokens_before = tokens;
-	if (again && choose(dispatch, call, RETRY_HEADROOM, now, &route) ==
-			     SR_ROUTING_FOUND) {
+	if (again && choose(dispatch, call, RETRY_HEADROOM, TRUE, now,
+			    &route) == SR_ROUTING_FOUND) {
 		send_to(dispatch, now, call, &route, decision);
 		return TRUE;
 	}
--- a/src/core/load_estimate.c
+++ b/src/core/load_estimate.c
@@ -69,3 +69,13 @@
 		return in_flight;
 	return in_flight + load->others;
 }
+
+double sr_load_estimate_waiting(const sr_load_estimate_t *load, sr_usec_t now)
+{
+	return sr_load_estimate_is_fresh(load, now) ? load->waiting : 0;
+}
+
+double sr_load_estimate_token_gap(const sr_load_estimate_t *load, sr_usec_t now)
+{
+	return sr_load_estimate_is_fresh(load, now) ? load->token_gap_s : 0;
+}
--- a/src/core/load_estimate.h
+++ b/src/core/load_estimate.h
@@ -40,6 +40,13 @@
 double sr_load_estimate_total(const sr_load_estimate_t *load, sr_usec_t now,
 			      unsigned in_flight);
 
+/** sr_load_estimate_waiting - as last reported; 0 if unheard. */
+double sr_load_estimate_waiting(const sr_load_estimate_t *load, sr_usec_t now);
+
+/** sr_load_estimate_token_gap - in seconds; 0 if unheard or not known. */
+double sr_load_estimate_token_gap(const sr_load_estimate_t *load,
+				  sr_usec_t now);
+
 /** sr_load_estimate_is_fresh - was the upstream heard of lately? */
 gboolean sr_load_estimate_is_fresh(const sr_load_estimate_t *load,
 				   sr_usec_t now);
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -1,5 +1,7 @@
 #include "core/routing.h"
 
+#include <math.h>
+
 /** Upstreams that are drawn at random for each request. */
 #define N_SAMPLED 3
 
@@ -58,7 +60,9 @@
 {
 	const sr_service_group_t *service = search->service;
 	double prefill = (double)upstream->pending_prefill + uncached;
-	double waiting = upstream->load.waiting / upstream->limit.value;
+	double waiting =
+		sr_load_estimate_waiting(&upstream->load, search->now) /
+		upstream->limit.value;
 
 	return waiting * service->duration_s + prefill * service->prefill_s;
 }
@@ -77,10 +81,10 @@
 
 static double answer_s(const search_t *search, const sr_upstream_t *upstream)
 {
-	double gap = upstream->load.token_gap_s > 0 ?
-			     upstream->load.token_gap_s :
-			     search->service->token_gap_s;
+	double gap = sr_load_estimate_token_gap(&upstream->load, search->now);
 
+	if (gap <= 0)
+		gap = search->service->token_gap_s;
 	return gap * search->request->max_tokens;
 }
 
@@ -91,13 +95,15 @@
 		(double)(request->deadline - search->now) / (double)SR_SEC;
 	double total = sr_load_estimate_total(&upstream->load, search->now,
 					      upstream->in_flight);
-	double limit = upstream->limit.value * request->headroom;
+	double limit = floor(upstream->limit.value) * request->headroom;
 	unsigned uncached;
 	double first_token;
 	double cost;
 
 	search->seen_usable = TRUE;
-	if (total + 1 > MAX(limit, 1))
+	if (request->may_be_sole)
+		limit = MAX(limit, 1);
+	if (total + 1 > limit)
 		return;
 	search->seen_headroom = TRUE;
 	uncached = uncached_at(search, upstream);
@@ -211,7 +217,7 @@
 	return drawn;
 }
 
-/* A version without room hands over to those that carry more, never less. */
+/* A version without room hands over to those that carry as much or more. */
 static void search_larger(search_t *search, const sr_version_group_t *drawn)
 {
 	const sr_service_group_t *service = search->service;
@@ -219,7 +225,7 @@
 	for (guint i = 0; i < service->versions->len; i++) {
 		const sr_version_group_t *version = service->versions->pdata[i];
 
-		if (version != drawn && version->share > drawn->share)
+		if (version != drawn && version->share >= drawn->share)
 			search_version(search, version);
 	}
 }
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -25,6 +25,7 @@
 	unsigned max_tokens;
 	sr_usec_t deadline;
 	double headroom;      /* part of the limits that it may fill */
+	gboolean may_be_sole; /* whatever the headroom, one may run alone */
 	const guint32 *tried; /* ids that are left out */
 	unsigned n_tried;
 } sr_routing_request_t;
