--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -210,6 +210,8 @@
 {
 	char *what =
 		g_strjoin("/", seen->service, seen->version, seen->route, NULL);
+	gboolean gone = evidence->options.is_gone(evidence->options.user,
+						  seen->upstream);
 
 	switch (seen->outcome) {
 	case SR_OUTCOME_ANSWERED:
@@ -217,11 +219,12 @@
 		count(evidence, what, seen->upstream, FALSE, seen->first_byte);
 		break;
 	case SR_OUTCOME_FAILED:
-		if (!evidence->options.is_gone(evidence->options.user,
-					       seen->upstream))
+		if (!gone)
 			count(evidence, what, seen->upstream, TRUE, 0);
 		break;
 	case SR_OUTCOME_CONNECTION:
+		if (gone)
+			break;
 		hold(evidence, now, what, seen);
 		return;
 	}
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -16,8 +16,9 @@
  *
  * Errors of a host, a failure domain or the platform are no evidence against
  * a version. An attempt that ended with its connection is held back for a
- * while. It counts only if by then its upstream is neither leaving nor absent
- * and another upstream of its failure domain answered meanwhile.
+ * while. It counts only if its upstream is neither leaving nor absent, then
+ * and at the end of that while, and another upstream of its failure domain
+ * answered meanwhile.
  */
 typedef struct sr_evidence sr_evidence_t;
 
--- a/src/core/rollout.c
+++ b/src/core/rollout.c
@@ -134,7 +134,9 @@
 	if (err != SR_OK || rollout->wanted.state == SR_ROLLOUT_TAKEN_BACK)
 		return;
 	apply_step(rollout, &rollout->wanted);
-	rollout->options.stepped(rollout->options.user, &rollout->step);
+	/* It may have been taken back while the write was under way. */
+	if (rollout->step.number == rollout->wanted.number)
+		rollout->options.stepped(rollout->options.user, &rollout->step);
 }
 
 static void add_routes(sr_rollout_t *rollout, const char *const *names)
--- a/src/core/rollout_judge.c
+++ b/src/core/rollout_judge.c
@@ -17,7 +17,7 @@
 
 /** The least rates that are taken as usual. */
 #define USUAL_FAILURES_MIN 0.005
-#define USUAL_SLOW_MIN 0.05
+#define USUAL_SLOW_MIN (1 - SLOW_QUANTILE)
 
 /** A faulty version has at least this rate over the usual one. */
 #define FAULTY_FACTOR 3.0
@@ -28,6 +28,17 @@
  * version's. */
 #define SLOW_QUANTILE 0.9
 
+/** Answers of the old version that it takes to tell what is slow. */
+#define SLOW_N_OLD 200
+
+/** What is left of the requests of a group after a period, and the part of
+ * all that has to have run outside a group to leave it out. */
+#define GROUP_FADING 0.99
+#define OUTSIDE_PART_MIN 0.05
+
+/** What is left of the old version's peak after a period. */
+#define PEAK_FADING 0.8
+
 /** Weight of the requests of a period against those before. */
 #define USUAL_WEIGHT_N 200.0
 
@@ -38,20 +49,27 @@
 	double slow;
 } period_t;
 
-static unsigned slow_bucket(const sr_rollout_judge_t *judge)
+static double n_old_answers(const sr_rollout_judge_t *judge)
 {
-	double all = 0;
+	double n = 0;
+
+	for (unsigned i = 0; i < SR_EVIDENCE_BUCKETS; i++)
+		n += judge->old_latency[i];
+	return n;
+}
+
+/* Sets from which bucket on an answer is slow, once and for all. */
+static void choose_slow(sr_rollout_judge_t *judge)
+{
+	double all = n_old_answers(judge);
 	double seen = 0;
-	unsigned i;
-
-	for (i = 0; i < SR_EVIDENCE_BUCKETS; i++)
-		all += judge->old_latency[i];
-	for (i = 0; i + 1 < SR_EVIDENCE_BUCKETS; i++) {
-		seen += judge->old_latency[i];
-		if (seen >= SLOW_QUANTILE * all)
-			break;
-	}
-	return i + 1;
+
+	if (judge->slow_from > 0 || all < SLOW_N_OLD)
+		return;
+	while (judge->slow_from + 1 < SR_EVIDENCE_BUCKETS &&
+	       seen < SLOW_QUANTILE * all)
+		seen += judge->old_latency[judge->slow_from++];
+	judge->usual_slow = 1 - seen / all;
 }
 
 static period_t period_of(const sr_evidence_counters_t *now,
@@ -89,14 +107,17 @@
 }
 
 /*
- * In a period in which the old version does worse than usual, its rate in
- * that period counts: whatever it is hits the new one too.
+ * While the old version does worse than usual its present rate counts:
+ * whatever it is hits the new one too. The nodes tell their counters at
+ * different times, so that the peak fades slowly.
  */
-static double expected_rate(double usual, double hits, double n, double least)
+static double expected_rate(double *peak, double usual, double hits, double n,
+			    double least)
 {
 	double rate = n > 0 ? (hits + usual) / (n + 1) : usual;
 
-	return CLAMP(fmax(rate, usual), least, 0.9);
+	*peak = fmax(rate, *peak * PEAK_FADING);
+	return CLAMP(fmax(*peak, usual), least, 0.9);
 }
 
 static double log_ratio(double hits, double n, double usual, double faulty)
@@ -114,8 +135,9 @@
 			  const period_t *new_part)
 {
 	double usual =
-		expected_rate(judge->usual_failures, sum_of(old_part->failures),
-			      sum_of(old_part->n), USUAL_FAILURES_MIN);
+		expected_rate(&judge->peak_failures, judge->usual_failures,
+			      sum_of(old_part->failures), sum_of(old_part->n),
+			      USUAL_FAILURES_MIN);
 	double faulty = faulty_rate(usual, FAULTY_FAILURES_MORE);
 
 	for (int i = 0; i < SR_EVIDENCE_GROUPS; i++) {
@@ -138,8 +160,9 @@
 static void test_slow(sr_rollout_judge_t *judge, const period_t *old_part,
 		      const period_t *new_part)
 {
-	double usual = expected_rate(judge->usual_slow, old_part->slow,
-				     old_part->answered, USUAL_SLOW_MIN);
+	double usual = expected_rate(&judge->peak_slow, judge->usual_slow,
+				     old_part->slow, old_part->answered,
+				     USUAL_SLOW_MIN);
 	double faulty = faulty_rate(usual, FAULTY_SLOW_MORE);
 
 	judge->slow_sum =
@@ -149,16 +172,23 @@
 	smooth(&judge->usual_slow, old_part->slow, old_part->answered);
 }
 
+/*
+ * The least sum with a group left out. If hardly anything ran outside a group
+ * of late, nothing is shown by leaving it out.
+ */
 static double failure_evidence(const sr_rollout_judge_t *judge)
 {
 	double least = judge->whole_sum;
-	unsigned n_groups = 0;
+	double all = sum_of(judge->n_of_group);
 
 	for (int i = 0; i < SR_EVIDENCE_GROUPS; i++) {
-		n_groups += judge->n_of_group[i] > 0;
-		least = fmin(least, judge->failure_sum[i]);
+		double sum = judge->failure_sum[i];
+
+		if (all - judge->n_of_group[i] < OUTSIDE_PART_MIN * all)
+			sum = judge->whole_sum / ONE_GROUP_FACTOR;
+		least = fmin(least, sum);
 	}
-	return n_groups > 1 ? least : judge->whole_sum / ONE_GROUP_FACTOR;
+	return least;
 }
 
 static void take_over(sr_rollout_judge_t *judge,
@@ -170,20 +200,21 @@
 			old_version->latency[i] - judge->old_seen.latency[i];
 	judge->old_seen = *old_version;
 	judge->new_seen = *new_version;
+	choose_slow(judge);
 }
 
 sr_verdict_t sr_rollout_judge_period(sr_rollout_judge_t *judge,
 				     const sr_evidence_counters_t *old_version,
 				     const sr_evidence_counters_t *new_version)
 {
-	unsigned slow = slow_bucket(judge);
-	period_t old_part = period_of(old_version, &judge->old_seen, slow);
-	period_t new_part = period_of(new_version, &judge->new_seen, slow);
+	period_t old_part =
+		period_of(old_version, &judge->old_seen, judge->slow_from);
+	period_t new_part =
+		period_of(new_version, &judge->new_seen, judge->slow_from);
 	double fault_sum;
 
 	if (!judge->started) {
 		/* What ran before the move began is only a base line. */
-		judge->usual_slow = 1 - SLOW_QUANTILE;
 		smooth(&judge->usual_failures, sum_of(old_part.failures),
 		       sum_of(old_part.n));
 		judge->started = TRUE;
@@ -192,9 +223,11 @@
 	}
 	judge->n_new += (guint32)sum_of(new_part.n);
 	for (int i = 0; i < SR_EVIDENCE_GROUPS; i++)
-		judge->n_of_group[i] += (guint32)new_part.n[i];
+		judge->n_of_group[i] =
+			judge->n_of_group[i] * GROUP_FADING + new_part.n[i];
 	test_failures(judge, &old_part, &new_part);
-	test_slow(judge, &old_part, &new_part);
+	if (judge->slow_from > 0)
+		test_slow(judge, &old_part, &new_part);
 	take_over(judge, old_version, new_version);
 	fault_sum = FAULT_SUM + log(1 + judge->n_new);
 	if (failure_evidence(judge) >= fault_sum)
--- a/src/core/rollout_judge.h
+++ b/src/core/rollout_judge.h
@@ -16,17 +16,20 @@
  *
  * The test on failures is run once for each group of upstreams that is left
  * out, and the least sum decides: a single faulty host is no evidence. While
- * only one group has run the version, more evidence is asked for instead.
+ * hardly any other group runs the version, more evidence is asked for instead.
  */
 typedef struct {
 	sr_evidence_counters_t old_seen; /* as of the last period */
 	sr_evidence_counters_t new_seen;
 	double usual_failures; /* smoothed rate of the old version */
 	double usual_slow;
+	unsigned slow_from;   /* bucket of the first slow answers, 0 if unset */
+	double peak_failures; /* of the old version's late periods */
+	double peak_slow;
 	double failure_sum[SR_EVIDENCE_GROUPS]; /* with this group left out */
 	double whole_sum; /* of failures, no group left out */
 	double slow_sum;
-	guint32 n_of_group[SR_EVIDENCE_GROUPS];	  /* of the new version */
+	double n_of_group[SR_EVIDENCE_GROUPS]; /* of the new version, of late */
 	guint32 old_latency[SR_EVIDENCE_BUCKETS]; /* since the start */
 	guint32 n_new; /* requests of the new version, since the start */
 	gboolean started;
