--- a/src/core/rollout_judge.c
+++ b/src/core/rollout_judge.c
@@ -23,6 +23,10 @@
 #define FAULTY_FACTOR 3.0
 #define FAULTY_FAILURES_MORE 0.04
 #define FAULTY_SLOW_MORE 0.25
+#define FAULTY_MAX 0.95
+
+/** Below this distance the test says nothing. */
+#define RATES_APART_MIN 0.02
 
 /** An answer is slow above the bucket that holds this part of the old
  * version's. */
@@ -117,18 +121,21 @@
 	double rate = n > 0 ? (hits + usual) / (n + 1) : usual;
 
 	*peak = fmax(rate, *peak * PEAK_FADING);
-	return CLAMP(fmax(*peak, usual), least, 0.9);
+	return CLAMP(fmax(*peak, usual), least, 1);
 }
 
 static double log_ratio(double hits, double n, double usual, double faulty)
 {
+	/* Too close to each other for the test to tell. */
+	if (faulty < usual + RATES_APART_MIN)
+		return 0;
 	return hits * log(faulty / usual) +
 	       (n - hits) * log((1 - faulty) / (1 - usual));
 }
 
 static double faulty_rate(double usual, double more)
 {
-	return fmin(fmax(usual * FAULTY_FACTOR, usual + more), 0.95);
+	return fmin(fmax(usual * FAULTY_FACTOR, usual + more), FAULTY_MAX);
 }
 
 static void test_failures(sr_rollout_judge_t *judge, const period_t *old_part,
