Wire platform, peers, configuration, orders and postings into the daemon

An entry host takes its configuration from the platform or its peers, answers the administration API, gives orders to the engines of its failure domain under a lease, and forwards postings to the owner of their shard.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -99,6 +99,8 @@
 	settings->cluster_id = sr_fields_string(fields, "cluster_id", "");
 	settings->cluster_secret_file =
 		sr_fields_string(fields, "cluster_secret_file", "");
+	settings->bootstrap_token_sha256 =
+		sr_fields_string(fields, "bootstrap_token_sha256", "");
 	settings->caller_address = read_address(fields, "caller_address", NULL);
 	settings->admin_address = read_address(fields, "admin_address", NULL);
 	settings->peer_address = read_address(fields, "peer_address", "");
@@ -130,6 +132,10 @@
 		sr_findings_add(findings, "platform_address",
 				"give it, or a config_file",
 				"is missing: no configuration can be had");
+	if (*settings->platform_address && !*settings->peer_address)
+		sr_findings_add(findings, "peer_address",
+				"give the address that other entry hosts call",
+				"is missing, but platform_address is set");
 	if (*settings->peer_address && !*settings->cluster_secret_file)
 		sr_findings_add(findings, "cluster_secret_file",
 				"name a file that holds the cluster's secret",
@@ -186,6 +192,7 @@
 	g_free(settings->failure_domain);
 	g_free(settings->cluster_id);
 	g_free(settings->cluster_secret_file);
+	g_free(settings->bootstrap_token_sha256);
 	g_free(settings->caller_address);
 	g_free(settings->admin_address);
 	g_free(settings->peer_address);
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -19,7 +19,8 @@
 	char *failure_domain;
 	char *cluster_id;
 	char *cluster_secret_file;
-	char *caller_address; /* IP:PORT, as every address here */
+	char *bootstrap_token_sha256; /* of the first operator's token */
+	char *caller_address;	      /* IP:PORT, as every address here */
 	char *admin_address;
 	char *peer_address;
 	GPtrArray *peer_seeds; /* char * */
--- /dev/null
+++ b/src/daemon/control.c
@@ -0,0 +1,619 @@
+#include "daemon/control.h"
+
+#include <string.h>
+
+#include "core/config_sync.h"
+#include "daemon/control_status.h"
+#include "operator/admin.h"
+#include "platform/client.h"
+#include "platform/hosts.h"
+#include "upstream/engine_orders.h"
+#include "upstream/feed.h"
+#include "upstream/query.h"
+
+#define TICK (50 * SR_MSEC)
+/** Time between two tellings of this node's usage. */
+#define USAGE_INTERVAL SR_SEC
+#define USAGE_TTL (5 * SR_SEC)
+/** Time between two tellings of this node's status, if nothing changes. */
+#define STATUS_INTERVAL (20 * SR_SEC)
+#define STATUS_TTL (60 * SR_SEC)
+/** A notice of a reclaim is kept until the host list has dropped the host. */
+#define LEAVING_TTL (10 * SR_MINUTE)
+#define ORDERS_LEASE (10 * SR_SEC)
+/** Live nodes of a failure domain that ask the platform for its hosts. */
+#define HOST_WATCHERS 2
+
+struct sr_control {
+	sr_control_options_t options;
+	guint64 incarnation; /* microseconds since the epoch at the start */
+	guint64 n_told;	     /* statuses and usages told so far */
+	char *owner;
+	sr_members_t *members;
+	sr_platform_t *platform;
+	sr_peer_t *peer;
+	sr_gossip_t *gossip;
+	sr_config_sync_t *sync;
+	sr_hosts_t *hosts;
+	sr_queries_t *queries;
+	sr_feed_t *feed;
+	sr_engine_orders_t *orders;
+	sr_admin_t *admin;
+	sr_config_t *config; /* in force, or NULL */
+	sr_timer_t *timer;
+	sr_usec_t next_usage;
+	sr_usec_t next_status;
+	gboolean draining;
+};
+
+static sr_usec_t now_of(const sr_control_t *control)
+{
+	return sr_clock_now(control->options.clock);
+}
+
+/* Versions rise with each telling and with each start of the process. */
+static guint64 next_version(sr_control_t *control)
+{
+	return control->incarnation + ++control->n_told;
+}
+
+static void put_rumour(sr_control_t *control, sr_rumour_kind_t kind,
+		       const char *key, guint64 version, const void *value,
+		       gsize size, sr_usec_t ttl)
+{
+	const sr_rumour_t rumour = {
+		.kind = kind,
+		.key = key,
+		.version = version,
+		.value = value,
+		.size = size,
+	};
+
+	sr_gossip_put(control->gossip, now_of(control), &rumour, ttl);
+}
+
+static void tell_status(sr_control_t *control)
+{
+	sr_node_status_t status = {
+		.generation = sr_config_sync_generation(control->sync),
+		.draining = control->draining,
+	};
+	guint8 value[SR_NODE_STATUS_SIZE];
+
+	sr_node_status_encode(&status, value);
+	put_rumour(control, SR_RUMOUR_STATUS, control->options.settings->node,
+		   next_version(control), value, sizeof(value), STATUS_TTL);
+	control->next_status = now_of(control) + STATUS_INTERVAL;
+}
+
+static void tell_one_usage(void *user, const char *scope, unsigned in_flight)
+{
+	sr_control_t *control = user;
+	char *key = g_strdup_printf("%s/%s", control->options.settings->node,
+				    scope);
+	guint32 value = GUINT32_TO_BE(in_flight);
+
+	put_rumour(control, SR_RUMOUR_USAGE, key, next_version(control), &value,
+		   sizeof(value), USAGE_TTL);
+	g_free(key);
+}
+
+static void hear_usage(sr_control_t *control, const sr_rumour_t *rumour)
+{
+	const char *slash = strchr(rumour->key, '/');
+	guint32 value;
+	char *node;
+
+	if (!slash || rumour->size != sizeof(value))
+		return;
+	memcpy(&value, rumour->value, sizeof(value));
+	node = g_strndup(rumour->key, (gsize)(slash - rumour->key));
+	if (strcmp(node, control->options.settings->node) != 0)
+		sr_dispatch_set_usage(control->options.dispatch, slash + 1,
+				      node, GUINT32_FROM_BE(value),
+				      now_of(control));
+	g_free(node);
+}
+
+static void on_heard(void *user, const sr_rumour_t *rumour)
+{
+	sr_control_t *control = user;
+
+	switch (rumour->kind) {
+	case SR_RUMOUR_CONFIG:
+		sr_config_sync_heard(control->sync, rumour->version,
+				     rumour->value, rumour->size);
+		break;
+	case SR_RUMOUR_LEAVING:
+		sr_dispatch_set_leaving(control->options.dispatch, rumour->key);
+		break;
+	case SR_RUMOUR_USAGE:
+		hear_usage(control, rumour);
+		break;
+	case SR_RUMOUR_STATUS:
+		break; /* read when an operator asks */
+	case SR_RUMOUR_RECALL:
+	case SR_RUMOUR_SHARD_OWNER:
+	case SR_RUMOUR_EVIDENCE:
+	case SR_RUMOUR_N_KINDS:
+		control->options.heard(control->options.user, rumour);
+		break;
+	}
+}
+
+/* True if this node is among the first live nodes of its failure domain. */
+static gboolean is_host_watcher(const sr_control_t *control, GPtrArray *names)
+{
+	for (guint i = 0; i < names->len && i < HOST_WATCHERS; i++) {
+		if (!strcmp(g_ptr_array_index(names, i),
+			    control->options.settings->node))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+static void assign_roles(sr_control_t *control)
+{
+	const sr_settings_t *settings = control->options.settings;
+	const char *domain = settings->failure_domain;
+	GPtrArray *names = sr_members_of_domain(control->members, domain);
+	const char *owner =
+		sr_members_owner(control->members, domain, "orders");
+
+	sr_config_sync_set_members(
+		control->sync, (const char *const *)names->pdata, names->len);
+	sr_hosts_set_active(control->hosts, is_host_watcher(control, names));
+	sr_orders_want(sr_engine_orders_core(control->orders),
+		       !control->draining && owner &&
+			       !strcmp(owner, settings->node));
+	g_ptr_array_unref(names);
+}
+
+static void on_member_changed(void *user, const sr_member_t *member)
+{
+	sr_control_t *control = user;
+
+	if (!sr_members_update(control->members, member))
+		return;
+	sr_log_event(control->options.log, SR_LOG_INFO, "member-changed",
+		     "member", member->name, "state",
+		     sr_member_state_name(member->state), NULL);
+	assign_roles(control);
+}
+
+static void on_gossip_send(void *user, const char *address, const guint8 *data,
+			   gsize size)
+{
+	sr_peer_send(((sr_control_t *)user)->peer, address, data, size);
+}
+
+static void on_datagram(void *user, const guint8 *data, gsize size)
+{
+	sr_control_t *control = user;
+
+	sr_gossip_receive(control->gossip, now_of(control), data, size);
+}
+
+static void on_forward(void *user, sr_peer_request_t *request,
+		       const sr_forward_t *forward)
+{
+	sr_control_t *control = user;
+
+	control->options.forward(control->options.user, request, forward);
+}
+
+static GBytes *on_fetch(void *user, const char *key)
+{
+	return sr_config_sync_serve(((sr_control_t *)user)->sync, key);
+}
+
+/* A node that is alone asks itself; the answer is then that it has none. */
+static void fetch_part(void *user, const char *key, sr_config_fetch_fn done,
+		       void *done_user)
+{
+	sr_control_t *control = user;
+	const char *address = sr_members_pick(control->members);
+
+	if (!address)
+		address = sr_peer_address(control->peer);
+	sr_peer_fetch(control->peer, address, key, SR_SEC, done, done_user);
+}
+
+static void cancel_fetches(void *user, void *done_user)
+{
+	sr_peer_cancel_all(((sr_control_t *)user)->peer, done_user);
+}
+
+/* What was checked when it was accepted is valid here too, unless this node
+ * runs an older program; it then keeps what it has. */
+static void on_in_force(void *user, const char *text, gsize size,
+			guint64 generation)
+{
+	sr_control_t *control = user;
+	GPtrArray *findings = sr_findings_new();
+	sr_config_t *config = sr_config_parse(text, size, generation, findings);
+
+	if (config) {
+		sr_config_unref(control->config);
+		control->config = config;
+		sr_feed_set_config(control->feed, config);
+		sr_orders_set_config(sr_engine_orders_core(control->orders),
+				     config);
+		control->options.in_force(control->options.user, config);
+		control->next_status = 0;
+	} else {
+		char *problems = sr_findings_text(findings);
+
+		sr_log_event(control->options.log, SR_LOG_ERROR,
+			     "config-not-understood", "detail", problems, NULL);
+		g_free(problems);
+	}
+	g_ptr_array_unref(findings);
+}
+
+static void on_announce(void *user, guint64 generation, const guint8 *digest,
+			gsize size)
+{
+	put_rumour(user, SR_RUMOUR_CONFIG, "", generation, digest, size, 0);
+}
+
+/* The host of an upstream bears its name. */
+static void on_host_leaving(void *user, const char *host, sr_usec_t in)
+{
+	sr_control_t *control = user;
+	char seconds[24];
+
+	g_snprintf(seconds, sizeof(seconds), "%.1f", (double)in / SR_SEC);
+	sr_log_event(control->options.log, SR_LOG_INFO, "host-leaving", "host",
+		     host, "in_s", seconds, NULL);
+	sr_dispatch_set_leaving(control->options.dispatch, host);
+	put_rumour(control, SR_RUMOUR_LEAVING, host, 1, NULL, 0, LEAVING_TTL);
+}
+
+static void on_host_present(void *user, const sr_host_t *host, gboolean present)
+{
+	sr_control_t *control = user;
+
+	sr_dispatch_set_present(control->options.dispatch, host->name, present);
+}
+
+static void on_tick(void *user)
+{
+	sr_control_t *control = user;
+	sr_usec_t now = now_of(control);
+
+	sr_gossip_tick(control->gossip, now);
+	sr_config_sync_tick(control->sync, now);
+	sr_orders_tick(sr_engine_orders_core(control->orders), now);
+	if (now >= control->next_usage) {
+		control->next_usage = now + USAGE_INTERVAL;
+		sr_dispatch_foreach_usage(control->options.dispatch,
+					  tell_one_usage, control);
+		sr_control_metrics(control->options.metrics, control->platform,
+				   control->peer, control->gossip,
+				   control->members);
+	}
+	if (now >= control->next_status)
+		tell_status(control);
+	control->timer =
+		sr_timer_start(control->options.clock, TICK, on_tick, control);
+}
+
+static const sr_config_t *admin_config(void *user)
+{
+	return ((sr_control_t *)user)->config;
+}
+
+static GBytes *admin_config_text(void *user)
+{
+	GBytes *text = sr_config_sync_text(((sr_control_t *)user)->sync);
+
+	return text ? g_bytes_ref(text) : NULL;
+}
+
+static void on_published(void *user, const sr_publish_result_t *result)
+{
+	sr_admin_published(user, result->err, result->generation);
+}
+
+static void admin_publish(void *user, guint64 base, GBytes *text,
+			  sr_admin_ticket_t *ticket)
+{
+	sr_control_t *control = user;
+	gsize size;
+	const char *data = g_bytes_get_data(text, &size);
+
+	sr_config_sync_publish(control->sync, base, data, size, on_published,
+			       ticket);
+}
+
+static json_object *admin_status(void *user)
+{
+	sr_control_t *control = user;
+	const sr_control_view_t view = {
+		.settings = control->options.settings,
+		.gossip = control->gossip,
+		.generation = sr_config_sync_generation(control->sync),
+		.draining = control->draining,
+		.platform_is_out = sr_platform_is_out(control->platform),
+	};
+	json_object *status = sr_control_status(&view);
+
+	control->options.add_status(control->options.user, status);
+	return status;
+}
+
+static json_object *admin_journal(void *user)
+{
+	sr_control_t *control = user;
+
+	return control->options.journal(control->options.user);
+}
+
+static sr_err_t admin_recall(void *user, const char *service,
+			     const char *version, const char *reason)
+{
+	sr_control_t *control = user;
+
+	return control->options.recall(control->options.user, service, version,
+				       reason);
+}
+
+static void admin_drain(void *user)
+{
+	sr_control_t *control = user;
+
+	control->options.drain(control->options.user);
+}
+
+static char *read_secret(const char *path, gsize *size, char **detail)
+{
+	GError *error = NULL;
+	char *secret = NULL;
+
+	if (!g_file_get_contents(path, &secret, size, &error)) {
+		*detail = g_strdup(error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	while (*size > 0 && g_ascii_isspace(secret[*size - 1]))
+		(*size)--;
+	if (*size < SR_PEER_SECRET_MIN) {
+		*detail = g_strdup_printf(
+			"%s holds fewer than %d bytes: put a longer secret "
+			"there",
+			path, SR_PEER_SECRET_MIN);
+		g_clear_pointer(&secret, g_free);
+	}
+	return secret;
+}
+
+static gboolean create_peer(sr_control_t *control, char **detail)
+{
+	const sr_settings_t *settings = control->options.settings;
+	gsize size;
+	char *secret =
+		read_secret(settings->cluster_secret_file, &size, detail);
+	sr_peer_options_t options = {
+		.clock = control->options.clock,
+		.address = settings->peer_address,
+		.cluster = settings->cluster_id,
+		.secret = (const guint8 *)secret,
+		.node = settings->node,
+		.incarnation = control->incarnation,
+		.datagram = on_datagram,
+		.forward = on_forward,
+		.fetch = on_fetch,
+		.user = control,
+	};
+
+	if (!secret)
+		return FALSE;
+	options.secret_size = size;
+	control->peer = sr_peer_new(&options, detail);
+	g_free(secret);
+	return control->peer != NULL;
+}
+
+static void create_platform(sr_control_t *control)
+{
+	const sr_settings_t *settings = control->options.settings;
+	char *url = g_strdup_printf("http://%s", settings->platform_address);
+	const sr_platform_options_t options = {
+		.url = url,
+		.clock = control->options.clock,
+		.seed = control->options.seed,
+	};
+
+	control->platform = sr_platform_new(&options);
+	g_free(url);
+}
+
+static void create_gossip(sr_control_t *control)
+{
+	const sr_settings_t *settings = control->options.settings;
+	const sr_gossip_options_t options = {
+		.name = settings->node,
+		.failure_domain = settings->failure_domain,
+		.address = sr_peer_address(control->peer),
+		.incarnation = control->incarnation,
+		.seed = control->options.seed + 1,
+		.send = on_gossip_send,
+		.heard = on_heard,
+		.member_changed = on_member_changed,
+		.user = control,
+	};
+	const sr_members_options_t members = {
+		.node = settings->node,
+		.failure_domain = settings->failure_domain,
+		.address = sr_peer_address(control->peer),
+		.seed = control->options.seed + 2,
+	};
+
+	control->members = sr_members_new(&members);
+	control->gossip = sr_gossip_new(&options, now_of(control));
+	for (guint i = 0; i < settings->peer_seeds->len; i++)
+		sr_gossip_seed(control->gossip,
+			       g_ptr_array_index(settings->peer_seeds, i));
+}
+
+static void create_sync(sr_control_t *control)
+{
+	const sr_config_sync_options_t options = {
+		.store = sr_platform_store(control->platform),
+		.node = control->options.settings->node,
+		.seed = control->options.seed + 3,
+		.fetch = fetch_part,
+		.cancel_fetches = cancel_fetches,
+		.in_force = on_in_force,
+		.announce = on_announce,
+		.user = control,
+	};
+
+	control->sync = sr_config_sync_new(&options, now_of(control));
+}
+
+static void create_hosts(sr_control_t *control)
+{
+	const sr_hosts_options_t options = {
+		.platform = control->platform,
+		.clock = control->options.clock,
+		.seed = control->options.seed + 4,
+		.leaving = on_host_leaving,
+		.present = on_host_present,
+		.user = control,
+	};
+
+	control->hosts = sr_hosts_new(&options);
+}
+
+static void create_upstream_parts(sr_control_t *control)
+{
+	const sr_settings_t *settings = control->options.settings;
+	char *key =
+		g_strdup_printf("lease/orders/%s", settings->failure_domain);
+	sr_feed_options_t feed = {
+		.clock = control->options.clock,
+		.dispatch = control->options.dispatch,
+		.failure_domain = settings->failure_domain,
+	};
+	sr_engine_orders_options_t orders = {
+		.clock = control->options.clock,
+		.store = sr_platform_store(control->platform),
+		.key = key,
+		.owner = control->owner,
+		.seed = control->options.seed + 5,
+		.lease = ORDERS_LEASE,
+	};
+
+	control->queries = sr_queries_new(control->options.upstream,
+					  control->options.clock);
+	feed.queries = control->queries;
+	control->feed = sr_feed_new(&feed);
+	orders.queries = control->queries;
+	control->orders = sr_engine_orders_new(&orders);
+	g_free(key);
+}
+
+static void create_admin(sr_control_t *control)
+{
+	const char *bootstrap =
+		control->options.settings->bootstrap_token_sha256;
+	const sr_admin_options_t options = {
+		.server = control->options.admin_server,
+		.log = control->options.log,
+		.bootstrap_token_sha256 = *bootstrap ? bootstrap : NULL,
+		.hooks = {
+			.config = admin_config,
+			.config_text = admin_config_text,
+			.publish = admin_publish,
+			.status = admin_status,
+			.journal = admin_journal,
+			.recall = admin_recall,
+			.drain = admin_drain,
+			.user = control,
+		},
+	};
+
+	control->admin = sr_admin_new(&options);
+}
+
+sr_control_t *sr_control_new(const sr_control_options_t *options, char **detail)
+{
+	sr_control_t *control = g_new0(sr_control_t, 1);
+
+	control->options = *options;
+	control->incarnation = sr_clock_wall_ns(options->clock) / 1000;
+	control->owner =
+		g_strdup_printf("%s.%" G_GUINT64_FORMAT,
+				options->settings->node, control->incarnation);
+	if (!create_peer(control, detail)) {
+		g_free(control->owner);
+		g_free(control);
+		return NULL;
+	}
+	create_platform(control);
+	create_gossip(control);
+	create_sync(control);
+	create_hosts(control);
+	create_upstream_parts(control);
+	create_admin(control);
+	assign_roles(control);
+	on_tick(control);
+	return control;
+}
+
+void sr_control_free(sr_control_t *control)
+{
+	if (!control)
+		return;
+	sr_timer_cancel(control->timer);
+	sr_admin_free(control->admin);
+	sr_queries_free(control->queries);
+	sr_engine_orders_free(control->orders);
+	sr_feed_free(control->feed);
+	sr_hosts_free(control->hosts);
+	sr_config_sync_free(control->sync);
+	sr_peer_free(control->peer);
+	sr_gossip_free(control->gossip);
+	sr_members_free(control->members);
+	sr_platform_free(control->platform);
+	sr_config_unref(control->config);
+	g_free(control->owner);
+	g_free(control);
+}
+
+sr_store_t *sr_control_store(sr_control_t *control)
+{
+	return sr_platform_store(control->platform);
+}
+
+sr_peer_t *sr_control_peer(sr_control_t *control)
+{
+	return control->peer;
+}
+
+sr_gossip_t *sr_control_gossip(sr_control_t *control)
+{
+	return control->gossip;
+}
+
+sr_members_t *sr_control_members(sr_control_t *control)
+{
+	return control->members;
+}
+
+const char *sr_control_owner(const sr_control_t *control)
+{
+	return control->owner;
+}
+
+void sr_control_drain(sr_control_t *control)
+{
+	control->draining = TRUE;
+	assign_roles(control);
+	sr_orders_release(sr_engine_orders_core(control->orders),
+			  now_of(control));
+	tell_status(control);
+	sr_gossip_leave(control->gossip, now_of(control));
+}
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -3,6 +3,9 @@
 #include <errno.h>
 #include <string.h>
 
+/** Time between two looks at whether the journal is handed over. */
+#define HANDOVER_POLL (20 * SR_MSEC)
+
 static void log_failure(sr_daemon_t *daemon, const char *event,
 			const char *detail)
 {
@@ -66,6 +69,9 @@
 	};
 
 	daemon->settings = settings;
+	daemon->seed = options->seed;
+	daemon->drained = options->drained;
+	daemon->drained_user = options->user;
 	daemon->clock = options->clock;
 	daemon->log = sr_log_new(&log);
 	daemon->metrics = sr_metrics_new();
@@ -117,6 +123,119 @@
 		     caller_port, "admin_port", admin_port, NULL);
 }
 
+static void on_in_force(void *user, sr_config_t *config)
+{
+	sr_daemon_set_config(user, config);
+}
+
+static void on_admin_drain(void *user)
+{
+	sr_daemon_drain(user);
+}
+
+static void on_forward(void *user, sr_peer_request_t *request,
+		       const sr_forward_t *forward)
+{
+	sr_daemon_t *daemon = user;
+
+	sr_postings_serve(daemon->postings, request, forward);
+}
+
+static void on_heard(void *user, const sr_rumour_t *rumour)
+{
+}
+
+static void on_add_status(void *user, json_object *status)
+{
+}
+
+static void list_unknown(void *user, const sr_journal_unknown_t *unknown)
+{
+	json_object *row = json_object_new_object();
+
+	json_object_object_add(row, "account",
+			       json_object_new_string(unknown->account));
+	json_object_object_add(row, "service",
+			       json_object_new_string(unknown->service));
+	json_object_object_add(row, "key",
+			       json_object_new_string(unknown->key));
+	json_object_object_add(row, "age_s",
+			       json_object_new_int64(unknown->age / SR_SEC));
+	json_object_array_add(user, row);
+}
+
+static json_object *on_journal(void *user)
+{
+	sr_daemon_t *daemon = user;
+	json_object *journal = json_object_new_object();
+	json_object *rows = json_object_new_array();
+
+	sr_journal_foreach_unknown(sr_postings_journal(daemon->postings),
+				   sr_clock_now(daemon->clock), list_unknown,
+				   rows);
+	json_object_object_add(journal, "unknown", rows);
+	return journal;
+}
+
+static sr_err_t on_recall(void *user, const char *service, const char *version,
+			  const char *reason)
+{
+	sr_daemon_t *daemon = user;
+
+	sr_dispatch_recall(daemon->dispatch, service, version);
+	return SR_OK;
+}
+
+static void create_postings(sr_daemon_t *daemon)
+{
+	const sr_settings_t *settings = daemon->settings;
+	const sr_postings_options_t options = {
+		.clock = daemon->clock,
+		.log = daemon->log,
+		.metrics = daemon->metrics,
+		.trace = daemon->trace,
+		.dispatch = daemon->dispatch,
+		.upstream = daemon->upstream,
+		.store = sr_control_store(daemon->control),
+		.gossip = sr_control_gossip(daemon->control),
+		.peer = sr_control_peer(daemon->control),
+		.node = settings->node,
+		.failure_domain = settings->failure_domain,
+		.seed = daemon->seed + 3,
+	};
+
+	daemon->postings = sr_postings_new(&options);
+	sr_caller_set_postings(daemon->caller, daemon->postings);
+}
+
+static gboolean start_control(sr_daemon_t *daemon, char **detail)
+{
+	const sr_control_options_t options = {
+		.settings = daemon->settings,
+		.clock = daemon->clock,
+		.log = daemon->log,
+		.metrics = daemon->metrics,
+		.dispatch = daemon->dispatch,
+		.upstream = daemon->upstream,
+		.admin_server = sr_probes_server(daemon->probes),
+		.seed = daemon->seed + 100,
+		.in_force = on_in_force,
+		.drain = on_admin_drain,
+		.forward = on_forward,
+		.heard = on_heard,
+		.add_status = on_add_status,
+		.journal = on_journal,
+		.recall = on_recall,
+		.user = daemon,
+	};
+
+	daemon->control = sr_control_new(&options, detail);
+	if (!daemon->control)
+		return FALSE;
+	create_postings(daemon);
+	return TRUE;
+}
+
 sr_err_t sr_daemon_start(sr_daemon_t *daemon, char **detail)
 {
 	const sr_settings_t *settings = daemon->settings;
@@ -127,6 +246,8 @@
 		if (err)
 			return err;
 	}
+	if (*settings->platform_address && !start_control(daemon, detail))
+		return SR_ERR_IO;
 	err = sr_probes_listen(daemon->probes, settings->admin_address, detail);
 	if (err)
 		return err;
@@ -150,6 +271,8 @@
 	sr_dispatch_set_config(daemon->dispatch, sr_clock_now(daemon->clock),
 			       config);
 	sr_caller_set_config(daemon->caller, config);
+	if (daemon->postings)
+		sr_postings_set_config(daemon->postings, config);
 	if (!daemon->draining)
 		sr_probes_set_ready(daemon->probes, TRUE, "ready");
 	sr_gauge_set(sr_metrics_gauge(daemon->metrics,
@@ -166,17 +289,25 @@
 {
 	char left[16];
 
-	sr_timer_cancel(daemon->drain_timer);
-	daemon->drain_timer = NULL;
+	g_clear_pointer(&daemon->drain_timer, sr_timer_cancel);
+	g_clear_pointer(&daemon->handover_timer, sr_timer_cancel);
 	g_snprintf(left, sizeof(left), "%u",
 		   sr_caller_n_requests(daemon->caller));
 	sr_log_event(daemon->log, SR_LOG_INFO, event, "requests", left, NULL);
 	daemon->drained(daemon->drained_user);
 }
 
+/* Callers are gone; wait until the journal's shards are handed over. */
 static void on_idle(void *user)
 {
-	finish_drain(user, "drained");
+	sr_daemon_t *daemon = user;
+
+	daemon->handover_timer = NULL;
+	if (!daemon->postings || sr_postings_is_released(daemon->postings))
+		finish_drain(daemon, "drained");
+	else
+		daemon->handover_timer = sr_timer_start(
+			daemon->clock, HANDOVER_POLL, on_idle, daemon);
 }
 
 static void on_drain_limit(void *user)
@@ -199,16 +330,20 @@
 	sr_caller_stop(daemon->caller, on_idle, daemon);
 }
 
-void sr_daemon_drain(sr_daemon_t *daemon, sr_timer_fn drained, void *user)
+void sr_daemon_drain(sr_daemon_t *daemon)
 {
 	if (daemon->draining)
 		return;
 	daemon->draining = TRUE;
-	daemon->drained = drained;
-	daemon->drained_user = user;
 	sr_log_event(daemon->log, SR_LOG_INFO, "draining", NULL);
 	sr_probes_set_ready(daemon->probes, FALSE, "draining");
 	sr_caller_drain(daemon->caller);
+	if (daemon->postings)
+		sr_postings_release(daemon->postings,
+				    sr_clock_now(daemon->clock) +
+					    daemon->settings->drain_limit);
+	if (daemon->control)
+		sr_control_drain(daemon->control);
 	daemon->drain_timer =
 		sr_timer_start(daemon->clock, daemon->settings->drain_grace,
 			       on_grace_over, daemon);
@@ -219,8 +354,11 @@
 	if (!daemon)
 		return;
 	sr_timer_cancel(daemon->drain_timer);
-	sr_probes_free(daemon->probes);
+	sr_timer_cancel(daemon->handover_timer);
 	sr_caller_free(daemon->caller);
+	sr_postings_free(daemon->postings);
+	sr_control_free(daemon->control);
+	sr_probes_free(daemon->probes);
 	sr_config_unref(daemon->config);
 	sr_dispatch_free(daemon->dispatch);
 	sr_upstream_client_free(daemon->upstream);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -10,6 +10,7 @@
 #include "caller/server.h"
 #include "core/config.h"
 #include "core/dispatch.h"
+#include "daemon/control.h"
 #include "daemon/probes.h"
 #include "daemon/postings.h"
 #include "upstream/client.h"
@@ -33,7 +34,10 @@
 	sr_postings_t *postings;
 	sr_caller_t *caller;
 	sr_probes_t *probes;
+	sr_control_t *control; /* NULL with a fixed configuration */
+	guint64 seed;
 	sr_timer_t *drain_timer;
+	sr_timer_t *handover_timer;
 	gboolean draining;
 	sr_timer_fn drained;
 	void *drained_user;
@@ -44,6 +48,9 @@
 	sr_clock_t *clock;	       /* must outlive the daemon */
 	FILE *log_file;
 	guint64 seed; /* of all random choices */
+	/* a graceful shutdown is over; see sr_daemon_drain() */
+	sr_timer_fn drained;
+	void *user;
 } sr_daemon_options_t;
 
 sr_daemon_t *sr_daemon_new(const sr_daemon_options_t *options);
@@ -69,7 +76,7 @@
  * what runs is finished. drained(user) is called once all is done, at the
  * latest when the drain limit is over. A second call changes nothing.
  */
-void sr_daemon_drain(sr_daemon_t *daemon, sr_timer_fn drained, void *user);
+void sr_daemon_drain(sr_daemon_t *daemon);
 
 void sr_daemon_free(sr_daemon_t *daemon);
 
--- /dev/null
+++ b/src/daemon/members.c
@@ -0,0 +1,168 @@
+#include "daemon/members.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+struct sr_members {
+	char *node;
+	GHashTable *live; /* name -> live_t */
+	GRand *random;
+};
+
+typedef struct {
+	char *name;
+	char *failure_domain;
+	char *address;
+} live_t;
+
+static void free_live(gpointer data)
+{
+	live_t *live = data;
+
+	g_free(live->name);
+	g_free(live->failure_domain);
+	g_free(live->address);
+	g_free(live);
+}
+
+static void add_live(sr_members_t *members, const char *name,
+		     const char *failure_domain, const char *address)
+{
+	live_t *live = g_new0(live_t, 1);
+
+	live->name = g_strdup(name);
+	live->failure_domain = g_strdup(failure_domain);
+	live->address = g_strdup(address);
+	g_hash_table_replace(members->live, live->name, live);
+}
+
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* Rendezvous hashing: the highest score owns the thing. */
+static guint64 score_of(const char *node, const char *thing)
+{
+	guint64 seed = XXH64(thing, strlen(thing), 0);
+
+	return XXH64(node, strlen(node), seed);
+}
+
+sr_members_t *sr_members_new(const sr_members_options_t *options)
+{
+	sr_members_t *members = g_new0(sr_members_t, 1);
+
+	members->node = g_strdup(options->node);
+	members->live =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_live);
+	members->random = g_rand_new_with_seed((guint32)options->seed);
+	add_live(members, options->node, options->failure_domain,
+		 options->address);
+	return members;
+}
+
+void sr_members_free(sr_members_t *members)
+{
+	if (!members)
+		return;
+	g_hash_table_destroy(members->live);
+	g_rand_free(members->random);
+	g_free(members->node);
+	g_free(members);
+}
+
+gboolean sr_members_update(sr_members_t *members, const sr_member_t *member)
+{
+	gboolean is_live = member->state == SR_MEMBER_ALIVE ||
+			   member->state == SR_MEMBER_SUSPECT;
+	const live_t *known = g_hash_table_lookup(members->live, member->name);
+
+	if (!strcmp(member->name, members->node))
+		return FALSE;
+	if (!is_live)
+		return g_hash_table_remove(members->live, member->name);
+	if (known && !strcmp(known->address, member->address) &&
+	    !strcmp(known->failure_domain, member->failure_domain))
+		return FALSE;
+	add_live(members, member->name, member->failure_domain,
+		 member->address);
+	return TRUE;
+}
+
+gboolean sr_members_is_alive(const sr_members_t *members, const char *node)
+{
+	return g_hash_table_contains(members->live, node);
+}
+
+const char *sr_members_address(const sr_members_t *members, const char *node)
+{
+	const live_t *live = g_hash_table_lookup(members->live, node);
+
+	return live ? live->address : NULL;
+}
+
+unsigned sr_members_count(const sr_members_t *members)
+{
+	return g_hash_table_size(members->live);
+}
+
+GPtrArray *sr_members_of_domain(const sr_members_t *members,
+				const char *failure_domain)
+{
+	GPtrArray *names = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		live_t *live = value;
+
+		if (!strcmp(live->failure_domain, failure_domain))
+			g_ptr_array_add(names, live->name);
+	}
+	g_ptr_array_sort(names, compare_names);
+	return names;
+}
+
+const char *sr_members_owner(const sr_members_t *members,
+			     const char *failure_domain, const char *thing)
+{
+	GPtrArray *names = sr_members_of_domain(members, failure_domain);
+	const char *owner = NULL;
+	guint64 best = 0;
+
+	for (guint i = 0; i < names->len; i++) {
+		const char *name = g_ptr_array_index(names, i);
+		guint64 score = score_of(name, thing);
+
+		if (!owner || score > best) {
+			owner = name;
+			best = score;
+		}
+	}
+	g_ptr_array_unref(names);
+	return owner;
+}
+
+const char *sr_members_pick(sr_members_t *members)
+{
+	guint n = g_hash_table_size(members->live) - 1;
+	GHashTableIter iter;
+	gpointer value;
+	gint32 skip;
+
+	if (n == 0)
+		return NULL;
+	skip = g_rand_int_range(members->random, 0, (gint32)n);
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		live_t *live = value;
+
+		if (!strcmp(live->name, members->node))
+			continue;
+		if (skip-- == 0)
+			return live->address;
+	}
+	g_assert_not_reached();
+}
--- a/src/upstream/query.c
+++ b/src/upstream/query.c
@@ -114,7 +114,7 @@
 	if (!queries)
 		return;
 	sr_list_for_each_safe (link, &queries->open) {
-		free_query(sr_list_entry(link, query_t, link));
+		end_query(sr_list_entry(link, query_t, link), 0, NULL);
 	}
 	g_free(queries);
 }
--- a/src/upstream/query.h
+++ b/src/upstream/query.h
@@ -37,7 +37,7 @@
 
 sr_queries_t *sr_queries_new(sr_upstream_client_t *client, sr_clock_t *clock);
 
-/** sr_queries_free - drops what is under way without a callback. */
+/** sr_queries_free - ends what is under way as without an answer. */
 void sr_queries_free(sr_queries_t *queries);
 
 void sr_query(sr_queries_t *queries, const sr_query_options_t *options);
--- a/test/fuzz/journal_model_fuzz.c
+++ b/test/fuzz/journal_model_fuzz.c
@@ -13,6 +13,7 @@
 /* The first eight bytes are the seed, each four after them a command. */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
+	prove_command_t command;
 	guint64 seed = 1;
 	void *model;
 	char *why = NULL;
@@ -23,12 +24,9 @@
 	model = prove_journal_model.new(seed);
 	for (size_t i = sizeof(seed);
 	     !why && i + 4 <= size && i < 4 * MAX_COMMANDS; i += 4) {
-		prove_command_t command = {
-			.op = data[i],
-			.a = data[i + 1],
-			.b = (guint16)(data[i + 2] | data[i + 3] << 8),
-		};
-
+		command.op = data[i];
+		command.a = data[i + 1];
+		command.b = (guint16)(data[i + 2] | data[i + 3] << 8);
 		why = prove_journal_model.step(model, &command);
 	}
 	if (!why)
