Check that no token follows a wrong one

With the check of offsets taken out, the tests still passed, since the total at the end caught each fault. A stream with one token in place of another and the right total now has to break off at that token; with the check out it fails.

--- a/test/caller_rig.h
+++ b/test/caller_rig.h
@@ -28,6 +28,7 @@
 	RIG_CUT,	 /* closes the connection after `at` tokens in all */
 	RIG_CANCELLED,	 /* ends the stream so, after `at` tokens in all */
 	RIG_HOLE,	 /* leaves out the token at offset `at` */
+	RIG_WRONG_TOKEN, /* the next token in place of the one at `at` */
 	RIG_FROM_START,	 /* does not look at the offset asked for */
 	RIG_WRONG_TOTAL, /* the closing event counts one more */
 	RIG_NOT_RUN,	 /* 503 with X-Executed: not-run */
@@ -146,7 +147,9 @@
 					  upstream->mode == RIG_CANCELLED))
 			break;
 		if (i != upstream->at || upstream->mode != RIG_HOLE)
-			rig_add_token(text, body, i);
+			rig_add_token(text, body,
+				      i + (i == upstream->at &&
+					   upstream->mode == RIG_WRONG_TOKEN));
 	}
 	if (upstream->mode == RIG_CUT)
 		g_string_append(text, "data: {\"off");
--- a/test/caller_test.c
+++ b/test/caller_test.c
@@ -43,8 +43,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		rig_answer_t *answer = rig_send(rig, &cases[i].request);
-		char *kind =
-			g_strdup_printf("\"kind\":\"%s\"", cases[i].kind);
+		char *kind = g_strdup_printf("\"kind\":\"%s\"", cases[i].kind);
 
 		RIG_WAIT(answer->ended);
 		assert_int_equal(answer->status, cases[i].status);
@@ -70,15 +69,15 @@
 	rig_answer_t *answer;
 
 	memset(body, '[', size);
-	answer = rig_send(rig, &(rig_request_t){ .path = "/m",
-						 .body = body,
-						 .size = size });
+	answer = rig_send(
+		rig,
+		&(rig_request_t){ .path = "/m", .body = body, .size = size });
 	RIG_WAIT(answer->ended);
 	assert_int_equal(answer->status, 413);
 	rig_answer_free(answer);
-	answer = rig_send(rig, &(rig_request_t){ .path = "/m",
-						 .body = body,
-						 .size = NESTED });
+	answer = rig_send(
+		rig,
+		&(rig_request_t){ .path = "/m", .body = body, .size = NESTED });
 	RIG_WAIT(answer->ended);
 	assert_int_equal(answer->status, 400);
 	rig_answer_free(answer);
@@ -119,17 +118,17 @@
 
 	rig_set_mode(rig, 0, mode, at);
 	rig_set_mode(rig, 1, mode, at);
-	answer = rig_send(rig, &(rig_request_t){ .method = method,
-						 .path = "/p/x?q=1" });
+	answer = rig_send(
+		rig, &(rig_request_t){ .method = method, .path = "/p/x?q=1" });
 	RIG_WAIT(answer->ended);
 	return answer;
 }
 
 static double ended_ok(rig_t *rig)
 {
-	return (double)sr_counter_get(sr_metrics_counter(
-		rig->metrics, "sassafras_attempts_total", "",
-		"service=\"p\",version=\"v\",end=\"ok\""));
+	return (double)sr_counter_get(
+		sr_metrics_counter(rig->metrics, "sassafras_attempts_total", "",
+				   "service=\"p\",version=\"v\",end=\"ok\""));
 }
 
 static void test_plain_answers_pass_through_whole(void **state)
@@ -157,7 +156,8 @@
 	rig_free(rig);
 }
 
-static void test_plain_answer_cut_in_the_middle_is_cut_for_the_caller(void **state)
+static void
+test_plain_answer_cut_in_the_middle_is_cut_for_the_caller(void **state)
 {
 	rig_t *rig = rig_new();
 	rig_answer_t *answer = get_plain(rig, "GET", RIG_PLAIN_CUT, 5);
@@ -327,7 +327,8 @@
 		"GET\r\n\r\nGET\r\n\r\n",
 		"GET /p/x HTTP/1.0\r\nAuthorization: Bearer t\r\n\r\n",
 		HEAD_OF("POST", "/m") "Content-Length: -5\r\n\r\nabc",
-		HEAD_OF("POST", "/m") "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		HEAD_OF("POST",
+			"/m") "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
 		HEAD_OF("GET", "/p/x") "\r\n\x01\x02garbage\r\n\r\n",
 		HEAD_OF("CONNECT", "h:1") "\r\n",
 		HEAD_OF("OPTIONS", "*") "\r\n",
--- a/test/stream_test.c
+++ b/test/stream_test.c
@@ -78,6 +78,16 @@
 	run_resume(RIG_FAIL, 0, "");
 }
 
+static unsigned n_tokens(const rig_answer_t *answer)
+{
+	unsigned n = 0;
+
+	for (const char *p = answer->body->str; (p = strstr(p, "\"offset\""));
+	     p++)
+		n++;
+	return n;
+}
+
 static void run_broken(rig_mode_t mode, unsigned at)
 {
 	rig_t *rig = rig_new();
@@ -88,6 +98,9 @@
 	answer = rig_send(rig, &lookup);
 	RIG_WAIT(answer->ended);
 	assert_broken(answer, "upstream-failed");
+	/* Nothing from the fault on was passed to the caller. */
+	if (mode != RIG_WRONG_TOTAL)
+		assert_int_equal(n_tokens(answer), at);
 	rig_answer_free(answer);
 	rig_free(rig);
 }
@@ -96,6 +109,7 @@
 {
 	run_broken(RIG_HOLE, 4);
 	run_broken(RIG_HOLE, RIG_TOKENS - 1);
+	run_broken(RIG_WRONG_TOKEN, 2);
 	run_broken(RIG_WRONG_TOTAL, 0);
 }
 
