--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -106,6 +106,8 @@
 	settings->platform_address =
 		read_address(fields, "platform_address", "");
 	settings->config_file = sr_fields_string(fields, "config_file", "");
+	settings->bootstrap_token_sha256 =
+		sr_fields_string(fields, "bootstrap_token_sha256", "");
 	settings->log_level = (sr_log_level_t)sr_fields_choice(
 		fields, "log_level", level_names, G_N_ELEMENTS(level_names),
 		SR_LOG_INFO);
@@ -192,6 +194,7 @@
 	g_ptr_array_unref(settings->peer_seeds);
 	g_free(settings->platform_address);
 	g_free(settings->config_file);
+	g_free(settings->bootstrap_token_sha256);
 	g_free(settings->trace_file);
 	g_free(settings);
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -24,7 +24,9 @@
 	char *peer_address;
 	GPtrArray *peer_seeds; /* char * */
 	char *platform_address;
-	char *config_file; /* a fixed configuration, without a platform */
+	char *config_file; /* in force without a platform; with one, it is
+			    * published if the platform has none yet */
+	char *bootstrap_token_sha256; /* see sr_admin_options_t */
 	sr_log_level_t log_level;
 	char *trace_file;
 	double trace_sample;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -3,6 +3,10 @@
 #include <errno.h>
 #include <string.h>
 
+#include "daemon/parts.h"
+
+#define DRAIN_POLL (50 * SR_MSEC)
+
 static void log_failure(sr_daemon_t *daemon, const char *event,
 			const char *detail)
 {
@@ -50,6 +54,19 @@
 	daemon->caller = sr_caller_new(&options);
 }
 
+static void open_feed(sr_daemon_t *daemon)
+{
+	sr_feed_options_t options = {
+		.clock = daemon->clock,
+		.dispatch = daemon->dispatch,
+		.failure_domain = daemon->settings->failure_domain,
+	};
+
+	daemon->queries = sr_queries_new(daemon->upstream, daemon->clock);
+	options.queries = daemon->queries;
+	daemon->feed = sr_feed_new(&options);
+}
+
 sr_daemon_t *sr_daemon_new(const sr_daemon_options_t *options)
 {
 	sr_daemon_t *daemon = g_new0(sr_daemon_t, 1);
@@ -65,44 +82,25 @@
 		.seed = options->seed,
 	};
 
+	const guint32 seed[] = { (guint32)options->seed,
+				 (guint32)(options->seed >> 32) };
+
+	daemon->options = *options;
 	daemon->settings = settings;
 	daemon->clock = options->clock;
+	daemon->rand = g_rand_new_with_seed_array(seed, G_N_ELEMENTS(seed));
 	daemon->log = sr_log_new(&log);
 	daemon->metrics = sr_metrics_new();
 	open_trace(daemon, options->seed + 1);
 	daemon->upstream = sr_upstream_client_new();
 	daemon->dispatch = sr_dispatch_new(&dispatch);
+	open_feed(daemon);
 	create_caller(daemon, options->seed + 2);
 	daemon->probes = sr_probes_new(daemon->metrics);
+	sr_operator_open(daemon);
 	return daemon;
 }
 
-static sr_err_t load_config(sr_daemon_t *daemon, char **detail)
-{
-	const char *path = daemon->settings->config_file;
-	GPtrArray *findings = sr_findings_new();
-	sr_config_t *config = NULL;
-	char *text = NULL;
-	gsize size = 0;
-	GError *error = NULL;
-
-	if (!g_file_get_contents(path, &text, &size, &error)) {
-		*detail = g_strdup(error->message);
-		g_error_free(error);
-	} else {
-		config = sr_config_parse(text, size, 1, findings);
-		if (!config)
-			*detail = sr_findings_text(findings);
-	}
-	g_free(text);
-	g_ptr_array_unref(findings);
-	if (!config)
-		return SR_ERR_INVALID;
-	sr_daemon_set_config(daemon, config);
-	sr_config_unref(config);
-	return SR_OK;
-}
-
 /* Names the ports, which the settings may have left open. */
 static void log_started(sr_daemon_t *daemon)
 {
@@ -120,13 +118,12 @@
 sr_err_t sr_daemon_start(sr_daemon_t *daemon, char **detail)
 {
 	const sr_settings_t *settings = daemon->settings;
-	sr_err_t err;
+	sr_err_t err = sr_membership_open(daemon, detail);
 
-	if (*settings->config_file) {
-		err = load_config(daemon, detail);
-		if (err)
-			return err;
-	}
+	if (!err)
+		err = sr_accepted_open(daemon, detail);
+	if (err)
+		return err;
 	err = sr_probes_listen(daemon->probes, settings->admin_address, detail);
 	if (err)
 		return err;
@@ -150,6 +147,9 @@
 	sr_dispatch_set_config(daemon->dispatch, sr_clock_now(daemon->clock),
 			       config);
 	sr_caller_set_config(daemon->caller, config);
+	sr_feed_set_config(daemon->feed, config);
+	if (daemon->postings)
+		sr_postings_set_config(daemon->postings, config);
 	if (!daemon->draining)
 		sr_probes_set_ready(daemon->probes, TRUE, "ready");
 	sr_gauge_set(sr_metrics_gauge(daemon->metrics,
@@ -162,56 +162,74 @@
 		     generation, NULL);
 }
 
+void sr_daemon_leaving(sr_daemon_t *daemon, const char *name)
+{
+	sr_log_event(daemon->log, SR_LOG_INFO, "leaving", "host", name, NULL);
+	sr_dispatch_set_leaving(daemon->dispatch, name);
+	if (!strcmp(name, daemon->settings->node))
+		sr_daemon_drain(daemon);
+}
+
 static void finish_drain(sr_daemon_t *daemon, const char *event)
 {
 	char left[16];
 
-	sr_timer_cancel(daemon->drain_timer);
-	daemon->drain_timer = NULL;
 	g_snprintf(left, sizeof(left), "%u",
 		   sr_caller_n_requests(daemon->caller));
 	sr_log_event(daemon->log, SR_LOG_INFO, event, "requests", left, NULL);
-	daemon->drained(daemon->drained_user);
+	if (daemon->gossip)
+		sr_gossip_leave(daemon->gossip, sr_clock_now(daemon->clock));
+	daemon->options.drained(daemon->options.drained_user);
 }
 
 static void on_idle(void *user)
 {
-	finish_drain(user, "drained");
+	sr_daemon_t *daemon = user;
+
+	daemon->idle = TRUE;
 }
 
-static void on_drain_limit(void *user)
+static void on_drain_poll(void *user)
 {
 	sr_daemon_t *daemon = user;
+	gboolean released =
+		!daemon->postings || sr_postings_is_released(daemon->postings);
 
 	daemon->drain_timer = NULL;
-	finish_drain(daemon, "drain-limit");
+	if (daemon->idle && released)
+		finish_drain(daemon, "drained");
+	else if (sr_clock_now(daemon->clock) >= daemon->drain_by)
+		finish_drain(daemon, "drain-limit");
+	else
+		daemon->drain_timer = sr_timer_start(daemon->clock, DRAIN_POLL,
+						     on_drain_poll, daemon);
 }
 
 static void on_grace_over(void *user)
 {
 	sr_daemon_t *daemon = user;
-	const sr_settings_t *settings = daemon->settings;
 
-	daemon->drain_timer = sr_timer_start(
-		daemon->clock, settings->drain_limit - settings->drain_grace,
-		on_drain_limit, daemon);
 	sr_log_event(daemon->log, SR_LOG_INFO, "accepting-stopped", NULL);
 	sr_caller_stop(daemon->caller, on_idle, daemon);
+	if (daemon->postings)
+		sr_postings_release(daemon->postings, daemon->drain_by);
+	daemon->drain_timer = sr_timer_start(daemon->clock, DRAIN_POLL,
+					     on_drain_poll, daemon);
 }
 
-void sr_daemon_drain(sr_daemon_t *daemon, sr_timer_fn drained, void *user)
+void sr_daemon_drain(sr_daemon_t *daemon)
 {
+	const sr_settings_t *settings = daemon->settings;
+
 	if (daemon->draining)
 		return;
 	daemon->draining = TRUE;
-	daemon->drained = drained;
-	daemon->drained_user = user;
+	daemon->drain_by = sr_clock_now(daemon->clock) + settings->drain_limit;
 	sr_log_event(daemon->log, SR_LOG_INFO, "draining", NULL);
 	sr_probes_set_ready(daemon->probes, FALSE, "draining");
 	sr_caller_drain(daemon->caller);
-	daemon->drain_timer =
-		sr_timer_start(daemon->clock, daemon->settings->drain_grace,
-			       on_grace_over, daemon);
+	daemon->drain_timer = sr_timer_start(
+		daemon->clock, settings->drain_grace, on_grace_over, daemon);
 }
 
 void sr_daemon_free(sr_daemon_t *daemon)
@@ -219,8 +237,13 @@
 	if (!daemon)
 		return;
 	sr_timer_cancel(daemon->drain_timer);
-	sr_probes_free(daemon->probes);
 	sr_caller_free(daemon->caller);
+	sr_accepted_close(daemon);
+	sr_operator_close(daemon);
+	sr_membership_close(daemon);
+	sr_probes_free(daemon->probes);
+	sr_queries_free(daemon->queries);
+	sr_feed_free(daemon->feed);
 	sr_config_unref(daemon->config);
 	sr_dispatch_free(daemon->dispatch);
 	sr_upstream_client_free(daemon->upstream);
@@ -229,5 +252,6 @@
 		fclose(daemon->trace_file);
 	sr_metrics_free(daemon->metrics);
 	sr_log_free(daemon->log);
+	g_rand_free(daemon->rand);
 	g_free(daemon);
 }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -24,7 +24,7 @@
 {
 	program_t *program = data;
 
-	sr_daemon_drain(program->daemon, on_drained, program);
+	sr_daemon_drain(program->daemon);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -60,20 +60,23 @@
 static int run(const sr_settings_t *settings, const char *settings_path)
 {
 	sr_clock_t *clock = sr_clock_new_real();
+	program_t program = {
+		.loop = g_main_loop_new(NULL, FALSE),
+		.settings_path = settings_path,
+	};
 	const sr_daemon_options_t options = {
 		.settings = settings,
 		.clock = clock,
 		.log_file = stderr,
 		.seed = draw_seed(),
-	};
-	program_t program = {
-		.daemon = sr_daemon_new(&options),
-		.loop = g_main_loop_new(NULL, FALSE),
-		.settings_path = settings_path,
+		.drained = on_drained,
+		.drained_user = &program,
 	};
 	char *detail = NULL;
-	sr_err_t err = sr_daemon_start(program.daemon, &detail);
+	sr_err_t err;
 
+	program.daemon = sr_daemon_new(&options);
+	err = sr_daemon_start(program.daemon, &detail);
 	if (err) {
 		fprintf(stderr, "sassafrasd: %s: %s\nremedy: %s\n",
 			sr_err_message(err), detail, sr_err_remedy(err));
