--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -20,6 +20,9 @@
 #define STATUS_TTL (60 * SR_SEC)
 /** A notice of a reclaim is kept until the host list has dropped the host. */
 #define LEAVING_TTL (10 * SR_MINUTE)
+/** A first configuration is published after peers were asked for one. */
+#define FIRST_DELAY (500 * SR_MSEC)
+#define FIRST_INTERVAL (2 * SR_SEC)
 #define ORDERS_LEASE (10 * SR_SEC)
 /** Live nodes of a failure domain that ask the platform for its hosts. */
 #define HOST_WATCHERS 2
@@ -40,6 +43,9 @@
 	sr_engine_orders_t *orders;
 	sr_admin_t *admin;
 	sr_config_t *config; /* in force, or NULL */
+	GBytes *first_text;  /* published if the platform has none; or NULL */
+	gboolean publishing_first;
+	sr_usec_t next_first;
 	sr_timer_t *timer;
 	sr_usec_t next_usage;
 	sr_usec_t next_status;
@@ -115,6 +121,14 @@
 	g_free(node);
 }
 
+/* A reclaim of this host itself is a planned stop. */
+static void take_leaving(sr_control_t *control, const char *host)
+{
+	sr_dispatch_set_leaving(control->options.dispatch, host);
+	if (!strcmp(host, control->options.settings->node))
+		control->options.drain(control->options.user);
+}
+
 static void on_heard(void *user, const sr_rumour_t *rumour)
 {
 	sr_control_t *control = user;
@@ -125,7 +139,7 @@
 				     rumour->value, rumour->size);
 		break;
 	case SR_RUMOUR_LEAVING:
-		sr_dispatch_set_leaving(control->options.dispatch, rumour->key);
+		take_leaving(control, rumour->key);
 		break;
 	case SR_RUMOUR_USAGE:
 		hear_usage(control, rumour);
@@ -266,8 +280,8 @@
 	g_snprintf(seconds, sizeof(seconds), "%.1f", (double)in / SR_SEC);
 	sr_log_event(control->options.log, SR_LOG_INFO, "host-leaving", "host",
 		     host, "in_s", seconds, NULL);
-	sr_dispatch_set_leaving(control->options.dispatch, host);
 	put_rumour(control, SR_RUMOUR_LEAVING, host, 1, NULL, 0, LEAVING_TTL);
+	take_leaving(control, host);
 }
 
 static void on_host_present(void *user, const sr_host_t *host, gboolean present)
@@ -277,6 +291,35 @@
 	sr_dispatch_set_present(control->options.dispatch, host->name, present);
 }
 
+static void on_first_published(void *user, const sr_publish_result_t *result)
+{
+	sr_control_t *control = user;
+
+	control->publishing_first = FALSE;
+	sr_log_event(control->options.log, SR_LOG_INFO, "first-config",
+		     "result", sr_err_name(result->err), NULL);
+}
+
+/* The configuration file counts only while no configuration was accepted. */
+static void publish_first(sr_control_t *control, sr_usec_t now)
+{
+	gsize size;
+	const char *text;
+
+	if (!control->first_text || control->publishing_first ||
+	    now < control->next_first)
+		return;
+	if (sr_config_sync_generation(control->sync) > 0) {
+		g_clear_pointer(&control->first_text, g_bytes_unref);
+		return;
+	}
+	control->next_first = now + FIRST_INTERVAL;
+	control->publishing_first = TRUE;
+	text = g_bytes_get_data(control->first_text, &size);
+	sr_config_sync_publish(control->sync, 0, text, size, on_first_published,
+			       control);
+}
+
 static void on_tick(void *user)
 {
 	sr_control_t *control = user;
@@ -295,6 +338,7 @@
 	}
 	if (now >= control->next_status)
 		tell_status(control);
+	publish_first(control, now);
 	control->timer =
 		sr_timer_start(control->options.clock, TICK, on_tick, control);
 }
@@ -559,6 +603,9 @@
 	create_upstream_parts(control);
 	create_admin(control);
 	assign_roles(control);
+	if (options->first_text)
+		control->first_text = g_bytes_ref(options->first_text);
+	control->next_first = now_of(control) + FIRST_DELAY;
 	on_tick(control);
 	return control;
 }
@@ -579,6 +626,7 @@
 	sr_members_free(control->members);
 	sr_platform_free(control->platform);
 	sr_config_unref(control->config);
+	g_clear_pointer(&control->first_text, g_bytes_unref);
 	g_free(control->owner);
 	g_free(control);
 }
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -83,7 +83,9 @@
 	return daemon;
 }
 
-static sr_err_t load_config(sr_daemon_t *daemon, char **detail)
+/* Reads and checks the configuration file. */
+static sr_config_t *load_config(sr_daemon_t *daemon, GBytes **bytes,
+				char **detail)
 {
 	const char *path = daemon->settings->config_file;
 	GPtrArray *findings = sr_findings_new();
@@ -99,14 +101,10 @@
 		config = sr_config_parse(text, size, 1, findings);
 		if (!config)
 			*detail = sr_findings_text(findings);
+		*bytes = g_bytes_new_take(text, size);
 	}
-	g_free(text);
 	g_ptr_array_unref(findings);
-	if (!config)
-		return SR_ERR_INVALID;
-	sr_daemon_set_config(daemon, config);
-	sr_config_unref(config);
-	return SR_OK;
+	return config;
 }
 
 /* Names the ports, which the settings may have left open. */
@@ -143,6 +141,17 @@
 
 static void on_heard(void *user, const sr_rumour_t *rumour)
 {
+	sr_daemon_t *daemon = user;
+	const char *version = strchr(rumour->key, '/');
+	char *service;
+
+	if (rumour->kind != SR_RUMOUR_RECALL || !version)
+		return;
+	service = g_strndup(rumour->key, (gsize)(version - rumour->key));
+	sr_dispatch_recall(daemon->dispatch, service, version + 1);
+	sr_log_event(daemon->log, SR_LOG_WARN, "recalled", "service", service,
+		     "version", version + 1, NULL);
+	g_free(service);
 }
 
 static void on_add_status(void *user, json_object *status)
@@ -181,8 +190,19 @@
 			  const char *reason)
 {
 	sr_daemon_t *daemon = user;
+	char *key = g_strdup_printf("%s/%s", service, version);
+	const sr_rumour_t rumour = {
+		.kind = SR_RUMOUR_RECALL,
+		.key = key,
+		.version = 1,
+		.value = (const guint8 *)reason,
+		.size = MIN(strlen(reason), SR_RUMOUR_MAX),
+	};
 
 	sr_dispatch_recall(daemon->dispatch, service, version);
+	sr_gossip_put(sr_control_gossip(daemon->control),
+		      sr_clock_now(daemon->clock), &rumour, 0);
+	g_free(key);
 	return SR_OK;
 }
 
@@ -208,7 +228,8 @@
 	sr_caller_set_postings(daemon->caller, daemon->postings);
 }
 
-static gboolean start_control(sr_daemon_t *daemon, char **detail)
+static gboolean start_control(sr_daemon_t *daemon, GBytes *first_text,
+			      char **detail)
 {
 	const sr_control_options_t options = {
 		.settings = daemon->settings,
@@ -218,6 +239,7 @@
 		.dispatch = daemon->dispatch,
 		.upstream = daemon->upstream,
 		.admin_server = sr_probes_server(daemon->probes),
+		.first_text = first_text,
 		.seed = daemon->seed + 100,
 		.in_force = on_in_force,
 		.drain = on_admin_drain,
@@ -236,18 +258,34 @@
 	return TRUE;
 }
 
-sr_err_t sr_daemon_start(sr_daemon_t *daemon, char **detail)
+/* The accepted configuration comes from the platform if there is one. */
+static sr_err_t start_config(sr_daemon_t *daemon, char **detail)
 {
 	const sr_settings_t *settings = daemon->settings;
-	sr_err_t err;
+	sr_config_t *config = NULL;
+	GBytes *text = NULL;
+	sr_err_t err = SR_OK;
 
 	if (*settings->config_file) {
-		err = load_config(daemon, detail);
-		if (err)
-			return err;
+		config = load_config(daemon, &text, detail);
+		err = config ? SR_OK : SR_ERR_INVALID;
 	}
-	if (*settings->platform_address && !start_control(daemon, detail))
-		return SR_ERR_IO;
+	if (!err && *settings->platform_address)
+		err = start_control(daemon, text, detail) ? SR_OK : SR_ERR_IO;
+	else if (!err)
+		sr_daemon_set_config(daemon, config);
+	sr_config_unref(config);
+	g_clear_pointer(&text, g_bytes_unref);
+	return err;
+}
+
+sr_err_t sr_daemon_start(sr_daemon_t *daemon, char **detail)
+{
+	const sr_settings_t *settings = daemon->settings;
+	sr_err_t err = start_config(daemon, detail);
+
+	if (err)
+		return err;
 	err = sr_probes_listen(daemon->probes, settings->admin_address, detail);
 	if (err)
 		return err;
