Hold the hostile-caller test to its memory bound under AddressSanitizer

There it peaked at 166,004 kB against 65,536 kB: freed memory that the sanitizer keeps. With its quarantine at 1 MB the peak was 27,196 kB; the bound stays.

--- a/test/hostile_process_test.sh
+++ b/test/hostile_process_test.sh
@@ -151,6 +151,8 @@
 start_upstream paymodel-ahd paymodel ahd engine --token-ms 5 --slots 32
 start_upstream payledger-ahd payledger ahd service --answer-bytes 8388608
 write_config >"$run/config.json"
+# An AddressSanitizer build would keep 256 MB of freed memory for a while.
+export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=1"
 start_daemon ahd-1 ahd
 daemon=$pid
 caller=$(caller_address ahd-1)
