Provoke more faults in the configuration model

Longer waits, writers that are gone after their write, and a last change while watches or fetches from peers do not work.

--- a/test/prove/config_model.c
+++ b/test/prove/config_model.c
@@ -214,7 +214,7 @@
 	case SR_STORE_UPDATE:
 		good = call->call.op == SR_STORE_CREATE ?
 			       !m->value :
-			       m->version == call->call.if_version;
+			       m->value && m->version == call->call.if_version;
 		if (good)
 			accept_value(m, call->call.value);
 		call->status = good ? SR_STORE_OK : SR_STORE_CONFLICT;
@@ -567,6 +567,24 @@
 			       strlen(operator->text), on_published, operator);
 }
 
+/* A node that is gone since: nobody here hears of its success. */
+static void ghost_write(model_t *m)
+{
+	operator_t *operator= g_new0(operator_t, 1);
+	sr_config_object_t object = { .generation = m->accepted->len + 1,
+				      .writes = { 1 },
+				      .n_writes = 1 };
+	GBytes *value;
+
+	operator->text = new_text(m);
+	g_ptr_array_add(m->operators, operator);
+	object.text = operator->text;
+	object.size = strlen(operator->text);
+	value = sr_config_object_encode(&object);
+	accept_value(m, value);
+	g_bytes_unref(value);
+}
+
 static void free_operator(gpointer data)
 {
 	operator_t *operator= data;
@@ -622,19 +640,21 @@
 	OP_SILENCE,
 	OP_SPEAK,
 	OP_FAULTS,
+	OP_GHOST,
 	N_OPS,
 } op_t;
 
 static const char *const op_names[] = {
-	"wait",	 "publish", "race", "stop", "restart", "cut",	"heal",
-	"split", "join",    "down", "up",   "silence", "speak", "faults",
+	"wait", "publish", "race",  "stop",   "restart",
+	"cut",	"heal",	   "split", "join",   "down",
+	"up",	"silence", "speak", "faults", "ghost",
 };
 
 static void set_faults(model_t *m, const prove_command_t *command)
 {
 	m->lose = command->a % 40;
 	m->throttle = command->b % 20;
-	m->corrupt = command->b / 20 % 40;
+	m->corrupt = command->b / 20 % 4 * 33;
 	m->delay_ms = command->b / 800 * 15;
 }
 
@@ -646,7 +666,7 @@
 
 	switch ((op_t)(command->op % N_OPS)) {
 	case OP_WAIT:
-		run(m, (1 + command->b % 40) * TICK);
+		run(m, (1 + command->b % 200) * TICK);
 		break;
 	case OP_RACE:
 		if (other->sync)
@@ -681,6 +701,9 @@
 	case OP_FAULTS:
 		set_faults(m, command);
 		break;
+	case OP_GHOST:
+		ghost_write(m);
+		break;
 	case N_OPS:
 		break;
 	}
@@ -688,7 +711,6 @@
 	return g_steal_pointer(&m->problem);
 }
 
-/* Watches stay silent: the bound has to hold without them. */
 static void heal(model_t *m)
 {
 	m->down = FALSE;
@@ -712,6 +734,7 @@
 			     m->nodes[i].generation, m->accepted->len);
 }
 
+/* Within the bound although watches or fetches from peers do not work. */
 static char *model_finish(void *model)
 {
 	model_t *m = model;
@@ -726,6 +749,11 @@
 	if (m->accepted->len != before + 1)
 		fail(m, "a change without a fault was not accepted");
 	check_latest(m);
+	m->silent = happens(m, 50);
+	m->corrupt = happens(m, 50) ? 100 : 0;
+	ghost_write(m);
+	run(m, IN_FORCE_LIMIT);
+	check_latest(m);
 	return g_steal_pointer(&m->problem);
 }
 
