Split configurations into smaller parts

A change of one of 1,000 services (134,785 bytes of text) moved 15,896 bytes with one line in 64 ending a part, and 5,783 bytes with one in 16 (build/config_sync_test).

Seen to fail (build/config_sync_test), one mechanism broken at a time: hash check of fetched values, splitting, order of the watchers.

--- a/src/core/config_sync_parts.c
+++ b/src/core/config_sync_parts.c
@@ -6,7 +6,7 @@
 #define MANIFEST_TYPE "(ttta(ayu))"
 
 /* One line in this many ends a part. */
-#define SPLIT_LINES 64
+#define SPLIT_LINES 16
 
 sr_hash_t sr_hash_of(const void *data, gsize size)
 {
--- a/src/core/config_sync_parts.h
+++ b/src/core/config_sync_parts.h
@@ -18,7 +18,7 @@
 
 /** Bounds of a part's size, in bytes. */
 #define SR_PART_MIN 1024
-#define SR_PART_MAX (16 * 1024)
+#define SR_PART_MAX (8 * 1024)
 
 /** sr_part_list_t - one generation, by its parts. */
 typedef struct {
