--- a/test/postings_test.c
+++ b/test/postings_test.c
@@ -494,7 +494,6 @@
 	outcome_t b;
 
 	world_start(&world);
-	holder = holder_of(&world, "rev-1");
 	turn(&world, 2000);
 	holder = holder_of(&world, "rev-1");
 	post(holder, "rev-1", &a);
@@ -522,7 +521,6 @@
 	host_t *holder;
 
 	world_start(&world);
-	holder = holder_of(&world, "warm-0");
 	for (unsigned i = 0; i < G_N_ELEMENTS(modes); i++) {
 		char *warm = g_strdup_printf("warm-%u", i);
 		char *key = g_strdup_printf("rev-%u", i);
