--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -272,7 +272,7 @@
 	}
 	if (!err && *settings->platform_address)
 		err = start_control(daemon, text, detail) ? SR_OK : SR_ERR_IO;
-	else if (!err)
+	else if (config)
 		sr_daemon_set_config(daemon, config);
 	sr_config_unref(config);
 	g_clear_pointer(&text, g_bytes_unref);
