--- a/bench/bench.h
+++ b/bench/bench.h
@@ -15,6 +15,7 @@
 /** bench_print - one line "SUBJECT.FIGURE: value". */
 void bench_print(const char *subject, const char *figure, double value);
 
+void journal_bench_run(guint64 seed);
 void policy_bench_run(guint64 seed);
 
 #endif
--- a/bench/main.c
+++ b/bench/main.c
@@ -6,6 +6,7 @@
 
 /* One line for each bench. */
 static const bench_t benches[] = {
+	{ "journal", journal_bench_run },
 	{ "policy", policy_bench_run },
 };
 
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -18,7 +18,7 @@
  * it. A later holder may run what is ACCEPTED, never what is DISPATCHED.
  *
  * The module does no I/O. The shell calls sr_journal_tick() when it is woken
- * and at least every 20 ms. Callbacks may be called from within submit, tick,
+ * and at least every 10 ms. Callbacks may be called from within submit, tick,
  * run_ended and outcome; they must not call back into the journal, except
  * that run() may be followed by sr_journal_run_ended() from the main loop.
  */
@@ -116,7 +116,7 @@
 /** Defaults of the daemon. */
 #define SR_JOURNAL_LEASE (5 * SR_SEC)
 #define SR_JOURNAL_RETENTION (24 * SR_HOUR)
-#define SR_JOURNAL_INTERVAL (50 * SR_MSEC)
+#define SR_JOURNAL_INTERVAL (65 * SR_MSEC)
 #define SR_JOURNAL_RING 512
 #define SR_JOURNAL_MAX_ENTRIES 100000
 #define SR_JOURNAL_MAX_BYTES (24 * 1024 * 1024)
--- a/src/daemon/postings.c
+++ b/src/daemon/postings.c
@@ -4,7 +4,7 @@
 
 #include "daemon/postings_internal.h"
 
-#define TICK (20 * SR_MSEC)
+#define TICK (10 * SR_MSEC)
 /* How often membership is compared with the shards that are held. */
 #define VIEW_INTERVAL (200 * SR_MSEC)
 /* How often a posting may be passed on between entry hosts. */
