--- a/bench/main.c
+++ b/bench/main.c
@@ -8,6 +8,7 @@
 static const bench_t benches[] = {
 	{ "journal", journal_bench_run },
 	{ "policy", policy_bench_run },
+	{ "rollout", rollout_bench_run },
 };
 
 void bench_print(const char *subject, const char *figure, double value)
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -106,6 +106,8 @@
 	settings->platform_address =
 		read_address(fields, "platform_address", "");
 	settings->config_file = sr_fields_string(fields, "config_file", "");
+	settings->bootstrap_token_sha256 =
+		sr_fields_string(fields, "bootstrap_token_sha256", "");
 	settings->log_level = (sr_log_level_t)sr_fields_choice(
 		fields, "log_level", level_names, G_N_ELEMENTS(level_names),
 		SR_LOG_INFO);
@@ -130,6 +132,10 @@
 		sr_findings_add(findings, "platform_address",
 				"give it, or a config_file",
 				"is missing: no configuration can be had");
+	if (*settings->platform_address && !*settings->peer_address)
+		sr_findings_add(findings, "peer_address",
+				"give the address that other entry hosts call",
+				"is missing, but platform_address is set");
 	if (*settings->peer_address && !*settings->cluster_secret_file)
 		sr_findings_add(findings, "cluster_secret_file",
 				"name a file that holds the cluster's secret",
@@ -192,6 +198,7 @@
 	g_ptr_array_unref(settings->peer_seeds);
 	g_free(settings->platform_address);
 	g_free(settings->config_file);
+	g_free(settings->bootstrap_token_sha256);
 	g_free(settings->trace_file);
 	g_free(settings);
 }
