--- a/bench/bench.h
+++ b/bench/bench.h
@@ -17,5 +17,6 @@
 
 void policy_bench_run(guint64 seed);
 void rollout_bench_run(guint64 seed);
+void config_bench_run(guint64 seed);
 
 #endif
--- a/bench/main.c
+++ b/bench/main.c
@@ -8,6 +8,7 @@
 static const bench_t benches[] = {
 	{ "policy", policy_bench_run },
 	{ "rollout", rollout_bench_run },
+	{ "config", config_bench_run },
 };
 
 void bench_print(const char *subject, const char *figure, double value)
