--- a/src/daemon/accepted.c
+++ b/src/daemon/accepted.c
@@ -4,6 +4,7 @@
 
 #define FETCH_TIMEOUT (2 * SR_SEC)
 #define BOOTSTRAP_INTERVAL (2 * SR_SEC)
+#define BOOTSTRAP_DELAY (500 * SR_MSEC)
 
 static sr_usec_t now_of(const sr_daemon_t *daemon)
 {
@@ -15,8 +16,7 @@
 		       guint64 generation)
 {
 	GPtrArray *findings = sr_findings_new();
-	sr_config_t *config =
-		sr_config_parse(text, size, generation, findings);
+	sr_config_t *config = sr_config_parse(text, size, generation, findings);
 	char *problem = config ? NULL : sr_findings_text(findings);
 
 	if (config)
@@ -81,8 +81,7 @@
 {
 	sr_daemon_t *daemon = user;
 
-	sr_membership_tell(daemon, SR_RUMOUR_LEAVING, host, "",
-			   SR_LEAVING_TTL);
+	sr_membership_tell(daemon, SR_RUMOUR_LEAVING, host, "", SR_LEAVING_TTL);
 	sr_daemon_leaving(daemon, host);
 }
 
@@ -273,7 +272,7 @@
 	open_hosts(daemon);
 	open_postings(daemon);
 	/* Peers may know of a generation; they are asked first. */
-	daemon->bootstrap_at = now_of(daemon) + SR_SEC;
+	daemon->bootstrap_at = now_of(daemon) + BOOTSTRAP_DELAY;
 	return SR_OK;
 }
 
--- a/src/daemon/operator.c
+++ b/src/daemon/operator.c
@@ -79,8 +79,7 @@
 	member_rows_t *rows = user;
 	json_object *row = json_object_new_object();
 	gboolean draining;
-	guint64 generation =
-		read_status(rows->daemon, member->name, &draining);
+	guint64 generation = read_status(rows->daemon, member->name, &draining);
 	const sr_config_t *config = rows->daemon->config;
 
 	add_string(row, "name", member->name);
