--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -132,6 +132,10 @@
 		sr_findings_add(findings, "platform_address",
 				"give it, or a config_file",
 				"is missing: no configuration can be had");
+	if (*settings->platform_address && !*settings->peer_address)
+		sr_findings_add(findings, "peer_address",
+				"give the address that other entry hosts call",
+				"is missing, but platform_address is set");
 	if (*settings->peer_address && !*settings->cluster_secret_file)
 		sr_findings_add(findings, "cluster_secret_file",
 				"name a file that holds the cluster's secret",
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -3,9 +3,8 @@
 #include <errno.h>
 #include <string.h>
 
-#include "daemon/parts.h"
-
-#define DRAIN_POLL (50 * SR_MSEC)
+/** Time between two looks at whether the journal is handed over. */
+#define HANDOVER_POLL (20 * SR_MSEC)
 
 static void log_failure(sr_daemon_t *daemon, const char *event,
 			const char *detail)
@@ -54,19 +53,6 @@
 	daemon->caller = sr_caller_new(&options);
 }
 
-static void open_feed(sr_daemon_t *daemon)
-{
-	sr_feed_options_t options = {
-		.clock = daemon->clock,
-		.dispatch = daemon->dispatch,
-		.failure_domain = daemon->settings->failure_domain,
-	};
-
-	daemon->queries = sr_queries_new(daemon->upstream, daemon->clock);
-	options.queries = daemon->queries;
-	daemon->feed = sr_feed_new(&options);
-}
-
 sr_daemon_t *sr_daemon_new(const sr_daemon_options_t *options)
 {
 	sr_daemon_t *daemon = g_new0(sr_daemon_t, 1);
@@ -82,25 +68,45 @@
 		.seed = options->seed,
 	};
 
-	const guint32 seed[] = { (guint32)options->seed,
-				 (guint32)(options->seed >> 32) };
-
-	daemon->options = *options;
 	daemon->settings = settings;
+	daemon->seed = options->seed;
+	daemon->drained = options->drained;
+	daemon->drained_user = options->user;
 	daemon->clock = options->clock;
-	daemon->rand = g_rand_new_with_seed_array(seed, G_N_ELEMENTS(seed));
 	daemon->log = sr_log_new(&log);
 	daemon->metrics = sr_metrics_new();
 	open_trace(daemon, options->seed + 1);
 	daemon->upstream = sr_upstream_client_new();
 	daemon->dispatch = sr_dispatch_new(&dispatch);
-	open_feed(daemon);
 	create_caller(daemon, options->seed + 2);
 	daemon->probes = sr_probes_new(daemon->metrics);
-	sr_operator_open(daemon);
 	return daemon;
 }
 
+/* Reads and checks the configuration file. */
+static sr_config_t *load_config(sr_daemon_t *daemon, GBytes **bytes,
+				char **detail)
+{
+	const char *path = daemon->settings->config_file;
+	GPtrArray *findings = sr_findings_new();
+	sr_config_t *config = NULL;
+	char *text = NULL;
+	gsize size = 0;
+	GError *error = NULL;
+
+	if (!g_file_get_contents(path, &text, &size, &error)) {
+		*detail = g_strdup(error->message);
+		g_error_free(error);
+	} else {
+		config = sr_config_parse(text, size, 1, findings);
+		if (!config)
+			*detail = sr_findings_text(findings);
+		*bytes = g_bytes_new_take(text, size);
+	}
+	g_ptr_array_unref(findings);
+	return config;
+}
+
 /* Names the ports, which the settings may have left open. */
 static void log_started(sr_daemon_t *daemon)
 {
@@ -115,13 +121,169 @@
 		     caller_port, "admin_port", admin_port, NULL);
 }
 
+static void on_in_force(void *user, sr_config_t *config)
+{
+	sr_daemon_set_config(user, config);
+}
+
+static void on_admin_drain(void *user)
+{
+	sr_daemon_drain(user);
+}
+
+static void on_forward(void *user, sr_peer_request_t *request,
+		       const sr_forward_t *forward)
+{
+	sr_daemon_t *daemon = user;
+
+	sr_postings_serve(daemon->postings, request, forward);
+}
+
+static void on_heard(void *user, const sr_rumour_t *rumour)
+{
+	sr_daemon_t *daemon = user;
+	const char *version = strchr(rumour->key, '/');
+	char *service;
+
+	if (rumour->kind != SR_RUMOUR_RECALL || !version)
+		return;
+	service = g_strndup(rumour->key, (gsize)(version - rumour->key));
+	sr_dispatch_recall(daemon->dispatch, service, version + 1);
+	sr_log_event(daemon->log, SR_LOG_WARN, "recalled", "service", service,
+		     "version", version + 1, NULL);
+	g_free(service);
+}
+
+static void on_add_status(void *user, json_object *status)
+{
+}
+
+static void list_unknown(void *user, const sr_journal_unknown_t *unknown)
+{
+	json_object *row = json_object_new_object();
+
+	json_object_object_add(row, "account",
+			       json_object_new_string(unknown->account));
+	json_object_object_add(row, "service",
+			       json_object_new_string(unknown->service));
+	json_object_object_add(row, "key",
+			       json_object_new_string(unknown->key));
+	json_object_object_add(row, "age_s",
+			       json_object_new_int64(unknown->age / SR_SEC));
+	json_object_array_add(user, row);
+}
+
+static json_object *on_journal(void *user)
+{
+	sr_daemon_t *daemon = user;
+	json_object *journal = json_object_new_object();
+	json_object *rows = json_object_new_array();
+
+	sr_journal_foreach_unknown(sr_postings_journal(daemon->postings),
+				   sr_clock_now(daemon->clock), list_unknown,
+				   rows);
+	json_object_object_add(journal, "unknown", rows);
+	return journal;
+}
+
+static sr_err_t on_recall(void *user, const char *service, const char *version,
+			  const char *reason)
+{
+	sr_daemon_t *daemon = user;
+	char *key = g_strdup_printf("%s/%s", service, version);
+	const sr_rumour_t rumour = {
+		.kind = SR_RUMOUR_RECALL,
+		.key = key,
+		.version = 1,
+		.value = (const guint8 *)reason,
+		.size = MIN(strlen(reason), SR_RUMOUR_MAX),
+	};
+
+	sr_dispatch_recall(daemon->dispatch, service, version);
+	sr_gossip_put(sr_control_gossip(daemon->control),
+		      sr_clock_now(daemon->clock), &rumour, 0);
+	g_free(key);
+	return SR_OK;
+}
+
+static void create_postings(sr_daemon_t *daemon)
+{
+	const sr_settings_t *settings = daemon->settings;
+	const sr_postings_options_t options = {
+		.clock = daemon->clock,
+		.log = daemon->log,
+		.metrics = daemon->metrics,
+		.trace = daemon->trace,
+		.dispatch = daemon->dispatch,
+		.upstream = daemon->upstream,
+		.store = sr_control_store(daemon->control),
+		.gossip = sr_control_gossip(daemon->control),
+		.peer = sr_control_peer(daemon->control),
+		.node = settings->node,
+		.failure_domain = settings->failure_domain,
+		.seed = daemon->seed + 3,
+	};
+
+	daemon->postings = sr_postings_new(&options);
+	sr_caller_set_postings(daemon->caller, daemon->postings);
+}
+
+static gboolean start_control(sr_daemon_t *daemon, GBytes *first_text,
+			      char **detail)
+{
+	const sr_control_options_t options = {
+		.settings = daemon->settings,
+		.clock = daemon->clock,
+		.log = daemon->log,
+		.metrics = daemon->metrics,
+		.dispatch = daemon->dispatch,
+		.upstream = daemon->upstream,
+		.admin_server = sr_probes_server(daemon->probes),
+		.first_text = first_text,
+		.seed = daemon->seed + 100,
+		.in_force = on_in_force,
+		.drain = on_admin_drain,
+		.forward = on_forward,
+		.heard = on_heard,
+		.add_status = on_add_status,
+		.journal = on_journal,
+		.recall = on_recall,
+		.user = daemon,
+	};
+
+	daemon->control = sr_control_new(&options, detail);
+	if (!daemon->control)
+		return FALSE;
+	create_postings(daemon);
+	return TRUE;
+}
+
+/* The accepted configuration comes from the platform if there is one. */
+static sr_err_t start_config(sr_daemon_t *daemon, char **detail)
+{
+	const sr_settings_t *settings = daemon->settings;
+	sr_config_t *config = NULL;
+	GBytes *text = NULL;
+	sr_err_t err = SR_OK;
+
+	if (*settings->config_file) {
+		config = load_config(daemon, &text, detail);
+		err = config ? SR_OK : SR_ERR_INVALID;
+	}
+	if (!err && *settings->platform_address)
+		err = start_control(daemon, text, detail) ? SR_OK : SR_ERR_IO;
+	else if (!err)
+		sr_daemon_set_config(daemon, config);
+	sr_config_unref(config);
+	g_clear_pointer(&text, g_bytes_unref);
+	return err;
+}
+
 sr_err_t sr_daemon_start(sr_daemon_t *daemon, char **detail)
 {
 	const sr_settings_t *settings = daemon->settings;
-	sr_err_t err = sr_membership_open(daemon, detail);
+	sr_err_t err = start_config(daemon, detail);
 
-	if (!err)
-		err = sr_accepted_open(daemon, detail);
 	if (err)
 		return err;
 	err = sr_probes_listen(daemon->probes, settings->admin_address, detail);
@@ -147,7 +309,6 @@
 	sr_dispatch_set_config(daemon->dispatch, sr_clock_now(daemon->clock),
 			       config);
 	sr_caller_set_config(daemon->caller, config);
-	sr_feed_set_config(daemon->feed, config);
 	if (daemon->postings)
 		sr_postings_set_config(daemon->postings, config);
 	if (!daemon->draining)
@@ -162,74 +323,68 @@
 		     generation, NULL);
 }
 
-void sr_daemon_leaving(sr_daemon_t *daemon, const char *name)
-{
-	sr_log_event(daemon->log, SR_LOG_INFO, "leaving", "host", name, NULL);
-	sr_dispatch_set_leaving(daemon->dispatch, name);
-	if (!strcmp(name, daemon->settings->node))
-		sr_daemon_drain(daemon);
-}
-
 static void finish_drain(sr_daemon_t *daemon, const char *event)
 {
 	char left[16];
 
+	g_clear_pointer(&daemon->drain_timer, sr_timer_cancel);
+	g_clear_pointer(&daemon->handover_timer, sr_timer_cancel);
 	g_snprintf(left, sizeof(left), "%u",
 		   sr_caller_n_requests(daemon->caller));
 	sr_log_event(daemon->log, SR_LOG_INFO, event, "requests", left, NULL);
-	if (daemon->gossip)
-		sr_gossip_leave(daemon->gossip, sr_clock_now(daemon->clock));
-	daemon->options.drained(daemon->options.drained_user);
+	daemon->drained(daemon->drained_user);
 }
 
+/* Callers are gone; wait until the journal's shards are handed over. */
 static void on_idle(void *user)
 {
 	sr_daemon_t *daemon = user;
 
-	daemon->idle = TRUE;
+	daemon->handover_timer = NULL;
+	if (!daemon->postings || sr_postings_is_released(daemon->postings))
+		finish_drain(daemon, "drained");
+	else
+		daemon->handover_timer = sr_timer_start(
+			daemon->clock, HANDOVER_POLL, on_idle, daemon);
 }
 
-static void on_drain_poll(void *user)
+static void on_drain_limit(void *user)
 {
 	sr_daemon_t *daemon = user;
-	gboolean released =
-		!daemon->postings || sr_postings_is_released(daemon->postings);
 
 	daemon->drain_timer = NULL;
-	if (daemon->idle && released)
-		finish_drain(daemon, "drained");
-	else if (sr_clock_now(daemon->clock) >= daemon->drain_by)
-		finish_drain(daemon, "drain-limit");
-	else
-		daemon->drain_timer = sr_timer_start(daemon->clock, DRAIN_POLL,
-						     on_drain_poll, daemon);
+	finish_drain(daemon, "drain-limit");
 }
 
 static void on_grace_over(void *user)
 {
 	sr_daemon_t *daemon = user;
+	const sr_settings_t *settings = daemon->settings;
 
+	daemon->drain_timer = sr_timer_start(
+		daemon->clock, settings->drain_limit - settings->drain_grace,
+		on_drain_limit, daemon);
 	sr_log_event(daemon->log, SR_LOG_INFO, "accepting-stopped", NULL);
 	sr_caller_stop(daemon->caller, on_idle, daemon);
-	if (daemon->postings)
-		sr_postings_release(daemon->postings, daemon->drain_by);
-	daemon->drain_timer = sr_timer_start(daemon->clock, DRAIN_POLL,
-					     on_drain_poll, daemon);
 }
 
 void sr_daemon_drain(sr_daemon_t *daemon)
 {
-	const sr_settings_t *settings = daemon->settings;
-
 	if (daemon->draining)
 		return;
 	daemon->draining = TRUE;
-	daemon->drain_by = sr_clock_now(daemon->clock) + settings->drain_limit;
 	sr_log_event(daemon->log, SR_LOG_INFO, "draining", NULL);
 	sr_probes_set_ready(daemon->probes, FALSE, "draining");
 	sr_caller_drain(daemon->caller);
-	daemon->drain_timer = sr_timer_start(
-		daemon->clock, settings->drain_grace, on_grace_over, daemon);
+	if (daemon->postings)
+		sr_postings_release(daemon->postings,
+				    sr_clock_now(daemon->clock) +
+					    daemon->settings->drain_limit);
+	if (daemon->control)
+		sr_control_drain(daemon->control);
+	daemon->drain_timer =
+		sr_timer_start(daemon->clock, daemon->settings->drain_grace,
+			       on_grace_over, daemon);
 }
 
 void sr_daemon_free(sr_daemon_t *daemon)
@@ -237,13 +392,11 @@
 	if (!daemon)
 		return;
 	sr_timer_cancel(daemon->drain_timer);
+	sr_timer_cancel(daemon->handover_timer);
 	sr_caller_free(daemon->caller);
-	sr_accepted_close(daemon);
-	sr_operator_close(daemon);
-	sr_membership_close(daemon);
+	sr_postings_free(daemon->postings);
+	sr_control_free(daemon->control);
 	sr_probes_free(daemon->probes);
-	sr_queries_free(daemon->queries);
-	sr_feed_free(daemon->feed);
 	sr_config_unref(daemon->config);
 	sr_dispatch_free(daemon->dispatch);
 	sr_upstream_client_free(daemon->upstream);
@@ -252,6 +405,5 @@
 		fclose(daemon->trace_file);
 	sr_metrics_free(daemon->metrics);
 	sr_log_free(daemon->log);
-	g_rand_free(daemon->rand);
 	g_free(daemon);
 }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -70,7 +70,7 @@
 		.log_file = stderr,
 		.seed = draw_seed(),
 		.drained = on_drained,
-		.drained_user = &program,
+		.user = &program,
 	};
 	char *detail = NULL;
 	sr_err_t err;
