Move and recall versions from the daemon

Each entry host gathers evidence from its dispatcher, judges the moving version of each service and spreads steps, evidence and recalls as rumours. One node of a failure domain competes for the lease of a move. A move is between two versions; anything else is refused when a configuration is checked.

--- a/src/core/config_parse.c
+++ b/src/core/config_parse.c
@@ -286,6 +286,24 @@
 			    "have shares that do not add up to 1");
 }
 
+/* A move is between two versions. */
+static void check_move(sr_service_config_t *service, sr_fields_t *fields)
+{
+	guint n_moving = 0;
+
+	for (guint i = 0; i < service->versions->len; i++) {
+		const sr_version_config_t *version =
+			g_ptr_array_index(service->versions, i);
+
+		n_moving += version->by_unix_ms > 0;
+	}
+	if (n_moving > 1 || (n_moving == 1 && service->versions->len != 2))
+		add_finding(fields, "versions",
+			    "list the old version and one new version with "
+			    "\"by\"; finish one move before the next",
+			    "do not describe a move between two versions");
+}
+
 static gint compare_route_paths(gconstpointer a, gconstpointer b)
 {
 	const sr_route_config_t *x = *(sr_route_config_t *const *)a;
@@ -327,6 +345,7 @@
 		add_finding(fields, "routes", "list at least one route",
 			    "names no route");
 	check_shares(service, fields);
+	check_move(service, fields);
 	g_ptr_array_sort(service->routes, compare_route_paths);
 	g_ptr_array_add(config->services, service);
 }
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -157,6 +157,15 @@
 	sr_upstreams_set_present(dispatch->upstreams, upstream, present);
 }
 
+gboolean sr_dispatch_is_gone(const sr_dispatch_t *dispatch,
+			     const char *upstream)
+{
+	const sr_upstream_t *found =
+		sr_upstreams_find(dispatch->upstreams, upstream);
+
+	return !found || found->leaving || !found->present;
+}
+
 typedef struct {
 	const sr_service_group_t *service;
 	void (*fn)(void *user, const char *scope, unsigned in_flight);
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -114,6 +114,10 @@
 void sr_dispatch_set_present(sr_dispatch_t *dispatch, const char *upstream,
 			     gboolean present);
 
+/** sr_dispatch_is_gone - leaving, absent from the host list, or unknown. */
+gboolean sr_dispatch_is_gone(const sr_dispatch_t *dispatch,
+			     const char *upstream);
+
 /**
  * sr_dispatch_foreach_usage - requests in flight here, to tell other nodes
  *
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -149,6 +149,7 @@
 	case SR_RUMOUR_RECALL:
 	case SR_RUMOUR_SHARD_OWNER:
 	case SR_RUMOUR_EVIDENCE:
+	case SR_RUMOUR_ROLLOUT:
 	case SR_RUMOUR_N_KINDS:
 		control->options.heard(control->options.user, rumour);
 		break;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -141,21 +141,12 @@
 
 static void on_heard(void *user, const sr_rumour_t *rumour)
 {
-	sr_daemon_t *daemon = user;
-	const char *version = strchr(rumour->key, '/');
-	char *service;
-
-	if (rumour->kind != SR_RUMOUR_RECALL || !version)
-		return;
-	service = g_strndup(rumour->key, (gsize)(version - rumour->key));
-	sr_dispatch_recall(daemon->dispatch, service, version + 1);
-	sr_log_event(daemon->log, SR_LOG_WARN, "recalled", "service", service,
-		     "version", version + 1, NULL);
-	g_free(service);
+	sr_versions_heard(((sr_daemon_t *)user)->versions, rumour);
 }
 
 static void on_add_status(void *user, json_object *status)
 {
+	sr_versions_add_status(((sr_daemon_t *)user)->versions, status);
 }
 
 static void list_unknown(void *user, const sr_journal_unknown_t *unknown)
@@ -189,21 +180,27 @@
 static sr_err_t on_recall(void *user, const char *service, const char *version,
 			  const char *reason)
 {
-	sr_daemon_t *daemon = user;
-	char *key = g_strdup_printf("%s/%s", service, version);
-	const sr_rumour_t rumour = {
-		.kind = SR_RUMOUR_RECALL,
-		.key = key,
-		.version = 1,
-		.value = (const guint8 *)reason,
-		.size = MIN(strlen(reason), SR_RUMOUR_MAX),
+	return sr_versions_recall(((sr_daemon_t *)user)->versions, service,
+				  version, reason);
+}
+
+static void create_versions(sr_daemon_t *daemon)
+{
+	const sr_settings_t *settings = daemon->settings;
+	const sr_versions_options_t options = {
+		.clock = daemon->clock,
+		.log = daemon->log,
+		.dispatch = daemon->dispatch,
+		.store = sr_control_store(daemon->control),
+		.gossip = sr_control_gossip(daemon->control),
+		.members = sr_control_members(daemon->control),
+		.node = settings->node,
+		.failure_domain = settings->failure_domain,
+		.owner = sr_control_owner(daemon->control),
+		.seed = daemon->seed + 4,
 	};
 
-	sr_dispatch_recall(daemon->dispatch, service, version);
-	sr_gossip_put(sr_control_gossip(daemon->control),
-		      sr_clock_now(daemon->clock), &rumour, 0);
-	g_free(key);
-	return SR_OK;
+	daemon->versions = sr_versions_new(&options);
 }
 
 static void create_postings(sr_daemon_t *daemon)
@@ -254,6 +251,7 @@
 	daemon->control = sr_control_new(&options, detail);
 	if (!daemon->control)
 		return FALSE;
+	create_versions(daemon);
 	create_postings(daemon);
 	return TRUE;
 }
@@ -309,6 +307,8 @@
 	sr_dispatch_set_config(daemon->dispatch, sr_clock_now(daemon->clock),
 			       config);
 	sr_caller_set_config(daemon->caller, config);
+	if (daemon->versions)
+		sr_versions_set_config(daemon->versions, config);
 	if (daemon->postings)
 		sr_postings_set_config(daemon->postings, config);
 	if (!daemon->draining)
@@ -380,6 +380,8 @@
 		sr_postings_release(daemon->postings,
 				    sr_clock_now(daemon->clock) +
 					    daemon->settings->drain_limit);
+	if (daemon->versions)
+		sr_versions_drain(daemon->versions);
 	if (daemon->control)
 		sr_control_drain(daemon->control);
 	daemon->drain_timer =
@@ -395,6 +397,7 @@
 	sr_timer_cancel(daemon->handover_timer);
 	sr_caller_free(daemon->caller);
 	sr_postings_free(daemon->postings);
+	sr_versions_free(daemon->versions);
 	sr_control_free(daemon->control);
 	sr_probes_free(daemon->probes);
 	sr_config_unref(daemon->config);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -13,6 +13,7 @@
 #include "daemon/control.h"
 #include "daemon/probes.h"
 #include "daemon/postings.h"
+#include "daemon/versions.h"
 #include "upstream/client.h"
 
 /**
@@ -34,7 +35,8 @@
 	sr_postings_t *postings;
 	sr_caller_t *caller;
 	sr_probes_t *probes;
-	sr_control_t *control; /* NULL with a fixed configuration */
+	sr_control_t *control;	 /* NULL with a fixed configuration */
+	sr_versions_t *versions; /* NULL with a fixed configuration */
 	guint64 seed;
 	sr_timer_t *drain_timer;
 	sr_timer_t *handover_timer;
