--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -301,6 +301,7 @@
 {
 	char generation[24];
 
+	g_assert(config);
 	if (daemon->config && config->generation <= daemon->config->generation)
 		return;
 	sr_config_ref(config);
