--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -32,7 +32,7 @@
 	SR_RUMOUR_EVIDENCE,    /* key = node/service/version/route; counters */
 	SR_RUMOUR_USAGE,       /* key = node/account; requests in flight */
 	SR_RUMOUR_STATUS,      /* key = node; generation in force, draining */
-	SR_RUMOUR_ROLLOUT,	/* key = "service/version"; version = step */
+	SR_RUMOUR_ROLLOUT,     /* key = "service/version"; version = step */
 	SR_RUMOUR_N_KINDS,
 } sr_rumour_kind_t;
 
--- a/src/daemon/versions.c
+++ b/src/daemon/versions.c
@@ -141,8 +141,7 @@
 
 static move_t *find_move(const sr_versions_t *versions, const char *key)
 {
-	sr_list_for_each(link, &versions->moves)
-	{
+	sr_list_for_each (link, &versions->moves) {
 		move_t *move = sr_list_entry(link, move_t, link);
 
 		if (!strcmp(move->key, key))
@@ -209,9 +208,8 @@
 /* One node of each failure domain competes for the lease of a rollout. */
 static gboolean is_claimant(const sr_versions_t *versions, const move_t *move)
 {
-	const char *owner =
-		sr_members_owner(versions->options.members,
-				 versions->failure_domain, move->key);
+	const char *owner = sr_members_owner(
+		versions->options.members, versions->failure_domain, move->key);
 
 	return !versions->draining && owner && !strcmp(owner, versions->node);
 }
@@ -223,8 +221,7 @@
 
 	sr_evidence_tick(versions->evidence, now);
 	sr_recall_tick(versions->recall, now);
-	sr_list_for_each_safe(link, &versions->moves)
-	{
+	sr_list_for_each_safe (link, &versions->moves) {
 		move_t *move = sr_list_entry(link, move_t, link);
 
 		sr_rollout_want(move->rollout, is_claimant(versions, move));
@@ -415,8 +412,7 @@
 		return;
 	sr_timer_cancel(versions->timer);
 	sr_dispatch_set_observer(versions->options.dispatch, NULL, NULL);
-	sr_list_for_each_safe(link, &versions->moves)
-	{
+	sr_list_for_each_safe (link, &versions->moves) {
 		free_move(sr_list_entry(link, move_t, link));
 	}
 	sr_recall_free(versions->recall);
@@ -433,15 +429,13 @@
 	sr_config_ref(config);
 	sr_config_unref(versions->config);
 	versions->config = config;
-	sr_list_for_each(link, &versions->moves)
-	{
+	sr_list_for_each (link, &versions->moves) {
 		sr_list_entry(link, move_t, link)->is_listed = FALSE;
 	}
 	for (guint i = 0; i < config->services->len; i++)
 		update_service(versions,
 			       g_ptr_array_index(config->services, i));
-	sr_list_for_each_safe(link, &versions->moves)
-	{
+	sr_list_for_each_safe (link, &versions->moves) {
 		move_t *move = sr_list_entry(link, move_t, link);
 
 		if (!move->is_listed)
@@ -556,11 +550,9 @@
 	json_object *rollouts = json_object_new_array();
 	json_object *recalled = json_object_new_array();
 
-	sr_list_for_each(link, &versions->moves)
-	{
-		json_object_array_add(
-			rollouts,
-			move_status(sr_list_entry(link, move_t, link)));
+	sr_list_for_each (link, &versions->moves) {
+		json_object_array_add(rollouts, move_status(sr_list_entry(
+							link, move_t, link)));
 	}
 	sr_gossip_foreach(versions->options.gossip, SR_RUMOUR_RECALL,
 			  add_recall, recalled);
