--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -95,6 +95,10 @@
 /**
  * sr_gossip_put - spread a rumour; one that is not newer changes nothing
  *
+ * A node that restarts has forgotten its own rumours while the others have
+ * not: what a node says of itself needs a version that also grows over its
+ * restarts, for example one that begins with the incarnation.
+ *
  * ttl is how long it is kept after it was last raised here; 0 keeps it.
  */
 void sr_gossip_put(sr_gossip_t *gossip, sr_usec_t now,
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -103,7 +103,12 @@
  */
 sr_peer_t *sr_peer_new(const sr_peer_options_t *options, char **problem);
 
-/** sr_peer_free - drops all calls without a result. */
+/**
+ * sr_peer_free - drops all calls without a result
+ *
+ * Forwarded requests that were not answered by then are gone; they must not
+ * be answered later.
+ */
 void sr_peer_free(sr_peer_t *peer);
 
 /** sr_peer_address - IP:PORT that the others reach this process at. */
