Let a process whose clock is behind join under its old name

Incarnations come from the wall clock of a host that may be replaced under the same name by one whose clock is behind. Its messages were refused as replays for an hour, and its announcement of a stop was ignored. Senders are now forgotten after a minute of silence, whoever is held for another incarnation is told, and rises above it, also while it leaves.

--- a/src/core/gossip.c
+++ b/src/core/gossip.c
@@ -45,16 +45,20 @@
 		g->options.heard(g->options.user, &rumour);
 }
 
-/* Others hold this node for suspect or dead: it rises above that. */
+/*
+ * Others hold this node for suspect or dead, or know a later incarnation of
+ * its name, whose clock was ahead: it rises above that, in its own state.
+ */
 static void refute(sr_gossip_t *g, guint64 version)
 {
 	guint64 incarnation = (version >> 2) + 1;
 
-	if (g->left || version <= g->self->version ||
+	if (version <= g->self->version ||
 	    incarnation >= SR_GOSSIP_INCARNATION_MAX)
 		return;
 	g->stats.refuted++;
-	g->self->version = sr_member_version(incarnation, SR_MEMBER_ALIVE);
+	g->self->version = sr_member_version(
+		incarnation, g->left ? SR_MEMBER_LEFT : SR_MEMBER_ALIVE);
 	sr_gossip_enqueue(g, g->self);
 }
 
@@ -380,18 +384,27 @@
 	g_byte_array_unref(value);
 }
 
-/* Whoever is held for suspect or dead must hear of it to refute. */
+/* Is the sender held for suspect or dead, or for another incarnation? */
+static gboolean is_doubted(const sr_record_t *record,
+			   const sr_gossip_message_t *message)
+{
+	sr_member_state_t state = sr_member_state(record);
+	guint64 incarnation = sr_member_incarnation(record);
+
+	if (incarnation != message->incarnation)
+		return incarnation > message->incarnation;
+	return state == SR_MEMBER_SUSPECT || state == SR_MEMBER_DEAD;
+}
+
+/* Whoever is doubted must hear of it to refute. */
 static void warn_sender(sr_gossip_t *g, const sr_gossip_message_t *message)
 {
 	const sr_record_t *record =
 		sr_table_find(&g->table, SR_RECORD_MEMBER, message->sender);
 	sr_gossip_message_t push = sr_gossip_message(g, SR_GOSSIP_PUSH);
 
-	if (!record || sr_member_state(record) == SR_MEMBER_ALIVE ||
-	    sr_member_state(record) == SR_MEMBER_LEFT ||
-	    sr_member_incarnation(record) < message->incarnation)
-		return;
-	sr_gossip_send(g, message->address, NULL, &push, record);
+	if (record && is_doubted(record, message))
+		sr_gossip_send(g, message->address, NULL, &push, record);
 }
 
 static void take_message(sr_gossip_t *g, const sr_gossip_message_t *message)
--- a/src/peer/auth.c
+++ b/src/peer/auth.c
@@ -130,10 +130,11 @@
 	if (!sender) {
 		sender = g_new0(sender_t, 1);
 		g_hash_table_insert(replay->senders, g_strdup(name), sender);
-	} else if (incarnation < sender->incarnation) {
+	} else if (incarnation < sender->incarnation &&
+		   now - sender->heard <= SR_REPLAY_KEEP) {
 		return FALSE;
 	}
-	if (incarnation > sender->incarnation) {
+	if (incarnation != sender->incarnation) {
 		sender->incarnation = incarnation;
 		sender->highest = 0;
 		sender->taken = 0;
--- a/src/peer/auth.h
+++ b/src/peer/auth.h
@@ -50,16 +50,17 @@
 /**
  * sr_replay_t - which datagrams were already taken, per sender
  *
- * A sender's incarnation never falls, and a sequence number of one
+ * A sender's incarnation does not fall, and a sequence number of one
  * incarnation is taken once. Datagrams may overtake each other by up to
  * SR_REPLAY_WINDOW numbers. A sender that was silent for SR_REPLAY_KEEP is
- * forgotten; what datagrams carry is idempotent, so that an old one does no
- * harm even then.
+ * forgotten, so that a host that starts with a clock behind that of its
+ * predecessor is heard after that time. What datagrams carry is merged by
+ * version, which bounds what an old one can do then.
  */
 typedef struct sr_replay sr_replay_t;
 
 #define SR_REPLAY_WINDOW 64
-#define SR_REPLAY_KEEP SR_HOUR
+#define SR_REPLAY_KEEP SR_MINUTE
 
 sr_replay_t *sr_replay_new(void);
 void sr_replay_free(sr_replay_t *replay);
--- a/test/peer_test.c
+++ b/test/peer_test.c
@@ -277,6 +277,21 @@
 	g_byte_array_unref(good);
 }
 
+static void test_clock_behind_is_heard_after_a_while(void **state)
+{
+	sr_replay_t *replay = sr_replay_new();
+	sr_usec_t later = SR_REPLAY_KEEP + 2;
+
+	assert_true(sr_replay_accept(replay, 1, "a", 9, 1));
+	assert_false(sr_replay_accept(replay, 1, "a", 9, 1));
+	assert_false(sr_replay_accept(replay, SR_SEC, "a", 8, 1));
+	assert_true(sr_replay_accept(replay, later, "a", 8, 1));
+	assert_false(sr_replay_accept(replay, later, "a", 8, 1));
+	assert_true(sr_replay_accept(replay, later, "a", 9, 2));
+	assert_false(sr_replay_accept(replay, later, "a", 8, 2));
+	sr_replay_free(replay);
+}
+
 static void test_every_flipped_bit_is_noticed(void **state)
 {
 	fixture_t *f = *state;
@@ -579,6 +594,7 @@
 	const struct CMUnitTest tests[] = {
 		TEST(test_datagram_arrives),
 		TEST(test_strange_datagrams_change_nothing),
+		cmocka_unit_test(test_clock_behind_is_heard_after_a_while),
 		TEST(test_every_flipped_bit_is_noticed),
 		TEST(test_forward_comes_back),
 		TEST(test_answers_reach_their_own_call),
