--- a/test/peer_test.c
+++ b/test/peer_test.c
@@ -285,6 +285,7 @@
 	assert_true(sr_replay_accept(replay, 1, "a", 9, 1));
 	assert_false(sr_replay_accept(replay, 1, "a", 9, 1));
 	assert_false(sr_replay_accept(replay, SR_SEC, "a", 8, 1));
+	assert_true(sr_replay_accept(replay, SR_REPLAY_KEEP, "b", 1, 1));
 	assert_true(sr_replay_accept(replay, later, "a", 8, 1));
 	assert_false(sr_replay_accept(replay, later, "a", 8, 1));
 	assert_true(sr_replay_accept(replay, later, "a", 9, 2));
