Tell all nodes what becomes of hosts; bound what asking engines costs

Now the watchers tell changes of hosts as rumours with rising versions, a node's rate is its share of what the platform grants, and one engine is asked each 50 ms at most, all in turn.

--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -119,9 +119,8 @@
 	directory->node = g_strdup(options->node);
 	directory->own_prefix =
 		g_strdup_printf(PREFIX "%s/", options->failure_domain);
-	directory->key =
-		g_strdup_printf("%s%s/%s", directory->own_prefix,
-				options->node, options->address);
+	directory->key = g_strdup_printf("%s%s/%s", directory->own_prefix,
+					 options->node, options->address);
 	directory->missing =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return directory;
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -19,8 +19,10 @@
 /** Time between two tellings of this node's status, if nothing changes. */
 #define STATUS_INTERVAL (20 * SR_SEC)
 #define STATUS_TTL (60 * SR_SEC)
-/** A notice of a reclaim is kept until the host list has dropped the host. */
-#define LEAVING_TTL (10 * SR_MINUTE)
+/** What was told of a host is kept until the lists of all nodes show it. */
+#define HOST_STATE_TTL (10 * SR_MINUTE)
+/** Calls a second that the platform grants to all entry hosts together. */
+#define PLATFORM_CALLS_PER_S 400.0
 /** A first configuration is published after peers were asked for one. */
 #define FIRST_DELAY (500 * SR_MSEC)
 #define FIRST_INTERVAL (2 * SR_SEC)
@@ -44,8 +46,9 @@
 	sr_feed_t *feed;
 	sr_engine_orders_t *orders;
 	sr_admin_t *admin;
-	sr_config_t *config; /* in force, or NULL */
-	GBytes *first_text;  /* published if the platform has none; or NULL */
+	sr_config_t *config;	 /* in force, or NULL */
+	GHashTable *told_absent; /* names of hosts */
+	GBytes *first_text; /* published if the platform has none; or NULL */
 	gboolean publishing_first;
 	sr_usec_t next_first;
 	sr_timer_t *timer;
@@ -123,12 +126,55 @@
 	g_free(node);
 }
 
-/* A reclaim of this host itself is a planned stop. */
-static void take_leaving(sr_control_t *control, const char *host)
+/* What nodes tell each other of the host of an upstream or of a node. */
+typedef enum {
+	HOST_LEAVING = 'L',
+	HOST_ABSENT = 'A',
+	HOST_BACK = 'B', /* another host bears the name now */
+} host_state_t;
+
+static void apply_host_state(sr_control_t *control, const char *host,
+			     host_state_t state)
+{
+	sr_dispatch_t *dispatch = control->options.dispatch;
+
+	switch (state) {
+	case HOST_LEAVING:
+		sr_dispatch_set_leaving(dispatch, host);
+		/* a reclaim of this host itself is a planned stop */
+		if (!strcmp(host, control->options.settings->node))
+			control->options.drain(control->options.user);
+		break;
+	case HOST_ABSENT:
+		sr_dispatch_set_present(dispatch, host, FALSE);
+		break;
+	case HOST_BACK:
+		/* what was said of its predecessor no longer holds */
+		sr_dispatch_set_present(dispatch, host, FALSE);
+		sr_dispatch_set_present(dispatch, host, TRUE);
+		break;
+	}
+}
+
+static void hear_host_state(sr_control_t *control, const sr_rumour_t *rumour)
 {
-	sr_dispatch_set_leaving(control->options.dispatch, host);
-	if (!strcmp(host, control->options.settings->node))
-		control->options.drain(control->options.user);
+	if (rumour->size == 1)
+		apply_host_state(control, rumour->key,
+				 (host_state_t)rumour->value[0]);
+}
+
+static void tell_host_state(sr_control_t *control, const char *host,
+			    host_state_t state)
+{
+	guint8 value = (guint8)state;
+
+	if (state == HOST_ABSENT)
+		g_hash_table_add(control->told_absent, g_strdup(host));
+	else if (state == HOST_BACK)
+		g_hash_table_remove(control->told_absent, host);
+	put_rumour(control, SR_RUMOUR_LEAVING, host, next_version(control),
+		   &value, sizeof(value), HOST_STATE_TTL);
+	apply_host_state(control, host, state);
 }
 
 static void on_heard(void *user, const sr_rumour_t *rumour)
@@ -141,7 +187,7 @@
 				     rumour->value, rumour->size);
 		break;
 	case SR_RUMOUR_LEAVING:
-		take_leaving(control, rumour->key);
+		hear_host_state(control, rumour);
 		break;
 	case SR_RUMOUR_USAGE:
 		hear_usage(control, rumour);
@@ -178,6 +224,15 @@
 	return !control->draining && owner && !strcmp(owner, settings->node);
 }
 
+/* A node knows its own failure domain whole and a few nodes of each other
+ * one; the domains are taken to be of about one size. */
+static double platform_share(const sr_control_t *control, guint n_own)
+{
+	unsigned n_domains = sr_members_count_domains(control->members);
+
+	return PLATFORM_CALLS_PER_S / MAX(n_own * n_domains, 1);
+}
+
 static void assign_roles(sr_control_t *control)
 {
 	const sr_settings_t *settings = control->options.settings;
@@ -189,6 +244,8 @@
 	sr_config_sync_set_members(
 		control->sync, (const char *const *)names->pdata, names->len);
 	sr_hosts_set_active(control->hosts, is_host_watcher(control, names));
+	sr_platform_set_rate(control->platform,
+			     platform_share(control, names->len));
 	sr_orders_want(sr_engine_orders_core(control->orders),
 		       !control->draining && owner &&
 			       !strcmp(owner, settings->node));
@@ -302,15 +359,21 @@
 	g_snprintf(seconds, sizeof(seconds), "%.1f", (double)in / SR_SEC);
 	sr_log_event(control->options.log, SR_LOG_INFO, "host-leaving", "host",
 		     host, "in_s", seconds, NULL);
-	put_rumour(control, SR_RUMOUR_LEAVING, host, 1, NULL, 0, LEAVING_TTL);
-	take_leaving(control, host);
+	tell_host_state(control, host, HOST_LEAVING);
 }
 
+/* Only changes are told: the first list names every host as present. */
 static void on_host_present(void *user, const sr_host_t *host, gboolean present)
 {
 	sr_control_t *control = user;
 
-	sr_dispatch_set_present(control->options.dispatch, host->name, present);
+	if (!present)
+		tell_host_state(control, host->name, HOST_ABSENT);
+	else if (g_hash_table_contains(control->told_absent, host->name))
+		tell_host_state(control, host->name, HOST_BACK);
+	else
+		sr_dispatch_set_present(control->options.dispatch, host->name,
+					TRUE);
 }
 
 static void on_first_published(void *user, const sr_publish_result_t *result)
@@ -637,6 +700,8 @@
 		g_free(control);
 		return NULL;
 	}
+	control->told_absent =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	create_platform(control);
 	create_gossip(control);
 	create_sync(control);
@@ -670,6 +735,7 @@
 	sr_platform_free(control->platform);
 	sr_config_unref(control->config);
 	g_clear_pointer(&control->first_text, g_bytes_unref);
+	g_hash_table_destroy(control->told_absent);
 	g_free(control->owner);
 	g_free(control);
 }
--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -107,6 +107,21 @@
 	return g_hash_table_size(members->live);
 }
 
+unsigned sr_members_count_domains(const sr_members_t *members)
+{
+	GHashTable *domains = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer value;
+	unsigned n;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_add(domains, ((live_t *)value)->failure_domain);
+	n = g_hash_table_size(domains);
+	g_hash_table_destroy(domains);
+	return n;
+}
+
 GPtrArray *sr_members_of_domain(const sr_members_t *members,
 				const char *failure_domain)
 {
--- a/src/daemon/members.h
+++ b/src/daemon/members.h
@@ -32,6 +32,9 @@
 /** sr_members_count - live nodes of all failure domains. */
 unsigned sr_members_count(const sr_members_t *members);
 
+/** sr_members_count_domains - failure domains with a live node. */
+unsigned sr_members_count_domains(const sr_members_t *members);
+
 /**
  * sr_members_of_domain - names of the live nodes of a failure domain
  *
--- a/src/upstream/feed.c
+++ b/src/upstream/feed.c
@@ -8,6 +8,8 @@
 	sr_dispatch_t *dispatch;
 	char *failure_domain;
 	GHashTable *engines; /* name -> engine_t */
+	GPtrArray *turns;    /* names of the listed engines */
+	guint next_turn;
 	sr_timer_t *timer;
 };
 
@@ -141,17 +143,22 @@
 	g_free(path);
 }
 
+/* Asks one engine; all of them in turn. */
 static void on_timer(void *user)
 {
 	sr_feed_t *feed = user;
-	GHashTableIter iter;
-	gpointer value;
+	guint n = feed->turns->len;
+	sr_usec_t wait = SR_FEED_INTERVAL;
 
-	g_hash_table_iter_init(&iter, feed->engines);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		ask_engine(value);
-	feed->timer =
-		sr_timer_start(feed->clock, SR_FEED_INTERVAL, on_timer, feed);
+	if (n > 0) {
+		const char *name =
+			g_ptr_array_index(feed->turns, feed->next_turn % n);
+
+		ask_engine(g_hash_table_lookup(feed->engines, name));
+		feed->next_turn = (feed->next_turn + 1) % n;
+		wait = MAX(SR_FEED_INTERVAL / n, SR_FEED_SPACING);
+	}
+	feed->timer = sr_timer_start(feed->clock, wait, on_timer, feed);
 }
 
 static gboolean is_wanted(const sr_feed_t *feed, const sr_config_t *config,
@@ -175,6 +182,7 @@
 		g_hash_table_insert(feed->engines, engine->name, engine);
 	}
 	engine->is_listed = TRUE;
+	g_ptr_array_add(feed->turns, g_strdup(upstream->name));
 	if (g_strcmp0(engine->address, upstream->address)) {
 		/* another process, whose events are numbered anew */
 		engine->last_sequence = 0;
@@ -210,6 +218,7 @@
 	feed->failure_domain = g_strdup(options->failure_domain);
 	feed->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      free_engine);
+	feed->turns = g_ptr_array_new_with_free_func(g_free);
 	feed->timer =
 		sr_timer_start(feed->clock, SR_FEED_INTERVAL, on_timer, feed);
 	return feed;
@@ -221,6 +230,7 @@
 		return;
 	sr_timer_cancel(feed->timer);
 	g_hash_table_destroy(feed->engines);
+	g_ptr_array_unref(feed->turns);
 	g_free(feed->failure_domain);
 	g_free(feed);
 }
@@ -228,6 +238,7 @@
 void sr_feed_set_config(sr_feed_t *feed, sr_config_t *config)
 {
 	unlist_all(feed);
+	g_ptr_array_set_size(feed->turns, 0);
 	for (guint i = 0; i < config->upstreams->len; i++) {
 		const sr_upstream_config_t *upstream =
 			g_ptr_array_index(config->upstreams, i);
--- a/src/upstream/feed.h
+++ b/src/upstream/feed.h
@@ -11,8 +11,11 @@
  */
 typedef struct sr_feed sr_feed_t;
 
-/** Time between two questions to one engine. */
+/** Least time between two questions to one engine. */
 #define SR_FEED_INTERVAL SR_SEC
+/** Least time between questions to two engines; it bounds what asking costs.
+ * Many engines are asked in turn, each the more rarely. */
+#define SR_FEED_SPACING (50 * SR_MSEC)
 
 typedef struct {
 	sr_queries_t *queries;	 /* borrowed */
