Say 'not run' only of what is known not to have run

A caller who is told 'unknown' and tries again must not be told 'not run' by a host that does not know the key: it would post anew under another key.

'Not run' now needs a holder that is sure to know every posting of the shard: its lease is valid, or the platform is out while the host neither stood still nor heard of a higher epoch, and hears other hosts. Everyone else answers 'unknown' with when to come back. A fresh posting that is refused during a takeover is therefore 'unknown' too; the same key can be sent again at no risk.

--- a/src/core/journal.c
+++ b/src/core/journal.c
@@ -226,14 +226,18 @@
 		       const sr_journal_posting_t *posting)
 {
 	sr_journal_t *journal = shard->journal;
+	sr_answer_kind_t unsure = sr_journal_shard_is_sure(shard, now) ?
+					  SR_ANSWER_NOT_RUN :
+					  SR_ANSWER_UNKNOWN;
 
 	if (shard->releasing)
-		refuse(journal, posting->ticket,
-		       journal->draining ? SR_ERR_DRAINING : SR_ERR_NOT_OWNER,
-		       RETRY_OWNER);
+		answer_now(journal, posting->ticket, unsure,
+			   journal->draining ? SR_ERR_DRAINING :
+					       SR_ERR_NOT_OWNER,
+			   RETRY_OWNER);
 	else if (!sr_journal_log_is_ready(shard->log, now, SR_JOURNAL_PATIENCE))
-		refuse(journal, posting->ticket, SR_ERR_PLATFORM,
-		       RETRY_PLATFORM);
+		answer_now(journal, posting->ticket, unsure, SR_ERR_PLATFORM,
+			   RETRY_PLATFORM);
 	else if (posting->deadline <= now)
 		refuse(journal, posting->ticket, SR_ERR_DEADLINE, 0);
 	else if (g_bytes_get_size(posting->request) > SR_JOURNAL_BODY_MAX)
@@ -257,7 +261,8 @@
 	shard = &journal->shards[sr_journal_shard(
 		posting->account, posting->key, journal->options.n_shards)];
 	if (!sr_journal_log_is_held(shard->log)) {
-		refuse(journal, posting->ticket, SR_ERR_NOT_OWNER, RETRY_OWNER);
+		answer_now(journal, posting->ticket, SR_ANSWER_UNKNOWN,
+			   SR_ERR_NOT_OWNER, RETRY_OWNER);
 		return;
 	}
 	entry = sr_journal_table_find(shard->table,
@@ -290,7 +295,7 @@
  * The caller's time is up. "Not run" is true of a posting that nobody else can
  * run: one that is not being written, or that only this process would send.
  */
-static void give_up(sr_journal_t *journal, sr_waiter_t *waiter)
+static void give_up(sr_journal_t *journal, sr_waiter_t *waiter, sr_usec_t now)
 {
 	sr_journal_entry_t *entry = waiter->entry;
 	sr_journal_shard_t *shard = &journal->shards[entry->shard];
@@ -299,7 +304,9 @@
 		!entry->orphaned &&
 		(!entry->in_flight || entry->pending == SR_RECORD_DISPATCHED);
 	sr_journal_answer_t answer = {
-		.kind = withdrawable ? SR_ANSWER_NOT_RUN : SR_ANSWER_UNKNOWN,
+		.kind = withdrawable && sr_journal_shard_is_sure(shard, now) ?
+				SR_ANSWER_NOT_RUN :
+				SR_ANSWER_UNKNOWN,
 		.err = SR_ERR_DEADLINE,
 	};
 
@@ -321,7 +328,7 @@
 		sr_waiter_t *waiter = sr_list_entry(link, sr_waiter_t, all);
 
 		if (waiter->deadline <= now)
-			give_up(journal, waiter);
+			give_up(journal, waiter, now);
 		else
 			journal->next_deadline =
 				MIN(journal->next_deadline, waiter->deadline);
@@ -333,6 +340,7 @@
 	give_up_late(journal, now);
 	for (unsigned i = 0; i < journal->options.n_shards; i++)
 		sr_journal_shard_tick(&journal->shards[i], now);
+	journal->last_tick = now;
 }
 
 /* Runs */
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -38,8 +38,8 @@
 typedef enum {
 	SR_ANSWER_RESULT,   /* it ran: status and result */
 	SR_ANSWER_ACCEPTED, /* it is durable and will be run or reported */
-	SR_ANSWER_NOT_RUN,  /* this submission did not run it, nor will it */
-	SR_ANSWER_UNKNOWN,  /* it may have run, or may yet run */
+	SR_ANSWER_NOT_RUN, /* it has not run, nor will this submission run it */
+	SR_ANSWER_UNKNOWN, /* it may have run, or may yet run */
 } sr_answer_kind_t;
 
 /** sr_journal_answer_t - borrowed during the callback. */
@@ -107,6 +107,9 @@
 	void (*ask)(void *user, const sr_journal_unknown_t *unknown);
 	/* can a posting of this service be sent now? NULL for always */
 	gboolean (*has_capacity)(void *user, const char *service);
+	/* may another node hold the shard? asked while the platform is out;
+	   NULL for never */
+	gboolean (*may_be_displaced)(void *user, unsigned shard, guint64 epoch);
 	void (*owner_changed)(void *user, unsigned shard, guint64 epoch,
 			      gboolean held);
 	void (*wake)(void *user);
@@ -141,6 +144,9 @@
 /**
  * sr_journal_submit - run a posting, once
  *
+ * "Not run" is said only while this node knows every posting of the shard:
+ * the submission may be a repetition of one that ran elsewhere.
+ *
  * Every submission gets exactly one answer, unless it is abandoned first.
  */
 void sr_journal_submit(sr_journal_t *journal, sr_usec_t now,
--- a/src/core/journal_log.c
+++ b/src/core/journal_log.c
@@ -151,6 +151,16 @@
 	return now <= log->lease_from + log->lease;
 }
 
+gboolean sr_journal_log_has_lease(const sr_journal_log_t *log, sr_usec_t now)
+{
+	return log->phase == PHASE_HELD && is_lease_valid(log, now);
+}
+
+sr_usec_t sr_journal_log_lease_from(const sr_journal_log_t *log)
+{
+	return log->lease_from;
+}
+
 gboolean sr_journal_log_is_ready(const sr_journal_log_t *log, sr_usec_t now,
 				 sr_usec_t patience)
 {
--- a/src/core/journal_log.h
+++ b/src/core/journal_log.h
@@ -94,6 +94,12 @@
 /** sr_journal_log_is_off - neither held nor being read or claimed. */
 gboolean sr_journal_log_is_off(const sr_journal_log_t *log);
 
+/** sr_journal_log_has_lease - held, and nobody can have taken over yet. */
+gboolean sr_journal_log_has_lease(const sr_journal_log_t *log, sr_usec_t now);
+
+/** sr_journal_log_lease_from - when the lease began that is or was held. */
+sr_usec_t sr_journal_log_lease_from(const sr_journal_log_t *log);
+
 /** sr_journal_log_time - shard time: it only grows, over all holders. */
 sr_usec_t sr_journal_log_time(const sr_journal_log_t *log, sr_usec_t now);
 
--- a/src/core/journal_private.h
+++ b/src/core/journal_private.h
@@ -39,6 +39,7 @@
 	unsigned running;
 	gboolean releasing;
 	sr_usec_t release_limit;
+	sr_usec_t woke; /* when the process last stood still for long */
 } sr_journal_shard_t;
 
 struct sr_journal {
@@ -49,12 +50,23 @@
 	sr_list_t waiters;
 	sr_usec_t next_deadline;
 	gboolean draining;
+	sr_usec_t last_tick;
 	guint64 random;
 };
 
 /** sr_journal_random - next number of the journal's own generator. */
 guint64 sr_journal_random(sr_journal_t *journal);
 
+/**
+ * sr_journal_shard_is_sure - the table holds every posting of the shard
+ *
+ * TRUE while the lease is valid. After that only if the node did not stand
+ * still meanwhile and has not heard of another holder: then it is the platform
+ * that is out, and nobody can take over.
+ */
+gboolean sr_journal_shard_is_sure(const sr_journal_shard_t *shard,
+				  sr_usec_t now);
+
 /** sr_waiter_add - have a caller wait on an entry. */
 void sr_waiter_add(sr_journal_t *journal, sr_journal_entry_t *entry,
 		   const sr_journal_posting_t *posting);
--- a/src/core/journal_shard.c
+++ b/src/core/journal_shard.c
@@ -1,5 +1,7 @@
 #include "core/journal_private.h"
 
+/* A process that is not run for so long may have lost its shards. */
+#define STANDSTILL (500 * SR_MSEC)
 /* First and longest wait before an accepted posting is tried again. */
 #define RUN_RETRY_MIN (200 * SR_MSEC)
 #define RUN_RETRY_MAX (10 * SR_SEC)
@@ -41,6 +43,23 @@
 	sr_journal_log_request(shard->log, now, delay);
 }
 
+gboolean sr_journal_shard_is_sure(const sr_journal_shard_t *shard,
+				  sr_usec_t now)
+{
+	const sr_journal_options_t *options = &shard->journal->options;
+
+	if (!sr_journal_log_is_held(shard->log))
+		return FALSE;
+	if (sr_journal_log_has_lease(shard->log, now))
+		return TRUE;
+	if (now - shard->journal->last_tick > STANDSTILL ||
+	    shard->woke > sr_journal_log_lease_from(shard->log))
+		return FALSE;
+	return !options->may_be_displaced ||
+	       !options->may_be_displaced(options->user, shard->index,
+					  sr_journal_log_epoch(shard->log));
+}
+
 /* Callbacks of the log */
 
 static void on_reset(void *user)
@@ -237,10 +256,10 @@
  * can be run by the next holder; our own DISPATCHED is run by nobody now.
  */
 static sr_journal_answer_t answer_when_lost(const sr_journal_entry_t *entry,
-					    sr_log_lost_t how)
+					    sr_log_lost_t how, gboolean sure)
 {
 	sr_journal_answer_t not_run = {
-		.kind = SR_ANSWER_NOT_RUN,
+		.kind = sure ? SR_ANSWER_NOT_RUN : SR_ANSWER_UNKNOWN,
 		.err = SR_ERR_NOT_OWNER,
 		.retry_after = SR_SEC,
 	};
@@ -263,10 +282,11 @@
 	sr_journal_shard_t *shard = user;
 	sr_journal_t *journal = shard->journal;
 	GPtrArray *entries = sr_journal_table_entries(shard->table);
+	gboolean sure = sr_journal_log_has_lease(shard->log, now);
 
 	for (guint i = 0; i < entries->len; i++) {
 		sr_journal_entry_t *entry = entries->pdata[i];
-		sr_journal_answer_t answer = answer_when_lost(entry, how);
+		sr_journal_answer_t answer = answer_when_lost(entry, how, sure);
 
 		if (g_hash_table_lookup(journal->runs, &entry->run) == entry) {
 			sr_journal_table_steal(shard->table, entry);
@@ -499,10 +519,12 @@
 }
 
 /* While the platform does not answer, what is not being written is refused. */
-static void refuse_queued(sr_journal_shard_t *shard)
+static void refuse_queued(sr_journal_shard_t *shard, sr_usec_t now)
 {
 	sr_journal_answer_t answer = {
-		.kind = SR_ANSWER_NOT_RUN,
+		.kind = sr_journal_shard_is_sure(shard, now) ?
+				SR_ANSWER_NOT_RUN :
+				SR_ANSWER_UNKNOWN,
 		.err = SR_ERR_PLATFORM,
 		.retry_after = 2 * SR_SEC,
 	};
@@ -531,6 +553,8 @@
 {
 	gboolean ready;
 
+	if (now - shard->journal->last_tick > STANDSTILL)
+		shard->woke = now;
 	if (shard->releasing)
 		advance_release(shard, now);
 	sr_journal_log_tick(shard->log, now);
@@ -542,7 +566,7 @@
 	sr_journal_table_expire(shard->table,
 				sr_journal_log_time(shard->log, now));
 	if (!ready && !shard->releasing)
-		refuse_queued(shard);
+		refuse_queued(shard, now);
 	if (ready && !shard->releasing)
 		do_work(shard, now);
 	sr_journal_log_tick(shard->log, now);
--- a/src/daemon/posting_owner.c
+++ b/src/daemon/posting_owner.c
@@ -102,6 +102,45 @@
 	g_free(key);
 }
 
+typedef struct {
+	const sr_postings_t *postings;
+	gboolean alive;
+	gboolean dead;
+} others_t;
+
+static void look_at_other(void *user, const sr_member_t *member)
+{
+	others_t *others = user;
+	const sr_postings_options_t *options = &others->postings->options;
+
+	if (strcmp(member->failure_domain, options->failure_domain) != 0 ||
+	    !strcmp(member->name, options->node))
+		return;
+	if (member->state == SR_MEMBER_ALIVE)
+		others->alive = TRUE;
+	else if (member->state != SR_MEMBER_LEFT)
+		others->dead = TRUE;
+}
+
+gboolean sr_posting_may_be_displaced(void *user, unsigned shard, guint64 epoch)
+{
+	sr_postings_t *postings = user;
+	sr_gossip_t *gossip = postings->options.gossip;
+	others_t others = { .postings = postings };
+	sr_rumour_t rumour;
+	char *key;
+	gboolean newer;
+
+	if (!gossip)
+		return FALSE;
+	key = rumour_key(postings->options.failure_domain, shard);
+	newer = sr_gossip_get(gossip, SR_RUMOUR_SHARD_OWNER, key, &rumour) &&
+		rumour.version > epoch;
+	g_free(key);
+	sr_gossip_foreach_member(gossip, look_at_other, &others);
+	return newer || (others.dead && !others.alive);
+}
+
 /* The holder that was heard of last, unless it is known to be gone. */
 static char *heard_owner(sr_postings_t *postings, const char *home,
 			 unsigned shard)
--- a/src/daemon/postings.c
+++ b/src/daemon/postings.c
@@ -113,12 +113,16 @@
 					   0, on_deliver, submission);
 }
 
+/*
+ * This host does not know the key. Here nothing was run, but the posting may
+ * be a repetition of one that was, so that "not run" would be too much said.
+ */
 static void refuse(sr_submission_t *submission, sr_err_t err,
 		   sr_usec_t retry_after)
 {
 	const sr_posting_result_t result = {
 		.err = err,
-		.executed = SR_EXECUTED_NOT_RUN,
+		.executed = SR_EXECUTED_UNKNOWN,
 		.retry_after = retry_after,
 	};
 
@@ -244,9 +248,11 @@
 		[SR_FORWARD_PENDING] = SR_EXECUTED_PENDING,
 	};
 	sr_submission_t *submission = user;
+	gboolean unasked = forward->err == SR_ERR_HOME_UNREACHABLE;
 	const sr_posting_result_t result = {
 		.err = forward->err,
-		.executed = executed[forward->executed],
+		.executed = unasked ? SR_EXECUTED_UNKNOWN :
+				      executed[forward->executed],
 		.detail = forward->detail,
 		.status = forward->status,
 		.content_type = forward->content_type,
@@ -397,6 +403,7 @@
 		.run = sr_posting_run,
 		.answer = on_answer,
 		.ask = sr_posting_ask,
+		.may_be_displaced = sr_posting_may_be_displaced,
 		.owner_changed = sr_posting_owner_changed,
 		.wake = on_wake,
 		.user = postings,
--- a/src/daemon/postings_internal.h
+++ b/src/daemon/postings_internal.h
@@ -58,6 +58,14 @@
 void sr_posting_owner_changed(void *user, unsigned shard, guint64 epoch,
 			      gboolean held);
 
+/**
+ * sr_posting_may_be_displaced - callback of the journal
+ *
+ * TRUE if a higher epoch was heard of, or if none of the other hosts of this
+ * failure domain can be heard.
+ */
+gboolean sr_posting_may_be_displaced(void *user, unsigned shard, guint64 epoch);
+
 /**
  * sr_posting_owner - address of the host to forward a posting to
  *
--- a/test/prove/journal_model.c
+++ b/test/prove/journal_model.c
@@ -81,6 +81,7 @@
 	GPtrArray *submissions;
 	GPtrArray *jobs;
 	key_state_t keys[N_KEYS];
+	guint64 epochs[N_SHARDS]; /* highest that was heard of */
 	sr_usec_t down_until;
 	sr_usec_t quarrel_until; /* every node wants every shard */
 	sr_usec_t next_view;
@@ -186,6 +187,22 @@
 	return !node->model->full;
 }
 
+/* Gossip tells of every holder; only the platform can be cut off here. */
+static void on_owner(void *user, unsigned shard, guint64 epoch, gboolean held)
+{
+	node_t *node = user;
+	guint64 *heard = &node->model->epochs[shard];
+
+	*heard = MAX(*heard, epoch);
+}
+
+static gboolean on_displaced(void *user, unsigned shard, guint64 epoch)
+{
+	node_t *node = user;
+
+	return node->model->epochs[shard] > epoch;
+}
+
 static void check_result(submission_t *submission,
 			 const sr_journal_answer_t *answer)
 {
@@ -224,6 +241,10 @@
 		break;
 	case SR_ANSWER_NOT_RUN:
 		submission->state = SUB_NOT_RUN;
+		if (model->keys[submission->key].runs &&
+		    answer->err != SR_ERR_KEY_REUSED)
+			fail(model, "key %u: told \"not run\" after it ran",
+			     submission->key);
 		break;
 	case SR_ANSWER_UNKNOWN:
 		submission->state = SUB_UNKNOWN;
@@ -334,6 +355,8 @@
 		.answer = on_answer,
 		.ask = on_ask,
 		.has_capacity = on_capacity,
+		.owner_changed = on_owner,
+		.may_be_displaced = on_displaced,
 		.wake = on_wake,
 		.user = node,
 	};
