--- a/emulator/load.c
+++ b/emulator/load.c
@@ -20,6 +20,7 @@
 	GMainLoop *loop;
 	GRand *random;
 	char *run_id; /* keeps the keys of two runs apart */
+	FILE *keys;   /* gets a line for each posting, or NULL */
 	sr_usec_t end;
 	guint64 started;
 	guint in_flight;
@@ -151,6 +152,9 @@
 	load_t *load = source->load;
 
 	sr_emu_load_report_ended(load->report, report);
+	if (load->keys && report->key)
+		fprintf(load->keys, "%s %s\n", report->key,
+			sr_emu_outcome_name(report->outcome));
 	load->in_flight--;
 	if (source->caller->rate_per_s > 0)
 		quit_if_over(load);
@@ -236,13 +240,17 @@
 }
 
 static int start(const char *path, guint32 seed, const char *csv,
-		 const char *svg)
+		 const char *svg, const char *keys)
 {
 	load_t load = { .plan = sr_emu_load_plan_read(path) };
 	int status;
 
 	if (!load.plan)
 		return 2;
+	if (keys)
+		load.keys = fopen(keys, "we");
+	if (keys && !load.keys)
+		fprintf(stderr, "%s cannot be written\n", keys);
 	load.clock = sr_clock_new_real();
 	load.session = soup_session_new_with_options(
 		"max-conns", SESSION_CONNECTIONS, "max-conns-per-host",
@@ -251,6 +259,10 @@
 	load.loop = g_main_loop_new(NULL, FALSE);
 	load.random = g_rand_new_with_seed(seed);
 	status = run(&load, csv, svg);
+	if (load.keys && fclose(load.keys) != 0)
+		status = 1;
+	if (keys && !load.keys)
+		status = 1;
 	g_rand_free(load.random);
 	g_main_loop_unref(load.loop);
 	g_object_unref(load.session);
@@ -269,15 +281,18 @@
 		arg_str0(NULL, "csv", "FILE", "latency by second as a table");
 	struct arg_str *svg =
 		arg_str0(NULL, "plot", "FILE", "latency by second as SVG");
+	struct arg_str *keys =
+		arg_str0(NULL, "keys", "FILE", "key and outcome of postings");
 	struct arg_lit *help = arg_lit0("h", "help", "show the options");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { plan, seed, csv, svg, help, end };
+	void *table[] = { plan, seed, csv, svg, keys, help, end };
 	int status = 0;
 
 	if (sr_emu_parse(help, end, table, argc, argv, &status))
 		status = start(plan->sval[0], (guint32)sr_emu_int_arg(seed, 1),
 			       sr_emu_str_arg(csv, NULL),
-			       sr_emu_str_arg(svg, NULL));
+			       sr_emu_str_arg(svg, NULL),
+			       sr_emu_str_arg(keys, NULL));
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return status;
 }
--- a/emulator/load_call.c
+++ b/emulator/load_call.c
@@ -47,6 +47,7 @@
 		.outcome = outcome,
 		.kind = kind,
 		.detail = detail,
+		.key = call->key,
 		.due = call->options.due,
 		.total = sr_clock_now(call->options.clock) - call->options.due,
 	};
--- a/emulator/load_call.h
+++ b/emulator/load_call.h
@@ -24,6 +24,7 @@
 	sr_emu_outcome_t outcome;
 	const char *kind;   /* of the problem, or NULL */
 	const char *detail; /* why it is broken or wrong, or NULL */
+	const char *key;    /* of a posting, or NULL */
 	sr_usec_t due;
 	sr_usec_t total;
 } sr_emu_call_report_t;
