--- a/test/prove/main.c
+++ b/test/prove/main.c
@@ -8,9 +8,13 @@
 #define MAX_JOBS 10
 
 static const prove_model_t *const all_models[] = {
-	&prove_journal_model, &prove_lease_model,  &prove_orders_model,
+	&prove_journal_model,
+	&prove_lease_model,
+	&prove_orders_model,
 	&prove_gossip_model,
-	&prove_dispatch_model,  &prove_config_model, NULL,
+	&prove_dispatch_model,
+	&prove_config_model,
+	NULL,
 };
 
 static const prove_model_t *find_model(const char *name)
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -12,11 +12,11 @@
  */
 typedef enum {
 	RESET_NEVER,
-	RESET_ON_ACCEPT,	/* before anything is read */
-	RESET_AFTER_REQUEST,	/* the request was read, no answer */
-	RESET_IN_HEADER,	/* in the middle of the answer's header */
-	RESET_BETWEEN_CHUNKS,	/* the answer is not whole */
-	CLOSE_AFTER_ANSWER,	/* the answer is whole; an idle connection goes */
+	RESET_ON_ACCEPT,      /* before anything is read */
+	RESET_AFTER_REQUEST,  /* the request was read, no answer */
+	RESET_IN_HEADER,      /* in the middle of the answer's header */
+	RESET_BETWEEN_CHUNKS, /* the answer is not whole */
+	CLOSE_AFTER_ANSWER,   /* the answer is whole; an idle connection goes */
 } reset_t;
 
 typedef struct {
@@ -193,11 +193,11 @@
 			sr_upstream_client_t *client = sr_upstream_client_new();
 			server_t server;
 
-			open_server(&server, j % 2 ? CLOSE_AFTER_ANSWER :
-						     RESET_NEVER);
-			assert_int_equal(send_one(client, server.address,
-						  "POST", TRUE),
-					 SR_FETCH_COMPLETE);
+			open_server(&server,
+				    j % 2 ? CLOSE_AFTER_ANSWER : RESET_NEVER);
+			assert_int_equal(
+				send_one(client, server.address, "POST", TRUE),
+				SR_FETCH_COMPLETE);
 			server.reset = resets[i];
 			server.n_requests = 0;
 			server.n_connections = 0;
@@ -234,9 +234,8 @@
 
 	open_server(&server, RESET_NEVER);
 	for (int i = 0; i < 3; i++)
-		assert_int_equal(
-			send_one(client, server.address, "POST", TRUE),
-			SR_FETCH_COMPLETE);
+		assert_int_equal(send_one(client, server.address, "POST", TRUE),
+				 SR_FETCH_COMPLETE);
 	assert_int_equal(server.n_connections, 1);
 	assert_int_equal(send_one(client, server.address, "POST", FALSE),
 			 SR_FETCH_COMPLETE);
