--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -32,6 +32,7 @@
 	SR_RUMOUR_EVIDENCE,    /* key = node/service/version/route; counters */
 	SR_RUMOUR_USAGE,       /* key = node/account; requests in flight */
 	SR_RUMOUR_STATUS,      /* key = node; generation in force, draining */
+	SR_RUMOUR_ROLLOUT,     /* key = "service/version"; version = step */
 	SR_RUMOUR_N_KINDS,
 } sr_rumour_kind_t;
 
@@ -95,6 +96,10 @@
 /**
  * sr_gossip_put - spread a rumour; one that is not newer changes nothing
  *
+ * A node that restarts has forgotten its own rumours while the others have
+ * not: what a node says of itself needs a version that also grows over its
+ * restarts, for example one that begins with the incarnation.
+ *
  * ttl is how long it is kept after it was last raised here; 0 keeps it.
  */
 void sr_gossip_put(sr_gossip_t *gossip, sr_usec_t now,
