Make two tests of the evidence see the break they are for

With the check of gone upstreams at the time of the break taken out, or that of older states of a node, they still passed. Both now fail then.

--- a/test/rollout_test.c
+++ b/test/rollout_test.c
@@ -106,9 +106,12 @@
 	record(&f, 0, "u1", SR_OUTCOME_FAILED);
 	f.gone = FALSE;
 	record(&f, SR_SEC, "u2", SR_OUTCOME_ANSWERED);
-	record(&f, SR_SEC, "u1", SR_OUTCOME_CONNECTION);
+	sr_evidence_tick(f.evidence, 7 * SR_SEC);
+	assert_int_equal(failures(&f), 0);
+	record(&f, 8 * SR_SEC, "u1", SR_OUTCOME_CONNECTION);
+	record(&f, 9 * SR_SEC, "u2", SR_OUTCOME_ANSWERED);
 	f.gone = TRUE; /* or only known to be gone later */
-	sr_evidence_tick(f.evidence, 10 * SR_SEC);
+	sr_evidence_tick(f.evidence, 20 * SR_SEC);
 	assert_int_equal(failures(&f), 0);
 	sr_evidence_free(f.evidence);
 }
@@ -129,8 +132,8 @@
 	sr_evidence_tick(f.evidence, 2 * SR_SEC);
 	record(&g, 0, "u1", SR_OUTCOME_ANSWERED);
 	sr_evidence_heard(g.evidence, f.key, f.value, f.size);
-	sr_evidence_heard(g.evidence, f.key, old_value, f.size);
 	sr_evidence_heard(g.evidence, f.key, f.value, f.size);
+	sr_evidence_heard(g.evidence, f.key, old_value, f.size);
 	sr_evidence_heard(g.evidence, f.key, f.value, f.size - 1);
 	sr_evidence_heard(g.evidence, "n2/s/v/r", f.value, f.size);
 	sr_evidence_heard(g.evidence, "mangled", f.value, f.size);
