Post with a killed and a frozen owner, as processes

kill -9 of one of three hosts while 48 postings run, and SIGSTOP of another for 14 s, during which others take over.

Model: a node that was frozen hears of other holders a little after it thaws.

--- a/test/postings_process_test.sh
+++ b/test/postings_process_test.sh
@@ -14,6 +14,7 @@
 	curl -s -m 40 -o "$run/$2.body" -w '%{http_code}' \
 		-H 'Authorization: Bearer payroll-token' \
 		-H "Idempotency-Key: $2" -H 'X-Deadline-Ms: 20000' \
+		-H "Prefer: ${prefer:-wait=20}" \
 		--data-binary "{\"revision\": \"$2\"}" \
 		"http://$(caller_address "$1")/payledger/revisions" \
 		>"$run/$2.status"
@@ -71,6 +72,26 @@
 	done
 }
 
+# check_accepted PREFIX NAME: what was accepted ran once, or is reported.
+check_accepted() {
+	ran=0
+	accepted=0
+	for i in $(seq "$keys"); do
+		[ "$(outcome_of "$1-$i")" = pending ] || continue
+		accepted=$((accepted + 1))
+		runs=$(runs_of payledger "$1-$i")
+		post "$2" "$1-$i"
+		told=$(outcome_of "$1-$i")
+		case $told-$runs in
+		run-1) ran=$((ran + 1)) ;;
+		unknown-0 | unknown-1) ;;
+		*) fail "$1-$i: accepted, told $told, ran $runs times" ;;
+		esac
+	done
+	[ "$accepted" -gt 0 ] || fail "$1: none was accepted"
+	echo "$1: $ran of $accepted run, the others reported"
+}
+
 # retry_unknown PREFIX NAME: the same keys again must not run again.
 retry_unknown() {
 	for i in $(seq "$keys"); do
@@ -116,7 +137,7 @@
 }
 
 start_platform
-start_upstream payledger-ahd payledger ahd service --delay-ms 1500
+start_upstream payledger-ahd payledger ahd service --outcomes --delay-ms 1500
 upstream_slots=64
 for name in ahd-1 ahd-2 ahd-3; do
 	start_daemon "$name" ahd
@@ -126,10 +147,16 @@
 wait_for 30 all_own_shards || fail "the shards are not spread"
 wait_for 60 all_served first || fail "not all shards are served"
 
+prefer=respond-async
+post_all accepted ahd-2 ahd-3
+accepted_posts=$posts
+prefer=
 post_all killed ahd-2 ahd-3
 sleep 0.7
 kill -9 "$(pid_of ahd-1)"
 end_posts
+posts=$accepted_posts
+end_posts
 sleep 2
 check killed
 sleep "$lease_s"
@@ -139,6 +166,7 @@
 restart_daemon ahd-1
 wait_for 10 is_healthy ahd-1 || fail "ahd-1 does not start again"
 wait_for 60 all_served second || fail "not all shards are served again"
+check_accepted accepted ahd-3
 
 post_all frozen ahd-1 ahd-3
 sleep 0.7
--- a/test/prove/journal_model.c
+++ b/test/prove/journal_model.c
@@ -68,7 +68,8 @@
 	sr_usec_t frozen_until;
 	sr_usec_t cut_until;
 	sr_usec_t restart_at;
-	sr_usec_t last_seen; /* by the other nodes */
+	sr_usec_t last_seen;	  /* by the other nodes */
+	guint64 epochs[N_SHARDS]; /* highest that it heard of */
 	gboolean draining;
 };
 
@@ -81,7 +82,7 @@
 	GPtrArray *submissions;
 	GPtrArray *jobs;
 	key_state_t keys[N_KEYS];
-	guint64 epochs[N_SHARDS]; /* highest that was heard of */
+	guint64 epochs[N_SHARDS]; /* highest that there was */
 	sr_usec_t down_until;
 	sr_usec_t quarrel_until; /* every node wants every shard */
 	sr_usec_t next_view;
@@ -187,20 +188,36 @@
 	return !node->model->full;
 }
 
-/* Gossip tells of every holder; only the platform can be cut off here. */
+static gboolean is_frozen(const node_t *node)
+{
+	return node->model->now < node->frozen_until;
+}
+
+static void hear(node_t *node)
+{
+	memcpy(node->epochs, node->model->epochs, sizeof(node->epochs));
+}
+
+/*
+ * Gossip tells of every holder, a node that was frozen a little later; only
+ * the platform can be cut off here.
+ */
 static void on_owner(void *user, unsigned shard, guint64 epoch, gboolean held)
 {
 	node_t *node = user;
-	guint64 *heard = &node->model->epochs[shard];
+	model_t *model = node->model;
 
-	*heard = MAX(*heard, epoch);
+	model->epochs[shard] = MAX(model->epochs[shard], epoch);
+	for (unsigned i = 0; i < N_NODES; i++)
+		if (!is_frozen(&model->nodes[i]))
+			hear(&model->nodes[i]);
 }
 
 static gboolean on_displaced(void *user, unsigned shard, guint64 epoch)
 {
 	node_t *node = user;
 
-	return node->model->epochs[shard] > epoch;
+	return node->epochs[shard] > epoch;
 }
 
 static void check_result(submission_t *submission,
@@ -311,11 +328,6 @@
 	g_free(name);
 }
 
-static gboolean is_frozen(const node_t *node)
-{
-	return node->model->now < node->frozen_until;
-}
-
 static void run_jobs(model_t *model)
 {
 	for (guint i = 0; i < model->jobs->len;) {
@@ -413,6 +425,7 @@
 			found = found || want;
 			if (!node->journal || is_frozen(node))
 				continue;
+			hear(node);
 			if (model->now < model->quarrel_until)
 				want = TRUE;
 			sr_journal_want(node->journal, model->now, shard,
