--- a/test/prove/main.c
+++ b/test/prove/main.c
@@ -12,8 +12,10 @@
 	&prove_lease_model,
 	&prove_orders_model,
 	&prove_gossip_model,
-	&prove_dispatch_model,
 	&prove_config_model,
+	&prove_dispatch_model,
+	&prove_rollout_model,
+	/* end */
 	NULL,
 };
 
