Test that accepted postings survive a planned stop

Eight postings taken with 202 while every upstream refuses; both entry hosts of their home are then stopped and replaced.

--- a/test/posting_process_test.sh
+++ b/test/posting_process_test.sh
@@ -142,10 +142,55 @@
 	echo "ok every outcome became known"
 }
 
+runs_once() {
+	[ "$(runs_of payledger "$1")" = 1 ]
+}
+
+# A posting that was taken with 202 runs once, though every upstream refuses at
+# first and all entry hosts of its home are stopped meanwhile.
+accepted() {
+	for upstream in payledger-ahd payledger-gnr; do
+		fault "$(cat "$run/$upstream.address")" '{"mode": "down"}'
+	done
+	echo '{"grade": 7}' >"$run/revision.json"
+	for i in 1 2 3 4 5 6 7 8; do
+		call gnr-1 payroll POST /payledger/revisions \
+			"$run/revision.json" -H "Idempotency-Key: kept-$i" \
+			-H 'Prefer: respond-async' -o "$run/kept" \
+			--retry 8 --retry-max-time 20 \
+			-w '%{http_code}\n' >"$run/status" ||
+			fail "posting kept-$i is not taken"
+		grep -q '^202$' "$run/status" ||
+			fail "posting kept-$i: $(cat "$run/status")"
+	done
+	for node in ahd-1 ahd-2; do
+		kill "$(pid_of "$node")"
+	done
+	for node in ahd-1 ahd-2; do
+		wait "$(pid_of "$node")"
+		code=$?
+		[ "$code" -eq 0 ] || fail "$node ended with $code"
+		restart_daemon "$node"
+	done
+	for upstream in payledger-ahd payledger-gnr; do
+		fault "$(cat "$run/$upstream.address")" '{"mode": "ok"}'
+	done
+	for i in 1 2 3 4 5 6 7 8; do
+		wait_for 20 runs_once "kept-$i" ||
+			fail "kept-$i ran $(runs_of payledger "kept-$i") times"
+	done
+	sleep 2
+	for i in 1 2 3 4 5 6 7 8; do
+		runs_once "kept-$i" ||
+			fail "kept-$i ran $(runs_of payledger "kept-$i") times"
+	done
+	echo "ok accepted: 8 of 8 ran once"
+}
+
 start_platform --latency-ms 2
 for domain in ahd gnr; do
 	start_upstream "payledger-$domain" payledger "$domain" service \
-		--outcomes --delay-ms 20
+		--outcomes --delay-ms 300
 done
 upstream_slots=64
 for node in ahd-1 ahd-2 gnr-1; do
@@ -154,6 +199,6 @@
 wait_daemons || fail "an entry host does not start"
 apply_config ahd-1
 sleep 1
-for phase in race killed frozen platform_faults upstream_faults; do
+for phase in race killed frozen platform_faults upstream_faults accepted; do
 	"$phase"
 done
