Freeze the holder of most shards for longer

A freeze of 2 s beyond the lease ended about when the takeover did (7.0 s after the end of a process in one run), so that two holders hardly met. It is now 6 s beyond it, of the entry host with more shards.

--- a/test/posting_process_test.sh
+++ b/test/posting_process_test.sh
@@ -95,12 +95,24 @@
 	end_postings killed 60
 }
 
+# busiest: the entry host of ahd that holds more of its shards.
+busiest() {
+	first=$(grep -c 'event=shard-held' "$run/ahd-1.err")
+	second=$(grep -c 'event=shard-held' "$run/ahd-2.err")
+	if [ "$first" -ge "$second" ]; then
+		echo ahd-1
+	else
+		echo ahd-2
+	fi
+}
+
 frozen() {
-	begin_postings frozen $((lease_s + 6))
+	holder=$(busiest)
+	begin_postings frozen $((lease_s + 9))
 	sleep 1.5
-	kill -STOP "$(pid_of ahd-2)"
-	sleep $((lease_s + 2))
-	kill -CONT "$(pid_of ahd-2)"
+	kill -STOP "$(pid_of "$holder")"
+	sleep $((lease_s + 6))
+	kill -CONT "$(pid_of "$holder")"
 	end_postings frozen 60
 }
 
