--- a/bench/main.c
+++ b/bench/main.c
@@ -6,7 +6,10 @@
 
 /* One line for each bench. */
 static const bench_t benches[] = {
+	{ "journal", journal_bench_run },
 	{ "policy", policy_bench_run },
+	{ "rollout", rollout_bench_run },
+	{ "config", config_bench_run },
 };
 
 void bench_print(const char *subject, const char *figure, double value)
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -19,13 +19,14 @@
 	char *failure_domain;
 	char *cluster_id;
 	char *cluster_secret_file;
-	char *bootstrap_token_sha256; /* of the first operator's token */
-	char *caller_address;	      /* IP:PORT, as every address here */
+	char *caller_address; /* IP:PORT, as every address here */
 	char *admin_address;
 	char *peer_address;
 	GPtrArray *peer_seeds; /* char * */
 	char *platform_address;
-	char *config_file; /* a fixed configuration, without a platform */
+	char *config_file; /* in force without a platform; with one, it is
+			    * published if the platform has none yet */
+	char *bootstrap_token_sha256; /* see sr_admin_options_t */
 	sr_log_level_t log_level;
 	char *trace_file;
 	double trace_sample;
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -1,5 +1,6 @@
 #include "core/dispatch.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "core/prefix_index.h"
@@ -48,12 +49,16 @@
 	GRand *random;
 	char *failure_domain;
 	unsigned n_calls;
+	void (*observe)(void *user, sr_usec_t now,
+			const sr_observation_t *seen);
+	void *observe_user;
 };
 
 struct sr_call {
 	sr_service_group_t *service;
 	sr_account_t *account;
 	sr_upstream_t *upstream; /* NULL between attempts */
+	char *route;		 /* name, owned once the call is sent */
 	sr_priority_t priority;
 	gboolean idempotent;
 	sr_usec_t deadline;
@@ -92,6 +97,15 @@
 	g_free(dispatch);
 }
 
+void sr_dispatch_set_observer(sr_dispatch_t *dispatch,
+			      void (*fn)(void *user, sr_usec_t now,
+					 const sr_observation_t *seen),
+			      void *user)
+{
+	dispatch->observe = fn;
+	dispatch->observe_user = user;
+}
+
 static void configure_accounts(sr_dispatch_t *dispatch,
 			       const sr_config_t *config,
 			       const char *service_name)
@@ -143,6 +157,15 @@
 	sr_upstreams_set_present(dispatch->upstreams, upstream, present);
 }
 
+gboolean sr_dispatch_is_gone(const sr_dispatch_t *dispatch,
+			     const char *upstream)
+{
+	const sr_upstream_t *found =
+		sr_upstreams_find(dispatch->upstreams, upstream);
+
+	return !found || found->leaving || !found->present;
+}
+
 typedef struct {
 	const sr_service_group_t *service;
 	void (*fn)(void *user, const char *scope, unsigned in_flight);
@@ -257,7 +280,8 @@
 		    sr_ejection_state(&upstream->ejection, now) ==
 			    SR_EJECTION_EJECTED)
 			continue;
-		service->capacity += upstream->limit.value;
+		/* Only whole requests fit below a limit. */
+		service->capacity += floor(upstream->limit.value);
 		service->in_flight += sr_load_estimate_total(
 			&upstream->load, now, upstream->in_flight);
 	}
@@ -323,7 +347,8 @@
 
 static sr_routing_result_t choose(sr_dispatch_t *dispatch,
 				  const sr_call_t *call, double headroom,
-				  sr_usec_t now, sr_route_t *route)
+				  gboolean may_be_sole, sr_usec_t now,
+				  sr_route_t *route)
 {
 	const sr_routing_t routing = { .upstreams = dispatch->upstreams,
 				       .index = dispatch->index,
@@ -337,6 +362,7 @@
 		.max_tokens = call->max_tokens,
 		.deadline = call->deadline,
 		.headroom = headroom,
+		.may_be_sole = may_be_sole,
 		.tried = call->tried,
 		.n_tried = call->n_tried,
 	};
@@ -351,6 +377,7 @@
 	call->service = service;
 	call->account =
 		sr_account_share_get(service->accounts, options->account->name);
+	call->route = options->route->name;
 	call->priority = options->priority;
 	call->idempotent = options->idempotent;
 	call->deadline = options->deadline;
@@ -376,7 +403,7 @@
 		       retry_after(dispatch, service, headroom, now));
 		return FALSE;
 	}
-	switch (choose(dispatch, call, headroom, now, route)) {
+	switch (choose(dispatch, call, headroom, !over, now, route)) {
 	case SR_ROUTING_FOUND:
 		return TRUE;
 	case SR_ROUTING_NO_UPSTREAM:
@@ -417,6 +444,7 @@
 	call = g_memdup2(&wanted, sizeof(wanted));
 	call->blocks = g_memdup2(wanted.blocks,
 				 sizeof(*wanted.blocks) * wanted.n_blocks);
+	call->route = g_strdup(wanted.route);
 	call->account->in_flight++;
 	dispatch->n_calls++;
 	send_to(dispatch, now, call, &route, decision);
@@ -510,6 +538,43 @@
 	}
 }
 
+static gboolean outcome_of(sr_attempt_end_t end, sr_outcome_t *outcome)
+{
+	switch (end) {
+	case SR_ATTEMPT_OK:
+		*outcome = SR_OUTCOME_ANSWERED;
+		return TRUE;
+	case SR_ATTEMPT_FAILED:
+		*outcome = SR_OUTCOME_FAILED;
+		return TRUE;
+	case SR_ATTEMPT_NOT_STARTED:
+	case SR_ATTEMPT_BROKEN:
+	case SR_ATTEMPT_TIMED_OUT:
+		*outcome = SR_OUTCOME_CONNECTION;
+		return TRUE;
+	case SR_ATTEMPT_REFUSED:
+	case SR_ATTEMPT_CANCELLED:
+		return FALSE;
+	}
+	g_assert_not_reached();
+}
+
+static void observe(const sr_dispatch_t *dispatch, sr_usec_t now,
+		    const sr_call_t *call, sr_attempt_end_t end)
+{
+	const sr_target_t *target = &call->upstream->target;
+	sr_usec_t first = call->first_token_at > 0 ? call->first_token_at : now;
+	sr_observation_t seen = { .service = target->service,
+				  .version = target->version,
+				  .route = call->route,
+				  .upstream = target->name,
+				  .failure_domain = target->failure_domain,
+				  .first_byte = first - call->sent_at };
+
+	if (dispatch->observe && outcome_of(end, &seen.outcome))
+		dispatch->observe(dispatch->observe_user, now, &seen);
+}
+
 /* May the request run again without a risk of running twice? */
 static gboolean may_repeat(const sr_call_t *call, sr_attempt_end_t end)
 {
@@ -579,14 +644,15 @@
 	sr_route_t route;
 
 	g_assert(call->upstream);
+	observe(dispatch, now, call, end);
 	learn(call, now, end, tokens);
 	again = may_repeat(call, end) && now < call->deadline &&
 		call->n_tried < ATTEMPTS_MAX && has_budget(call, end);
 	leave_upstream(dispatch, now, call);
 	call->max_tokens -= MIN(call->max_tokens, tokens - call->tokens_before);
 	call->tokens_before = tokens;
-	if (again && choose(dispatch, call, RETRY_HEADROOM, now, &route) ==
-			     SR_ROUTING_FOUND) {
+	if (again && choose(dispatch, call, RETRY_HEADROOM, TRUE, now,
+			    &route) == SR_ROUTING_FOUND) {
 		send_to(dispatch, now, call, &route, decision);
 		return TRUE;
 	}
@@ -605,6 +671,7 @@
 	}
 	call->account->in_flight--;
 	dispatch->n_calls--;
+	g_free(call->route);
 	g_free(call->blocks);
 	g_free(call);
 }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/config_sync.h"
+#include "core/directory.h"
 #include "daemon/control_status.h"
 #include "operator/admin.h"
 #include "platform/client.h"
@@ -18,8 +19,13 @@
 /** Time between two tellings of this node's status, if nothing changes. */
 #define STATUS_INTERVAL (20 * SR_SEC)
 #define STATUS_TTL (60 * SR_SEC)
-/** A notice of a reclaim is kept until the host list has dropped the host. */
-#define LEAVING_TTL (10 * SR_MINUTE)
+/** What was told of a host is kept until the lists of all nodes show it. */
+#define HOST_STATE_TTL (10 * SR_MINUTE)
+/** Calls a second that the platform grants to all entry hosts together. */
+#define PLATFORM_CALLS_PER_S 400.0
+/** A first configuration is published after peers were asked for one. */
+#define FIRST_DELAY (500 * SR_MSEC)
+#define FIRST_INTERVAL (2 * SR_SEC)
 #define ORDERS_LEASE (10 * SR_SEC)
 /** Live nodes of a failure domain that ask the platform for its hosts. */
 #define HOST_WATCHERS 2
@@ -35,11 +41,16 @@
 	sr_gossip_t *gossip;
 	sr_config_sync_t *sync;
 	sr_hosts_t *hosts;
+	sr_directory_t *directory;
 	sr_queries_t *queries;
 	sr_feed_t *feed;
 	sr_engine_orders_t *orders;
 	sr_admin_t *admin;
-	sr_config_t *config; /* in force, or NULL */
+	sr_config_t *config;	 /* in force, or NULL */
+	GHashTable *told_absent; /* names of hosts */
+	GBytes *first_text; /* published if the platform has none; or NULL */
+	gboolean publishing_first;
+	sr_usec_t next_first;
 	sr_timer_t *timer;
 	sr_usec_t next_usage;
 	sr_usec_t next_status;
@@ -115,6 +126,57 @@
 	g_free(node);
 }
 
+/* What nodes tell each other of the host of an upstream or of a node. */
+typedef enum {
+	HOST_LEAVING = 'L',
+	HOST_ABSENT = 'A',
+	HOST_BACK = 'B', /* another host bears the name now */
+} host_state_t;
+
+static void apply_host_state(sr_control_t *control, const char *host,
+			     host_state_t state)
+{
+	sr_dispatch_t *dispatch = control->options.dispatch;
+
+	switch (state) {
+	case HOST_LEAVING:
+		sr_dispatch_set_leaving(dispatch, host);
+		/* a reclaim of this host itself is a planned stop */
+		if (!strcmp(host, control->options.settings->node))
+			control->options.drain(control->options.user);
+		break;
+	case HOST_ABSENT:
+		sr_dispatch_set_present(dispatch, host, FALSE);
+		break;
+	case HOST_BACK:
+		/* what was said of its predecessor no longer holds */
+		sr_dispatch_set_present(dispatch, host, FALSE);
+		sr_dispatch_set_present(dispatch, host, TRUE);
+		break;
+	}
+}
+
+static void hear_host_state(sr_control_t *control, const sr_rumour_t *rumour)
+{
+	if (rumour->size == 1)
+		apply_host_state(control, rumour->key,
+				 (host_state_t)rumour->value[0]);
+}
+
+static void tell_host_state(sr_control_t *control, const char *host,
+			    host_state_t state)
+{
+	guint8 value = (guint8)state;
+
+	if (state == HOST_ABSENT)
+		g_hash_table_add(control->told_absent, g_strdup(host));
+	else if (state == HOST_BACK)
+		g_hash_table_remove(control->told_absent, host);
+	put_rumour(control, SR_RUMOUR_LEAVING, host, next_version(control),
+		   &value, sizeof(value), HOST_STATE_TTL);
+	apply_host_state(control, host, state);
+}
+
 static void on_heard(void *user, const sr_rumour_t *rumour)
 {
 	sr_control_t *control = user;
@@ -125,7 +187,7 @@
 				     rumour->value, rumour->size);
 		break;
 	case SR_RUMOUR_LEAVING:
-		sr_dispatch_set_leaving(control->options.dispatch, rumour->key);
+		hear_host_state(control, rumour);
 		break;
 	case SR_RUMOUR_USAGE:
 		hear_usage(control, rumour);
@@ -135,6 +197,7 @@
 	case SR_RUMOUR_RECALL:
 	case SR_RUMOUR_SHARD_OWNER:
 	case SR_RUMOUR_EVIDENCE:
+	case SR_RUMOUR_ROLLOUT:
 	case SR_RUMOUR_N_KINDS:
 		control->options.heard(control->options.user, rumour);
 		break;
@@ -152,6 +215,24 @@
 	return FALSE;
 }
 
+static gboolean is_sweeper(const sr_control_t *control)
+{
+	const sr_settings_t *settings = control->options.settings;
+	const char *owner = sr_members_owner(
+		control->members, settings->failure_domain, "entries");
+
+	return !control->draining && owner && !strcmp(owner, settings->node);
+}
+
+/* A node knows its own failure domain whole and a few nodes of each other
+ * one; the domains are taken to be of about one size. */
+static double platform_share(const sr_control_t *control, guint n_own)
+{
+	unsigned n_domains = sr_members_count_domains(control->members);
+
+	return PLATFORM_CALLS_PER_S / MAX(n_own * n_domains, 1);
+}
+
 static void assign_roles(sr_control_t *control)
 {
 	const sr_settings_t *settings = control->options.settings;
@@ -163,6 +244,8 @@
 	sr_config_sync_set_members(
 		control->sync, (const char *const *)names->pdata, names->len);
 	sr_hosts_set_active(control->hosts, is_host_watcher(control, names));
+	sr_platform_set_rate(control->platform,
+			     platform_share(control, names->len));
 	sr_orders_want(sr_engine_orders_core(control->orders),
 		       !control->draining && owner &&
 			       !strcmp(owner, settings->node));
@@ -257,6 +340,16 @@
 	put_rumour(user, SR_RUMOUR_CONFIG, "", generation, digest, size, 0);
 }
 
+static void on_entry_found(void *user, const char *address)
+{
+	sr_gossip_seed(((sr_control_t *)user)->gossip, address);
+}
+
+static gboolean on_is_live(void *user, const char *node)
+{
+	return sr_members_is_alive(((sr_control_t *)user)->members, node);
+}
+
 /* The host of an upstream bears its name. */
 static void on_host_leaving(void *user, const char *host, sr_usec_t in)
 {
@@ -266,15 +359,50 @@
 	g_snprintf(seconds, sizeof(seconds), "%.1f", (double)in / SR_SEC);
 	sr_log_event(control->options.log, SR_LOG_INFO, "host-leaving", "host",
 		     host, "in_s", seconds, NULL);
-	sr_dispatch_set_leaving(control->options.dispatch, host);
-	put_rumour(control, SR_RUMOUR_LEAVING, host, 1, NULL, 0, LEAVING_TTL);
+	tell_host_state(control, host, HOST_LEAVING);
 }
 
+/* Only changes are told: the first list names every host as present. */
 static void on_host_present(void *user, const sr_host_t *host, gboolean present)
 {
 	sr_control_t *control = user;
 
-	sr_dispatch_set_present(control->options.dispatch, host->name, present);
+	if (!present)
+		tell_host_state(control, host->name, HOST_ABSENT);
+	else if (g_hash_table_contains(control->told_absent, host->name))
+		tell_host_state(control, host->name, HOST_BACK);
+	else
+		sr_dispatch_set_present(control->options.dispatch, host->name,
+					TRUE);
+}
+
+static void on_first_published(void *user, const sr_publish_result_t *result)
+{
+	sr_control_t *control = user;
+
+	control->publishing_first = FALSE;
+	sr_log_event(control->options.log, SR_LOG_INFO, "first-config",
+		     "result", sr_err_name(result->err), NULL);
+}
+
+/* The configuration file counts only while no configuration was accepted. */
+static void publish_first(sr_control_t *control, sr_usec_t now)
+{
+	gsize size;
+	const char *text;
+
+	if (!control->first_text || control->publishing_first ||
+	    now < control->next_first)
+		return;
+	if (sr_config_sync_generation(control->sync) > 0) {
+		g_clear_pointer(&control->first_text, g_bytes_unref);
+		return;
+	}
+	control->next_first = now + FIRST_INTERVAL;
+	control->publishing_first = TRUE;
+	text = g_bytes_get_data(control->first_text, &size);
+	sr_config_sync_publish(control->sync, 0, text, size, on_first_published,
+			       control);
 }
 
 static void on_tick(void *user)
@@ -295,6 +423,10 @@
 	}
 	if (now >= control->next_status)
 		tell_status(control);
+	publish_first(control, now);
+	sr_directory_tick(control->directory, now,
+			  sr_members_count(control->members) == 1,
+			  is_sweeper(control));
 	control->timer =
 		sr_timer_start(control->options.clock, TICK, on_tick, control);
 }
@@ -487,6 +619,22 @@
 	control->hosts = sr_hosts_new(&options);
 }
 
+static void create_directory(sr_control_t *control)
+{
+	const sr_settings_t *settings = control->options.settings;
+	const sr_directory_options_t options = {
+		.store = sr_platform_store(control->platform),
+		.node = settings->node,
+		.failure_domain = settings->failure_domain,
+		.address = sr_peer_address(control->peer),
+		.found = on_entry_found,
+		.is_live = on_is_live,
+		.user = control,
+	};
+
+	control->directory = sr_directory_new(&options);
+}
+
 static void create_upstream_parts(sr_control_t *control)
 {
 	const sr_settings_t *settings = control->options.settings;
@@ -552,13 +700,19 @@
 		g_free(control);
 		return NULL;
 	}
+	control->told_absent =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	create_platform(control);
 	create_gossip(control);
 	create_sync(control);
 	create_hosts(control);
+	create_directory(control);
 	create_upstream_parts(control);
 	create_admin(control);
 	assign_roles(control);
+	if (options->first_text)
+		control->first_text = g_bytes_ref(options->first_text);
+	control->next_first = now_of(control) + FIRST_DELAY;
 	on_tick(control);
 	return control;
 }
@@ -572,6 +726,7 @@
 	sr_queries_free(control->queries);
 	sr_engine_orders_free(control->orders);
 	sr_feed_free(control->feed);
+	sr_directory_free(control->directory);
 	sr_hosts_free(control->hosts);
 	sr_config_sync_free(control->sync);
 	sr_peer_free(control->peer);
@@ -579,6 +734,8 @@
 	sr_members_free(control->members);
 	sr_platform_free(control->platform);
 	sr_config_unref(control->config);
+	g_clear_pointer(&control->first_text, g_bytes_unref);
+	g_hash_table_destroy(control->told_absent);
 	g_free(control->owner);
 	g_free(control);
 }
@@ -615,5 +772,6 @@
 	sr_orders_release(sr_engine_orders_core(control->orders),
 			  now_of(control));
 	tell_status(control);
+	sr_directory_leave(control->directory);
 	sr_gossip_leave(control->gossip, now_of(control));
 }
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -32,6 +32,7 @@
 	sr_dispatch_t *dispatch;
 	sr_upstream_client_t *upstream;
 	SoupServer *admin_server;
+	GBytes *first_text; /* published if there is none; or NULL */
 	guint64 seed;
 	/* a newer configuration is in force */
 	void (*in_force)(void *user, sr_config_t *config);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -83,7 +83,9 @@
 	return daemon;
 }
 
-static sr_err_t load_config(sr_daemon_t *daemon, char **detail)
+/* Reads and checks the configuration file. */
+static sr_config_t *load_config(sr_daemon_t *daemon, GBytes **bytes,
+				char **detail)
 {
 	const char *path = daemon->settings->config_file;
 	GPtrArray *findings = sr_findings_new();
@@ -99,14 +101,10 @@
 		config = sr_config_parse(text, size, 1, findings);
 		if (!config)
 			*detail = sr_findings_text(findings);
+		*bytes = g_bytes_new_take(text, size);
 	}
-	g_free(text);
 	g_ptr_array_unref(findings);
-	if (!config)
-		return SR_ERR_INVALID;
-	sr_daemon_set_config(daemon, config);
-	sr_config_unref(config);
-	return SR_OK;
+	return config;
 }
 
 /* Names the ports, which the settings may have left open. */
@@ -143,10 +141,12 @@
 
 static void on_heard(void *user, const sr_rumour_t *rumour)
 {
+	sr_versions_heard(((sr_daemon_t *)user)->versions, rumour);
 }
 
 static void on_add_status(void *user, json_object *status)
 {
+	sr_versions_add_status(((sr_daemon_t *)user)->versions, status);
 }
 
 static void list_unknown(void *user, const sr_journal_unknown_t *unknown)
@@ -180,10 +180,27 @@
 static sr_err_t on_recall(void *user, const char *service, const char *version,
 			  const char *reason)
 {
-	sr_daemon_t *daemon = user;
+	return sr_versions_recall(((sr_daemon_t *)user)->versions, service,
+				  version, reason);
+}
 
-	sr_dispatch_recall(daemon->dispatch, service, version);
-	return SR_OK;
+static void create_versions(sr_daemon_t *daemon)
+{
+	const sr_settings_t *settings = daemon->settings;
+	const sr_versions_options_t options = {
+		.clock = daemon->clock,
+		.log = daemon->log,
+		.dispatch = daemon->dispatch,
+		.store = sr_control_store(daemon->control),
+		.gossip = sr_control_gossip(daemon->control),
+		.members = sr_control_members(daemon->control),
+		.node = settings->node,
+		.failure_domain = settings->failure_domain,
+		.owner = sr_control_owner(daemon->control),
+		.seed = daemon->seed + 4,
+	};
+
+	daemon->versions = sr_versions_new(&options);
 }
 
 static void create_postings(sr_daemon_t *daemon)
@@ -208,7 +225,8 @@
 	sr_caller_set_postings(daemon->caller, daemon->postings);
 }
 
-static gboolean start_control(sr_daemon_t *daemon, char **detail)
+static gboolean start_control(sr_daemon_t *daemon, GBytes *first_text,
+			      char **detail)
 {
 	const sr_control_options_t options = {
 		.settings = daemon->settings,
@@ -218,6 +236,7 @@
 		.dispatch = daemon->dispatch,
 		.upstream = daemon->upstream,
 		.admin_server = sr_probes_server(daemon->probes),
+		.first_text = first_text,
 		.seed = daemon->seed + 100,
 		.in_force = on_in_force,
 		.drain = on_admin_drain,
@@ -232,22 +251,39 @@
 	daemon->control = sr_control_new(&options, detail);
 	if (!daemon->control)
 		return FALSE;
+	create_versions(daemon);
 	create_postings(daemon);
 	return TRUE;
 }
 
-sr_err_t sr_daemon_start(sr_daemon_t *daemon, char **detail)
+/* The accepted configuration comes from the platform if there is one. */
+static sr_err_t start_config(sr_daemon_t *daemon, char **detail)
 {
 	const sr_settings_t *settings = daemon->settings;
-	sr_err_t err;
+	sr_config_t *config = NULL;
+	GBytes *text = NULL;
+	sr_err_t err = SR_OK;
 
 	if (*settings->config_file) {
-		err = load_config(daemon, detail);
-		if (err)
-			return err;
+		config = load_config(daemon, &text, detail);
+		err = config ? SR_OK : SR_ERR_INVALID;
 	}
-	if (*settings->platform_address && !start_control(daemon, detail))
-		return SR_ERR_IO;
+	if (!err && *settings->platform_address)
+		err = start_control(daemon, text, detail) ? SR_OK : SR_ERR_IO;
+	else if (config)
+		sr_daemon_set_config(daemon, config);
+	sr_config_unref(config);
+	g_clear_pointer(&text, g_bytes_unref);
+	return err;
+}
+
+sr_err_t sr_daemon_start(sr_daemon_t *daemon, char **detail)
+{
+	const sr_settings_t *settings = daemon->settings;
+	sr_err_t err = start_config(daemon, detail);
+
+	if (err)
+		return err;
 	err = sr_probes_listen(daemon->probes, settings->admin_address, detail);
 	if (err)
 		return err;
@@ -263,6 +299,7 @@
 {
 	char generation[24];
 
+	g_assert(config);
 	if (daemon->config && config->generation <= daemon->config->generation)
 		return;
 	sr_config_ref(config);
@@ -271,6 +308,8 @@
 	sr_dispatch_set_config(daemon->dispatch, sr_clock_now(daemon->clock),
 			       config);
 	sr_caller_set_config(daemon->caller, config);
+	if (daemon->versions)
+		sr_versions_set_config(daemon->versions, config);
 	if (daemon->postings)
 		sr_postings_set_config(daemon->postings, config);
 	if (!daemon->draining)
@@ -342,6 +381,8 @@
 		sr_postings_release(daemon->postings,
 				    sr_clock_now(daemon->clock) +
 					    daemon->settings->drain_limit);
+	if (daemon->versions)
+		sr_versions_drain(daemon->versions);
 	if (daemon->control)
 		sr_control_drain(daemon->control);
 	daemon->drain_timer =
@@ -357,6 +398,7 @@
 	sr_timer_cancel(daemon->handover_timer);
 	sr_caller_free(daemon->caller);
 	sr_postings_free(daemon->postings);
+	sr_versions_free(daemon->versions);
 	sr_control_free(daemon->control);
 	sr_probes_free(daemon->probes);
 	sr_config_unref(daemon->config);
