Tell statuses no oftener than the cluster's size allows; split the control

A status is now told on a change, spaced by the number of live nodes, and otherwise every five minutes; engines that a new configuration wants the same of keep their state.

--- a/src/core/orders.c
+++ b/src/core/orders.c
@@ -154,6 +154,21 @@
 		drive_engine(orders, value, now);
 }
 
+/* An engine that both configurations want the same of keeps its state. */
+static void carry_over(engine_t *engine, const engine_t *before)
+{
+	const sr_upstream_config_t *now = engine->upstream;
+	const sr_upstream_config_t *old = before->upstream;
+
+	engine->order_ends = before->order_ends;
+	engine->fence = before->fence;
+	if (strcmp(now->version, old->version) != 0 ||
+	    strcmp(now->address, old->address) != 0)
+		return;
+	engine->state = before->state;
+	engine->due = before->due;
+}
+
 static gboolean is_model(const sr_config_t *config, const char *name)
 {
 	const sr_service_config_t *service = sr_config_service(config, name);
@@ -220,8 +235,8 @@
 		engine = g_new0(engine_t, 1);
 		engine->upstream = upstream;
 		before = find_engine(orders, upstream->name);
-		engine->order_ends = before ? before->order_ends : 0;
-		engine->fence = before ? before->fence : 0;
+		if (before)
+			carry_over(engine, before);
 		g_hash_table_insert(engines, upstream->name, engine);
 	}
 	g_hash_table_destroy(orders->engines);
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -144,9 +144,9 @@
 	for (size_t i = 0; i < length_of(rows); i++) {
 		json_object *row = json_object_array_get_idx(rows, i);
 
-		printf("unknown %s/%s key %s shard %s\n",
+		printf("unknown %s/%s key %s for %s s\n",
 		       text_of(row, "account"), text_of(row, "service"),
-		       text_of(row, "key"), text_of(row, "shard"));
+		       text_of(row, "key"), text_of(row, "age_s"));
 	}
 	printf("%zu outcomes unknown on this node\n", length_of(rows));
 	json_object_put(journal);
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -1,26 +1,12 @@
-#include "daemon/control.h"
+#include "daemon/control_internal.h"
 
 #include <string.h>
 
-#include "core/config_sync.h"
-#include "core/directory.h"
 #include "daemon/control_status.h"
-#include "operator/admin.h"
-#include "platform/client.h"
-#include "platform/hosts.h"
-#include "upstream/engine_orders.h"
-#include "upstream/feed.h"
-#include "upstream/query.h"
 
 #define TICK (50 * SR_MSEC)
 /** Time between two tellings of this node's usage. */
 #define USAGE_INTERVAL SR_SEC
-#define USAGE_TTL (5 * SR_SEC)
-/** Time between two tellings of this node's status, if nothing changes. */
-#define STATUS_INTERVAL (20 * SR_SEC)
-#define STATUS_TTL (60 * SR_SEC)
-/** What was told of a host is kept until the lists of all nodes show it. */
-#define HOST_STATE_TTL (10 * SR_MINUTE)
 /** Calls a second that the platform grants to all entry hosts together. */
 #define PLATFORM_CALLS_PER_S 400.0
 /** A first configuration is published after peers were asked for one. */
@@ -30,180 +16,6 @@
 /** Live nodes of a failure domain that ask the platform for its hosts. */
 #define HOST_WATCHERS 2
 
-struct sr_control {
-	sr_control_options_t options;
-	guint64 incarnation; /* microseconds since the epoch at the start */
-	guint64 n_told;	     /* statuses and usages told so far */
-	char *owner;
-	sr_members_t *members;
-	sr_platform_t *platform;
-	sr_peer_t *peer;
-	sr_gossip_t *gossip;
-	sr_config_sync_t *sync;
-	sr_hosts_t *hosts;
-	sr_directory_t *directory;
-	sr_queries_t *queries;
-	sr_feed_t *feed;
-	sr_engine_orders_t *orders;
-	sr_admin_t *admin;
-	sr_config_t *config;	 /* in force, or NULL */
-	GHashTable *told_absent; /* names of hosts */
-	GBytes *first_text; /* published if the platform has none; or NULL */
-	gboolean publishing_first;
-	sr_usec_t next_first;
-	sr_timer_t *timer;
-	sr_usec_t next_usage;
-	sr_usec_t next_status;
-	gboolean draining;
-};
-
-static sr_usec_t now_of(const sr_control_t *control)
-{
-	return sr_clock_now(control->options.clock);
-}
-
-/* Versions rise with each telling and with each start of the process. */
-static guint64 next_version(sr_control_t *control)
-{
-	return control->incarnation + ++control->n_told;
-}
-
-static void put_rumour(sr_control_t *control, sr_rumour_kind_t kind,
-		       const char *key, guint64 version, const void *value,
-		       gsize size, sr_usec_t ttl)
-{
-	const sr_rumour_t rumour = {
-		.kind = kind,
-		.key = key,
-		.version = version,
-		.value = value,
-		.size = size,
-	};
-
-	sr_gossip_put(control->gossip, now_of(control), &rumour, ttl);
-}
-
-static void tell_status(sr_control_t *control)
-{
-	sr_node_status_t status = {
-		.generation = sr_config_sync_generation(control->sync),
-		.draining = control->draining,
-	};
-	guint8 value[SR_NODE_STATUS_SIZE];
-
-	sr_node_status_encode(&status, value);
-	put_rumour(control, SR_RUMOUR_STATUS, control->options.settings->node,
-		   next_version(control), value, sizeof(value), STATUS_TTL);
-	control->next_status = now_of(control) + STATUS_INTERVAL;
-}
-
-static void tell_one_usage(void *user, const char *scope, unsigned in_flight)
-{
-	sr_control_t *control = user;
-	char *key = g_strdup_printf("%s/%s", control->options.settings->node,
-				    scope);
-	guint32 value = GUINT32_TO_BE(in_flight);
-
-	put_rumour(control, SR_RUMOUR_USAGE, key, next_version(control), &value,
-		   sizeof(value), USAGE_TTL);
-	g_free(key);
-}
-
-static void hear_usage(sr_control_t *control, const sr_rumour_t *rumour)
-{
-	const char *slash = strchr(rumour->key, '/');
-	guint32 value;
-	char *node;
-
-	if (!slash || rumour->size != sizeof(value))
-		return;
-	memcpy(&value, rumour->value, sizeof(value));
-	node = g_strndup(rumour->key, (gsize)(slash - rumour->key));
-	if (strcmp(node, control->options.settings->node) != 0)
-		sr_dispatch_set_usage(control->options.dispatch, slash + 1,
-				      node, GUINT32_FROM_BE(value),
-				      now_of(control));
-	g_free(node);
-}
-
-/* What nodes tell each other of the host of an upstream or of a node. */
-typedef enum {
-	HOST_LEAVING = 'L',
-	HOST_ABSENT = 'A',
-	HOST_BACK = 'B', /* another host bears the name now */
-} host_state_t;
-
-static void apply_host_state(sr_control_t *control, const char *host,
-			     host_state_t state)
-{
-	sr_dispatch_t *dispatch = control->options.dispatch;
-
-	switch (state) {
-	case HOST_LEAVING:
-		sr_dispatch_set_leaving(dispatch, host);
-		/* a reclaim of this host itself is a planned stop */
-		if (!strcmp(host, control->options.settings->node))
-			control->options.drain(control->options.user);
-		break;
-	case HOST_ABSENT:
-		sr_dispatch_set_present(dispatch, host, FALSE);
-		break;
-	case HOST_BACK:
-		/* what was said of its predecessor no longer holds */
-		sr_dispatch_set_present(dispatch, host, FALSE);
-		sr_dispatch_set_present(dispatch, host, TRUE);
-		break;
-	}
-}
-
-static void hear_host_state(sr_control_t *control, const sr_rumour_t *rumour)
-{
-	if (rumour->size == 1)
-		apply_host_state(control, rumour->key,
-				 (host_state_t)rumour->value[0]);
-}
-
-static void tell_host_state(sr_control_t *control, const char *host,
-			    host_state_t state)
-{
-	guint8 value = (guint8)state;
-
-	if (state == HOST_ABSENT)
-		g_hash_table_add(control->told_absent, g_strdup(host));
-	else if (state == HOST_BACK)
-		g_hash_table_remove(control->told_absent, host);
-	put_rumour(control, SR_RUMOUR_LEAVING, host, next_version(control),
-		   &value, sizeof(value), HOST_STATE_TTL);
-	apply_host_state(control, host, state);
-}
-
-static void on_heard(void *user, const sr_rumour_t *rumour)
-{
-	sr_control_t *control = user;
-
-	switch (rumour->kind) {
-	case SR_RUMOUR_CONFIG:
-		sr_config_sync_heard(control->sync, rumour->version,
-				     rumour->value, rumour->size);
-		break;
-	case SR_RUMOUR_LEAVING:
-		hear_host_state(control, rumour);
-		break;
-	case SR_RUMOUR_USAGE:
-		hear_usage(control, rumour);
-		break;
-	case SR_RUMOUR_STATUS:
-		break; /* read when an operator asks */
-	case SR_RUMOUR_RECALL:
-	case SR_RUMOUR_SHARD_OWNER:
-	case SR_RUMOUR_EVIDENCE:
-	case SR_RUMOUR_ROLLOUT:
-	case SR_RUMOUR_N_KINDS:
-		control->options.heard(control->options.user, rumour);
-		break;
-	}
-}
-
 /* True if this node is among the first live nodes of its failure domain. */
 static gboolean is_host_watcher(const sr_control_t *control, GPtrArray *names)
 {
@@ -274,7 +86,7 @@
 {
 	sr_control_t *control = user;
 
-	sr_gossip_receive(control->gossip, now_of(control), data, size);
+	sr_gossip_receive(control->gossip, sr_control_now(control), data, size);
 }
 
 static void on_forward(void *user, sr_peer_request_t *request,
@@ -323,7 +135,7 @@
 		sr_orders_set_config(sr_engine_orders_core(control->orders),
 				     config);
 		control->options.in_force(control->options.user, config);
-		control->next_status = 0;
+		sr_control_hasten_status(control);
 	} else {
 		char *problems = sr_findings_text(findings);
 
@@ -337,7 +149,7 @@
 static void on_announce(void *user, guint64 generation, const guint8 *digest,
 			gsize size)
 {
-	put_rumour(user, SR_RUMOUR_CONFIG, "", generation, digest, size, 0);
+	sr_control_put(user, SR_RUMOUR_CONFIG, "", generation, digest, size, 0);
 }
 
 static void on_entry_found(void *user, const char *address)
@@ -350,32 +162,6 @@
 	return sr_members_is_alive(((sr_control_t *)user)->members, node);
 }
 
-/* The host of an upstream bears its name. */
-static void on_host_leaving(void *user, const char *host, sr_usec_t in)
-{
-	sr_control_t *control = user;
-	char seconds[24];
-
-	g_snprintf(seconds, sizeof(seconds), "%.1f", (double)in / SR_SEC);
-	sr_log_event(control->options.log, SR_LOG_INFO, "host-leaving", "host",
-		     host, "in_s", seconds, NULL);
-	tell_host_state(control, host, HOST_LEAVING);
-}
-
-/* Only changes are told: the first list names every host as present. */
-static void on_host_present(void *user, const sr_host_t *host, gboolean present)
-{
-	sr_control_t *control = user;
-
-	if (!present)
-		tell_host_state(control, host->name, HOST_ABSENT);
-	else if (g_hash_table_contains(control->told_absent, host->name))
-		tell_host_state(control, host->name, HOST_BACK);
-	else
-		sr_dispatch_set_present(control->options.dispatch, host->name,
-					TRUE);
-}
-
 static void on_first_published(void *user, const sr_publish_result_t *result)
 {
 	sr_control_t *control = user;
@@ -408,21 +194,20 @@
 static void on_tick(void *user)
 {
 	sr_control_t *control = user;
-	sr_usec_t now = now_of(control);
+	sr_usec_t now = sr_control_now(control);
 
 	sr_gossip_tick(control->gossip, now);
 	sr_config_sync_tick(control->sync, now);
 	sr_orders_tick(sr_engine_orders_core(control->orders), now);
 	if (now >= control->next_usage) {
 		control->next_usage = now + USAGE_INTERVAL;
-		sr_dispatch_foreach_usage(control->options.dispatch,
-					  tell_one_usage, control);
+		sr_control_tell_usage(control);
 		sr_control_metrics(control->options.metrics, control->platform,
 				   control->peer, control->gossip,
 				   control->members);
 	}
 	if (now >= control->next_status)
-		tell_status(control);
+		sr_control_tell_status(control);
 	publish_first(control, now);
 	sr_directory_tick(control->directory, now,
 			  sr_members_count(control->members) == 1,
@@ -431,73 +216,6 @@
 		sr_timer_start(control->options.clock, TICK, on_tick, control);
 }
 
-static const sr_config_t *admin_config(void *user)
-{
-	return ((sr_control_t *)user)->config;
-}
-
-static GBytes *admin_config_text(void *user)
-{
-	GBytes *text = sr_config_sync_text(((sr_control_t *)user)->sync);
-
-	return text ? g_bytes_ref(text) : NULL;
-}
-
-static void on_published(void *user, const sr_publish_result_t *result)
-{
-	sr_admin_published(user, result->err, result->generation);
-}
-
-static void admin_publish(void *user, guint64 base, GBytes *text,
-			  sr_admin_ticket_t *ticket)
-{
-	sr_control_t *control = user;
-	gsize size;
-	const char *data = g_bytes_get_data(text, &size);
-
-	sr_config_sync_publish(control->sync, base, data, size, on_published,
-			       ticket);
-}
-
-static json_object *admin_status(void *user)
-{
-	sr_control_t *control = user;
-	const sr_control_view_t view = {
-		.settings = control->options.settings,
-		.gossip = control->gossip,
-		.generation = sr_config_sync_generation(control->sync),
-		.draining = control->draining,
-		.platform_is_out = sr_platform_is_out(control->platform),
-	};
-	json_object *status = sr_control_status(&view);
-
-	control->options.add_status(control->options.user, status);
-	return status;
-}
-
-static json_object *admin_journal(void *user)
-{
-	sr_control_t *control = user;
-
-	return control->options.journal(control->options.user);
-}
-
-static sr_err_t admin_recall(void *user, const char *service,
-			     const char *version, const char *reason)
-{
-	sr_control_t *control = user;
-
-	return control->options.recall(control->options.user, service, version,
-				       reason);
-}
-
-static void admin_drain(void *user)
-{
-	sr_control_t *control = user;
-
-	control->options.drain(control->options.user);
-}
-
 static char *read_secret(const char *path, gsize *size, char **detail)
 {
 	GError *error = NULL;
@@ -571,7 +289,7 @@
 		.incarnation = control->incarnation,
 		.seed = control->options.seed + 1,
 		.send = on_gossip_send,
-		.heard = on_heard,
+		.heard = sr_control_on_heard,
 		.member_changed = on_member_changed,
 		.user = control,
 	};
@@ -583,7 +301,7 @@
 	};
 
 	control->members = sr_members_new(&members);
-	control->gossip = sr_gossip_new(&options, now_of(control));
+	control->gossip = sr_gossip_new(&options, sr_control_now(control));
 	for (guint i = 0; i < settings->peer_seeds->len; i++)
 		sr_gossip_seed(control->gossip,
 			       g_ptr_array_index(settings->peer_seeds, i));
@@ -602,7 +320,7 @@
 		.user = control,
 	};
 
-	control->sync = sr_config_sync_new(&options, now_of(control));
+	control->sync = sr_config_sync_new(&options, sr_control_now(control));
 }
 
 static void create_hosts(sr_control_t *control)
@@ -611,8 +329,8 @@
 		.platform = control->platform,
 		.clock = control->options.clock,
 		.seed = control->options.seed + 4,
-		.leaving = on_host_leaving,
-		.present = on_host_present,
+		.leaving = sr_control_on_host_leaving,
+		.present = sr_control_on_host_present,
 		.user = control,
 	};
 
@@ -663,29 +381,6 @@
 	g_free(key);
 }
 
-static void create_admin(sr_control_t *control)
-{
-	const char *bootstrap =
-		control->options.settings->bootstrap_token_sha256;
-	const sr_admin_options_t options = {
-		.server = control->options.admin_server,
-		.log = control->options.log,
-		.bootstrap_token_sha256 = *bootstrap ? bootstrap : NULL,
-		.hooks = {
-			.config = admin_config,
-			.config_text = admin_config_text,
-			.publish = admin_publish,
-			.status = admin_status,
-			.journal = admin_journal,
-			.recall = admin_recall,
-			.drain = admin_drain,
-			.user = control,
-		},
-	};
-
-	control->admin = sr_admin_new(&options);
-}
-
 sr_control_t *sr_control_new(const sr_control_options_t *options, char **detail)
 {
 	sr_control_t *control = g_new0(sr_control_t, 1);
@@ -708,11 +403,11 @@
 	create_hosts(control);
 	create_directory(control);
 	create_upstream_parts(control);
-	create_admin(control);
+	sr_control_create_admin(control);
 	assign_roles(control);
 	if (options->first_text)
 		control->first_text = g_bytes_ref(options->first_text);
-	control->next_first = now_of(control) + FIRST_DELAY;
+	control->next_first = sr_control_now(control) + FIRST_DELAY;
 	on_tick(control);
 	return control;
 }
@@ -770,8 +465,8 @@
 	control->draining = TRUE;
 	assign_roles(control);
 	sr_orders_release(sr_engine_orders_core(control->orders),
-			  now_of(control));
-	tell_status(control);
+			  sr_control_now(control));
+	sr_control_tell_status(control);
 	sr_directory_leave(control->directory);
-	sr_gossip_leave(control->gossip, now_of(control));
+	sr_gossip_leave(control->gossip, sr_control_now(control));
 }
