--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -1,7 +1,8 @@
 #include "daemon/members.h"
 
 #include <string.h>
-#include <xxhash.h>
+
+#include "base/rendezvous.h"
 
 struct sr_members {
 	char *node;
@@ -41,14 +42,6 @@
 	return strcmp(*(char *const *)a, *(char *const *)b);
 }
 
-/* Rendezvous hashing: the highest score owns the thing. */
-static guint64 score_of(const char *node, const char *thing)
-{
-	guint64 seed = XXH64(thing, strlen(thing), 0);
-
-	return XXH64(node, strlen(node), seed);
-}
-
 sr_members_t *sr_members_new(const sr_members_options_t *options)
 {
 	sr_members_t *members = g_new0(sr_members_t, 1);
@@ -149,7 +142,7 @@
 
 	for (guint i = 0; i < names->len; i++) {
 		const char *name = g_ptr_array_index(names, i);
-		guint64 score = score_of(name, thing);
+		guint64 score = sr_rendezvous_score(name, thing);
 
 		if (!owner || score > best) {
 			owner = name;
--- a/src/daemon/posting_owner.c
+++ b/src/daemon/posting_owner.c
@@ -1,28 +1,22 @@
 #include <string.h>
-#include <xxhash.h>
 
+#include "base/rendezvous.h"
 #include "daemon/postings_internal.h"
 
 typedef struct {
-	const sr_postings_t *postings;
 	const char *home;
-	unsigned shard;
-	const char *name; /* only this member; NULL for the best one */
+	char shard_key[16]; /* "shard/N" */
+	const char *name;   /* only this member; NULL for the best one */
 	guint64 best_score;
 	char best_name[128];
 	char best_address[64];
 } search_t;
 
-/* Rendezvous hashing: each host scores each shard; the highest should own. */
-static guint64 score(const char *node, unsigned shard)
-{
-	return XXH64(node, strlen(node), shard + 1);
-}
-
 static void look_at_member(void *user, const sr_member_t *member)
 {
 	search_t *search = user;
-	guint64 member_score = score(member->name, search->shard);
+	guint64 member_score =
+		sr_rendezvous_score(member->name, search->shard_key);
 
 	if (member->state != SR_MEMBER_ALIVE &&
 	    member->state != SR_MEMBER_SUSPECT)
@@ -39,9 +33,11 @@
 		  sizeof(search->best_address));
 }
 
-static gboolean find_member(const sr_postings_t *postings, search_t *search)
+static gboolean find_member(const sr_postings_t *postings, unsigned shard,
+			    search_t *search)
 {
-	search->postings = postings;
+	g_snprintf(search->shard_key, sizeof(search->shard_key), "shard/%u",
+		   shard);
 	if (!postings->options.gossip)
 		return FALSE;
 	sr_gossip_foreach_member(postings->options.gossip, look_at_member,
@@ -57,11 +53,10 @@
 	for (unsigned shard = 0; shard < SR_JOURNAL_SHARDS; shard++) {
 		search_t search = {
 			.home = options->failure_domain,
-			.shard = shard,
 		};
 		gboolean want = TRUE;
 
-		if (find_member(postings, &search))
+		if (find_member(postings, shard, &search))
 			want = !strcmp(search.best_name, options->node);
 		sr_journal_want(postings->journal, now, shard, want);
 	}
@@ -149,7 +144,7 @@
 	char *text = NULL;
 	char *address = NULL;
 	sr_rumour_t rumour;
-	search_t search = { .home = home, .shard = shard };
+	search_t search = { .home = home };
 
 	if (sr_gossip_get(postings->options.gossip, SR_RUMOUR_SHARD_OWNER, key,
 			  &rumour)) {
@@ -165,7 +160,7 @@
 	search.name = text;
 	if (!strcmp(text, postings->options.node) ||
 	    (!strcmp(home, postings->options.failure_domain) &&
-	     !find_member(postings, &search)))
+	     !find_member(postings, shard, &search)))
 		address = NULL;
 	address = g_strdup(address);
 	g_free(text);
@@ -175,7 +170,7 @@
 char *sr_posting_owner(sr_postings_t *postings, const char *home,
 		       unsigned shard)
 {
-	search_t search = { .home = home, .shard = shard };
+	search_t search = { .home = home };
 	char *address;
 
 	if (!postings->options.gossip || !postings->options.peer)
@@ -183,7 +178,7 @@
 	address = heard_owner(postings, home, shard);
 	if (address)
 		return address;
-	if (!find_member(postings, &search) ||
+	if (!find_member(postings, shard, &search) ||
 	    !strcmp(search.best_name, postings->options.node))
 		return NULL;
 	return g_strdup(search.best_address);
