--- a/src/upstream/feed.h
+++ b/src/upstream/feed.h
@@ -15,7 +15,7 @@
 #define SR_FEED_INTERVAL SR_SEC
 /** Least time between questions to two engines; it bounds what asking costs.
  * Many engines are asked in turn, each the more rarely. */
-#define SR_FEED_SPACING (50 * SR_MSEC)
+#define SR_FEED_SPACING (150 * SR_MSEC)
 
 typedef struct {
 	sr_queries_t *queries;	 /* borrowed */
