--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -166,6 +166,56 @@
 	return !found || found->leaving || !found->present;
 }
 
+static const char *state_of(const sr_upstream_t *upstream, sr_usec_t now)
+{
+	if (upstream->leaving)
+		return "leaving";
+	if (!upstream->present)
+		return "absent";
+	if (sr_ejection_state(&upstream->ejection, now) != SR_EJECTION_NONE)
+		return "ejected";
+	return "ready";
+}
+
+typedef struct {
+	sr_usec_t now;
+	void (*fn)(void *user, const sr_upstream_view_t *view);
+	void *user;
+} upstream_visit_t;
+
+static void visit_service_upstreams(sr_service_group_t *service, void *user)
+{
+	const upstream_visit_t *visit = user;
+
+	for (guint i = 0; i < service->versions->len; i++) {
+		const sr_version_group_t *version =
+			g_ptr_array_index(service->versions, i);
+
+		for (guint j = 0; j < version->upstreams->len; j++) {
+			const sr_upstream_t *upstream =
+				g_ptr_array_index(version->upstreams, j);
+			const sr_upstream_view_t view = {
+				.target = &upstream->target,
+				.state = state_of(upstream, visit->now),
+				.in_flight = upstream->in_flight,
+			};
+
+			visit->fn(visit->user, &view);
+		}
+	}
+}
+
+void sr_dispatch_foreach_upstream(const sr_dispatch_t *dispatch, sr_usec_t now,
+				  void (*fn)(void *user,
+					     const sr_upstream_view_t *view),
+				  void *user)
+{
+	upstream_visit_t visit = { .now = now, .fn = fn, .user = user };
+
+	sr_upstreams_foreach_service(dispatch->upstreams,
+				     visit_service_upstreams, &visit);
+}
+
 typedef struct {
 	const sr_service_group_t *service;
 	void (*fn)(void *user, const char *scope, unsigned in_flight);
--- a/src/core/dispatch.h
+++ b/src/core/dispatch.h
@@ -118,6 +118,18 @@
 gboolean sr_dispatch_is_gone(const sr_dispatch_t *dispatch,
 			     const char *upstream);
 
+/** sr_upstream_view_t - an upstream as operators see it; borrowed. */
+typedef struct {
+	const sr_target_t *target;
+	const char *state;  /* "ready", "leaving", "absent" or "ejected" */
+	unsigned in_flight; /* of this entry host */
+} sr_upstream_view_t;
+
+void sr_dispatch_foreach_upstream(const sr_dispatch_t *dispatch, sr_usec_t now,
+				  void (*fn)(void *user,
+					     const sr_upstream_view_t *view),
+				  void *user);
+
 /**
  * sr_dispatch_foreach_usage - requests in flight here, to tell other nodes
  *
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -65,57 +65,49 @@
 	json_object_put(value);
 }
 
-static void print_rollouts(json_object *status)
+/* Calls print for each element of an array member. */
+static void for_each_row(json_object *object, const char *key,
+			 void (*print)(json_object *row))
 {
-	json_object *rows = array_of(status, "rollouts");
+	json_object *rows = array_of(object, key);
 
-	for (size_t i = 0; i < length_of(rows); i++) {
-		json_object *row = json_object_array_get_idx(rows, i);
-
-		printf("rollout %s/%s %s share %s of %s %s\n",
-		       text_of(row, "service"), text_of(row, "version"),
-		       text_of(row, "state"), text_of(row, "share"),
-		       text_of(row, "target"), text_of(row, "reason"));
-	}
+	for (size_t i = 0; i < length_of(rows); i++)
+		print(json_object_array_get_idx(rows, i));
 }
 
-static void print_recalls(json_object *status)
+static void print_rollout(json_object *row)
 {
-	json_object *rows = array_of(status, "recalled");
-
-	for (size_t i = 0; i < length_of(rows); i++) {
-		json_object *row = json_object_array_get_idx(rows, i);
-
-		printf("recalled %s/%s %s\n", text_of(row, "service"),
-		       text_of(row, "version"), text_of(row, "reason"));
-	}
+	printf("rollout %s/%s %s share %s of %s %s\n", text_of(row, "service"),
+	       text_of(row, "version"), text_of(row, "state"),
+	       text_of(row, "share"), text_of(row, "target"),
+	       text_of(row, "reason"));
 }
 
-static void print_members(json_object *status)
+static void print_recall(json_object *row)
 {
-	json_object *rows = array_of(status, "members");
-
-	for (size_t i = 0; i < length_of(rows); i++) {
-		json_object *row = json_object_array_get_idx(rows, i);
-
-		printf("member %s in %s %s generation %s\n",
-		       text_of(row, "name"), text_of(row, "failure_domain"),
-		       text_of(row, "state"), text_of(row, "generation"));
-	}
+	printf("recalled %s/%s %s\n", text_of(row, "service"),
+	       text_of(row, "version"), text_of(row, "reason"));
 }
 
-static void print_upstreams(json_object *status)
+static void print_member(json_object *row)
 {
-	json_object *rows = array_of(status, "upstreams");
+	printf("member %s in %s %s generation %s\n", text_of(row, "name"),
+	       text_of(row, "failure_domain"), text_of(row, "state"),
+	       text_of(row, "generation"));
+}
 
-	for (size_t i = 0; i < length_of(rows); i++) {
-		json_object *row = json_object_array_get_idx(rows, i);
+static void print_upstream(json_object *row)
+{
+	printf("upstream %s %s/%s %s in flight %s\n", text_of(row, "name"),
+	       text_of(row, "service"), text_of(row, "version"),
+	       text_of(row, "state"), text_of(row, "in_flight"));
+}
 
-		printf("upstream %s %s/%s %s in flight %s\n",
-		       text_of(row, "name"), text_of(row, "service"),
-		       text_of(row, "version"), text_of(row, "state"),
-		       text_of(row, "in_flight"));
-	}
+static void print_unknown(json_object *row)
+{
+	printf("unknown %s/%s key %s for %s s\n", text_of(row, "account"),
+	       text_of(row, "service"), text_of(row, "key"),
+	       text_of(row, "age_s"));
 }
 
 static void print_status(const char *answer)
@@ -129,26 +121,22 @@
 	printf("generation %s in force on %s of %s members\n",
 	       text_of(status, "generation"), text_of(status, "in_force"),
 	       text_of(status, "members_known"));
-	print_members(status);
-	print_rollouts(status);
-	print_recalls(status);
-	print_upstreams(status);
+	for_each_row(status, "members", print_member);
+	for_each_row(status, "rollouts", print_rollout);
+	for_each_row(status, "recalled", print_recall);
+	for_each_row(status, "upstreams", print_upstream);
 	json_object_put(status);
 }
 
 static void print_journal(const char *answer)
 {
 	json_object *journal = parse_answer(answer);
-	json_object *rows = journal ? array_of(journal, "unknown") : NULL;
-
-	for (size_t i = 0; i < length_of(rows); i++) {
-		json_object *row = json_object_array_get_idx(rows, i);
 
-		printf("unknown %s/%s key %s for %s s\n",
-		       text_of(row, "account"), text_of(row, "service"),
-		       text_of(row, "key"), text_of(row, "age_s"));
-	}
-	printf("%zu outcomes unknown on this node\n", length_of(rows));
+	if (!journal)
+		return;
+	for_each_row(journal, "unknown", print_unknown);
+	printf("%zu outcomes unknown on this node\n",
+	       length_of(array_of(journal, "unknown")));
 	json_object_put(journal);
 }
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -144,9 +144,36 @@
 	sr_versions_heard(((sr_daemon_t *)user)->versions, rumour);
 }
 
+static void list_upstream(void *user, const sr_upstream_view_t *view)
+{
+	json_object *row = json_object_new_object();
+	const sr_target_t *target = view->target;
+
+	json_object_object_add(row, "name",
+			       json_object_new_string(target->name));
+	json_object_object_add(row, "service",
+			       json_object_new_string(target->service));
+	json_object_object_add(row, "version",
+			       json_object_new_string(target->version));
+	json_object_object_add(row, "failure_domain",
+			       json_object_new_string(target->failure_domain));
+	json_object_object_add(row, "state",
+			       json_object_new_string(view->state));
+	json_object_object_add(row, "in_flight",
+			       json_object_new_int64(view->in_flight));
+	json_object_array_add(user, row);
+}
+
 static void on_add_status(void *user, json_object *status)
 {
-	sr_versions_add_status(((sr_daemon_t *)user)->versions, status);
+	sr_daemon_t *daemon = user;
+	json_object *upstreams = json_object_new_array();
+
+	sr_versions_add_status(daemon->versions, status);
+	sr_dispatch_foreach_upstream(daemon->dispatch,
+				     sr_clock_now(daemon->clock), list_upstream,
+				     upstreams);
+	json_object_object_add(status, "upstreams", upstreams);
 }
 
 static void list_unknown(void *user, const sr_journal_unknown_t *unknown)
--- a/test/dispatch_test.c
+++ b/test/dispatch_test.c
@@ -85,6 +85,30 @@
 	fixture_stop(&f);
 }
 
+static void note_state(void *user, const sr_upstream_view_t *view)
+{
+	g_string_append_printf(user, "%s=%s/%u ", view->target->name,
+			       view->state, view->in_flight);
+}
+
+static void test_operators_see_each_upstream(void **state)
+{
+	GString *seen = g_string_new(NULL);
+	fixture_t f;
+	sr_decision_t decision;
+	sr_call_t *call;
+
+	fixture_start(&f);
+	sr_dispatch_set_leaving(f.dispatch, "u1");
+	call = sr_dispatch_begin(f.dispatch, 0, &f.call, &decision);
+	assert_non_null(call);
+	sr_dispatch_foreach_upstream(f.dispatch, 0, note_state, seen);
+	assert_string_equal(seen->str, "u1=leaving/0 u2=ready/1 ");
+	sr_dispatch_finish(f.dispatch, 0, call);
+	g_string_free(seen, TRUE);
+	fixture_stop(&f);
+}
+
 static void test_recalled_version_gets_no_retry_either(void **state)
 {
 	fixture_t f;
@@ -127,6 +151,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_calls_spread_over_upstreams),
 		cmocka_unit_test(test_leaving_and_absent_upstreams_get_no_work),
+		cmocka_unit_test(test_operators_see_each_upstream),
 		cmocka_unit_test(test_recalled_version_gets_no_retry_either),
 		cmocka_unit_test(test_only_safe_attempts_are_repeated),
 	};
