--- a/src/base/error.c
+++ b/src/base/error.c
@@ -37,7 +37,7 @@
 	{ SR_ERR_ACCOUNT_LIMIT, 429, "account-limit",
 	  "the client account has used its share",
 	  "retry after the given delay, or ask for a larger share" },
-	{ SR_ERR_DEADLINE, 504, "deadline", "the deadline passed",
+	{ SR_ERR_DEADLINE, 504, "deadline", "the deadline passed or cannot be met",
 	  "retry with a longer deadline; see executed for what ran" },
 	{ SR_ERR_NO_UPSTREAM, 503, "no-upstream",
 	  "no upstream of the service is available",
