--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -8,7 +8,7 @@
 /** Time between two tellings of this node's usage. */
 #define USAGE_INTERVAL SR_SEC
 /** Calls a second that the platform grants to all entry hosts together. */
-#define PLATFORM_CALLS_PER_S 400.0
+#define PLATFORM_CALLS_PER_S 1000.0
 /** A first configuration is published after peers were asked for one. */
 #define FIRST_DELAY (500 * SR_MSEC)
 #define FIRST_INTERVAL (2 * SR_SEC)
