Give the old version all traffic until a move has its first step

Cause: the configuration of a move names shares that are to be reached; the old version's was 0 from the start, the new one's is the rollout's to give, and until the lease of the rollout was held, for about five seconds, every request was refused as without upstream.

Ruled out: the faulty engines (v2 had 10 requests) and the recall (the refusals came before it).

--- a/src/daemon/versions.c
+++ b/src/daemon/versions.c
@@ -326,6 +326,9 @@
 	move->by_unix_ms = moving->by_unix_ms;
 	move->is_listed = TRUE;
 	sr_list_append(&versions->moves, &move->link);
+	/* until a step is known the old version has all of the traffic */
+	on_set_share(move, move->service, move->version, 0);
+	on_set_share(move, move->service, move->old_version, 1);
 	create_rollout(move, service);
 	catch_up(move);
 }
