Let a host of an announced host's name go on; order news of hosts by count

Cause: a reclaim notice travels as a rumour for ten minutes, and a host that was started again under the same name took it for its own and stopped. The versions of such rumours came from wall clocks, so that a node whose clock is behind could not contradict one whose clock is ahead.

Ruled out: dropping the rumour at the end of the old process (it may die in the middle) and shorter lives of rumours (upstreams need them until the host list has followed).

Before, with the window for a predecessor's news set to zero: 'the host of the same name stopped' (reclaim_process_test). After: it goes on, and tells the others so. Versions count the changes a teller knew of; a status is told above the one of an earlier process.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -386,6 +386,7 @@
 	sr_control_t *control = g_new0(sr_control_t, 1);
 
 	control->options = *options;
+	control->started = sr_control_now(control);
 	control->incarnation = sr_clock_wall_ns(options->clock) / 1000;
 	control->owner =
 		g_strdup_printf("%s.%" G_GUINT64_FORMAT,
--- a/src/daemon/control_internal.h
+++ b/src/daemon/control_internal.h
@@ -20,7 +20,8 @@
 struct sr_control {
 	sr_control_options_t options;
 	guint64 incarnation; /* microseconds since the epoch at the start */
-	guint64 n_told;	     /* statuses and usages told so far */
+	sr_usec_t started;
+	guint64 n_told; /* statuses and usages told so far */
 	char *owner;
 	sr_members_t *members;
 	sr_platform_t *platform;
--- a/src/daemon/control_rumours.c
+++ b/src/daemon/control_rumours.c
@@ -13,11 +13,30 @@
 #define STATUS_SPACING (250 * SR_MSEC)
 /** What was told of a host is kept until the lists of all nodes show it. */
 #define HOST_STATE_TTL (10 * SR_MINUTE)
+/** So long after the start old news of the own host can come in. */
+#define PREDECESSOR_WINDOW (30 * SR_SEC)
+/** States of a host that are told with one count of changes. */
+#define HOST_STATE_RANKS 4
 
-/* Versions rise with each telling and with each start of the process. */
-static guint64 next_version(sr_control_t *control)
+/* The version of what is known under a key; 0 if nothing is. */
+static guint64 known_version(sr_control_t *control, sr_rumour_kind_t kind,
+			     const char *key)
 {
-	return control->incarnation + ++control->n_told;
+	sr_rumour_t rumour;
+
+	if (!sr_gossip_get(control->gossip, kind, key, &rumour))
+		return 0;
+	return rumour.version;
+}
+
+/* For what only this node tells: above what was told before, by an earlier
+ * process too, even if the wall clock that gave its incarnation was ahead. */
+static guint64 own_version(sr_control_t *control, sr_rumour_kind_t kind,
+			   const char *key)
+{
+	guint64 next = control->incarnation + ++control->n_told;
+
+	return MAX(next, known_version(control, kind, key) + 1);
 }
 
 void sr_control_put(sr_control_t *control, sr_rumour_kind_t kind,
@@ -41,12 +60,13 @@
 		.generation = sr_config_sync_generation(control->sync),
 		.draining = control->draining,
 	};
+	const char *node = control->options.settings->node;
 	guint8 value[SR_NODE_STATUS_SIZE];
 
 	sr_node_status_encode(&status, value);
-	sr_control_put(control, SR_RUMOUR_STATUS,
-		       control->options.settings->node, next_version(control),
-		       value, sizeof(value), STATUS_TTL);
+	sr_control_put(control, SR_RUMOUR_STATUS, node,
+		       own_version(control, SR_RUMOUR_STATUS, node), value,
+		       sizeof(value), STATUS_TTL);
 	control->told_at = sr_control_now(control);
 	control->next_status = control->told_at + STATUS_INTERVAL;
 }
@@ -68,8 +88,9 @@
 				    scope);
 	guint32 value = GUINT32_TO_BE(in_flight);
 
-	sr_control_put(control, SR_RUMOUR_USAGE, key, next_version(control),
-		       &value, sizeof(value), USAGE_TTL);
+	sr_control_put(control, SR_RUMOUR_USAGE, key,
+		       own_version(control, SR_RUMOUR_USAGE, key), &value,
+		       sizeof(value), USAGE_TTL);
 	g_free(key);
 }
 
@@ -105,9 +126,6 @@
 	switch (state) {
 	case HOST_LEAVING:
 		sr_dispatch_set_leaving(dispatch, host);
-		/* a reclaim of this host itself is a planned stop */
-		if (!strcmp(host, control->options.settings->node))
-			control->options.drain(control->options.user);
 		break;
 	case HOST_ABSENT:
 		sr_dispatch_set_present(dispatch, host, FALSE);
@@ -120,11 +138,26 @@
 	}
 }
 
-static void hear_host_state(sr_control_t *control, const sr_rumour_t *rumour)
+/*
+ * Several nodes tell of one host, and their clocks differ: a version counts
+ * the changes that were known to the teller. Of two states that were told at
+ * the same count the one that is further on in the life of a host wins.
+ */
+static guint64 host_version(sr_control_t *control, const char *host,
+			    host_state_t state)
 {
-	if (rumour->size == 1)
-		apply_host_state(control, rumour->key,
-				 (host_state_t)rumour->value[0]);
+	guint64 known = known_version(control, SR_RUMOUR_LEAVING, host);
+	guint64 count = known / HOST_STATE_RANKS + 1;
+
+	switch (state) {
+	case HOST_LEAVING:
+		return count * HOST_STATE_RANKS;
+	case HOST_ABSENT:
+		return count * HOST_STATE_RANKS + 1;
+	case HOST_BACK:
+		return count * HOST_STATE_RANKS + 2;
+	}
+	g_assert_not_reached();
 }
 
 static void tell_host_state(sr_control_t *control, const char *host,
@@ -136,11 +169,43 @@
 		g_hash_table_add(control->told_absent, g_strdup(host));
 	else if (state == HOST_BACK)
 		g_hash_table_remove(control->told_absent, host);
-	sr_control_put(control, SR_RUMOUR_LEAVING, host, next_version(control),
-		       &value, sizeof(value), HOST_STATE_TTL);
+	sr_control_put(control, SR_RUMOUR_LEAVING, host,
+		       host_version(control, host, state), &value,
+		       sizeof(value), HOST_STATE_TTL);
 	apply_host_state(control, host, state);
 }
 
+/*
+ * A reclaim of this host itself is a planned stop. What is heard right after
+ * the start is about a predecessor of the same name, and is contradicted.
+ */
+static void take_own_leaving(sr_control_t *control)
+{
+	const char *node = control->options.settings->node;
+
+	if (sr_control_now(control) - control->started < PREDECESSOR_WINDOW)
+		tell_host_state(control, node, HOST_BACK);
+	else
+		control->options.drain(control->options.user);
+}
+
+static gboolean is_own_host(const sr_control_t *control, const char *host)
+{
+	return !strcmp(host, control->options.settings->node);
+}
+
+static void hear_host_state(sr_control_t *control, const sr_rumour_t *rumour)
+{
+	host_state_t state;
+
+	if (rumour->size != 1)
+		return;
+	state = (host_state_t)rumour->value[0];
+	apply_host_state(control, rumour->key, state);
+	if (state == HOST_LEAVING && is_own_host(control, rumour->key))
+		take_own_leaving(control);
+}
+
 void sr_control_on_heard(void *user, const sr_rumour_t *rumour)
 {
 	sr_control_t *control = user;
@@ -178,6 +243,8 @@
 	sr_log_event(control->options.log, SR_LOG_INFO, "host-leaving", "host",
 		     host, "in_s", seconds, NULL);
 	tell_host_state(control, host, HOST_LEAVING);
+	if (is_own_host(control, host))
+		take_own_leaving(control);
 }
 
 /* Only changes are told: the first list names every host as present. */
