--- a/src/daemon/posting_owner.c
+++ b/src/daemon/posting_owner.c
@@ -1,22 +1,30 @@
 #include <string.h>
+#include <xxhash.h>
 
-#include "base/rendezvous.h"
 #include "daemon/postings_internal.h"
 
 typedef struct {
+	const sr_postings_t *postings;
 	const char *home;
-	char shard_key[16]; /* "shard/N" */
-	const char *name;   /* only this member; NULL for the best one */
+	unsigned shard;
+	const char *name; /* only this member; NULL for the best one */
 	guint64 best_score;
 	char best_name[128];
 	char best_address[64];
 } search_t;
 
+/* Rendezvous hashing: each host scores each shard; the highest should own.
+ * Not sr_rendezvous_score(): its seeds put all shards of two hosts named alike
+ * on one of them. */
+static guint64 score(const char *node, unsigned shard)
+{
+	return XXH64(node, strlen(node), shard + 1);
+}
+
 static void look_at_member(void *user, const sr_member_t *member)
 {
 	search_t *search = user;
-	guint64 member_score =
-		sr_rendezvous_score(member->name, search->shard_key);
+	guint64 member_score = score(member->name, search->shard);
 
 	if (member->state != SR_MEMBER_ALIVE &&
 	    member->state != SR_MEMBER_SUSPECT)
@@ -33,11 +41,9 @@
 		  sizeof(search->best_address));
 }
 
-static gboolean find_member(const sr_postings_t *postings, unsigned shard,
-			    search_t *search)
+static gboolean find_member(const sr_postings_t *postings, search_t *search)
 {
-	g_snprintf(search->shard_key, sizeof(search->shard_key), "shard/%u",
-		   shard);
+	search->postings = postings;
 	if (!postings->options.gossip)
 		return FALSE;
 	sr_gossip_foreach_member(postings->options.gossip, look_at_member,
@@ -53,10 +59,11 @@
 	for (unsigned shard = 0; shard < SR_JOURNAL_SHARDS; shard++) {
 		search_t search = {
 			.home = options->failure_domain,
+			.shard = shard,
 		};
 		gboolean want = TRUE;
 
-		if (find_member(postings, shard, &search))
+		if (find_member(postings, &search))
 			want = !strcmp(search.best_name, options->node);
 		sr_journal_want(postings->journal, now, shard, want);
 	}
@@ -144,7 +151,7 @@
 	char *text = NULL;
 	char *address = NULL;
 	sr_rumour_t rumour;
-	search_t search = { .home = home };
+	search_t search = { .home = home, .shard = shard };
 
 	if (sr_gossip_get(postings->options.gossip, SR_RUMOUR_SHARD_OWNER, key,
 			  &rumour)) {
@@ -160,7 +167,7 @@
 	search.name = text;
 	if (!strcmp(text, postings->options.node) ||
 	    (!strcmp(home, postings->options.failure_domain) &&
-	     !find_member(postings, shard, &search)))
+	     !find_member(postings, &search)))
 		address = NULL;
 	address = g_strdup(address);
 	g_free(text);
@@ -170,7 +177,7 @@
 char *sr_posting_owner(sr_postings_t *postings, const char *home,
 		       unsigned shard)
 {
-	search_t search = { .home = home };
+	search_t search = { .home = home, .shard = shard };
 	char *address;
 
 	if (!postings->options.gossip || !postings->options.peer)
@@ -178,7 +185,7 @@
 	address = heard_owner(postings, home, shard);
 	if (address)
 		return address;
-	if (!find_member(postings, shard, &search) ||
+	if (!find_member(postings, &search) ||
 	    !strcmp(search.best_name, postings->options.node))
 		return NULL;
 	return g_strdup(search.best_address);
