--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -1,12 +1,20 @@
 #include "base/clock.h"
 
+#include <time.h>
+
 struct sr_clock {
 	gboolean manual;
 	sr_usec_t now;
 	GSequence *timers; /* manual clocks only, ordered by due time */
 	guint64 next_serial;
+	/* of the time of day without steps; 0 until it was asked for */
+	sr_usec_t wall_offset;
+	sr_usec_t stepped_at; /* the wall clock is apart since; 0 if it isn't */
 };
 
+/** A difference of the wall clock below this is drift, not a step. */
+#define STEP_MIN (200 * SR_MSEC)
+
 struct sr_timer {
 	sr_clock_t *clock;
 	sr_usec_t due;
@@ -71,7 +79,12 @@
 
 sr_usec_t sr_clock_now(const sr_clock_t *clock)
 {
-	return clock->manual ? clock->now : g_get_monotonic_time();
+	struct timespec now;
+
+	if (clock->manual)
+		return clock->now;
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (sr_usec_t)now.tv_sec * SR_SEC + now.tv_nsec / 1000;
 }
 
 guint64 sr_clock_wall_ns(const sr_clock_t *clock)
@@ -81,6 +94,27 @@
 	return (guint64)g_get_real_time() * 1000;
 }
 
+gint64 sr_clock_unix_ms(sr_clock_t *clock)
+{
+	sr_usec_t now = sr_clock_now(clock);
+	sr_usec_t offset;
+
+	if (clock->manual)
+		return now / SR_MSEC;
+	offset = g_get_real_time() - now;
+	if (clock->wall_offset == 0)
+		clock->wall_offset = offset;
+	if (ABS(offset - clock->wall_offset) < STEP_MIN) {
+		clock->stepped_at = 0;
+	} else if (clock->stepped_at == 0) {
+		clock->stepped_at = now;
+	} else if (now - clock->stepped_at > SR_CLOCK_STEP_HOLD) {
+		clock->wall_offset = offset;
+		clock->stepped_at = 0;
+	}
+	return (now + clock->wall_offset) / SR_MSEC;
+}
+
 void sr_clock_advance(sr_clock_t *clock, sr_usec_t by)
 {
 	sr_usec_t target = clock->now + by;
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -4,7 +4,8 @@
 #include <glib.h>
 
 /**
- * sr_usec_t - monotonic time or a duration, in microseconds
+ * sr_usec_t - monotonic time, which counts on while the host is
+ * suspended, or a duration, in microseconds
  */
 typedef gint64 sr_usec_t;
 
@@ -40,6 +41,17 @@
  */
 guint64 sr_clock_wall_ns(const sr_clock_t *clock);
 
+/**
+ * sr_clock_unix_ms - time of day in Unix milliseconds, without its steps
+ *
+ * A jump of the wall clock is not followed until it has lasted for
+ * SR_CLOCK_STEP_HOLD; between that the time runs on evenly.
+ */
+gint64 sr_clock_unix_ms(sr_clock_t *clock);
+
+/** A step of the wall clock is believed after this time. */
+#define SR_CLOCK_STEP_HOLD (30 * SR_SEC)
+
 /** sr_clock_advance - move a manual clock, running the timers that fall due. */
 void sr_clock_advance(sr_clock_t *clock, sr_usec_t by);
 
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -68,6 +68,12 @@
 	  "check that both sides run compatible versions" },
 	{ SR_ERR_CANCELLED, 499, "cancelled", "the caller went away",
 	  "none needed" },
+	{ SR_ERR_HEAD_TOO_LARGE, 431, "head-too-large",
+	  "the request header exceeds the size limit",
+	  "send fewer or shorter header fields" },
+	{ SR_ERR_CALLER_TIMEOUT, 408, "caller-timeout",
+	  "the request did not arrive in time",
+	  "send the whole request without a pause" },
 };
 
 static const error_row_t *find_row(sr_err_t err)
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -31,6 +31,8 @@
 	SR_ERR_IO = -19,
 	SR_ERR_PROTOCOL = -20,
 	SR_ERR_CANCELLED = -21,
+	SR_ERR_HEAD_TOO_LARGE = -22,
+	SR_ERR_CALLER_TIMEOUT = -23,
 } sr_err_t;
 
 /** sr_err_name - stable machine-readable name, e.g. "overloaded". */
--- /dev/null
+++ b/src/core/allowance.c
@@ -0,0 +1,255 @@
+#include "core/allowance.h"
+
+#include <math.h>
+
+/** Part of a rate that is shared evenly; the rest goes by demand. */
+#define EVEN_PART 0.3
+
+/** Time over which demand is averaged, in s: short enough to follow callers
+ * that move, long against the time between two requests. */
+#define DEMAND_TIME_S 4.0
+
+/** Part of its burst that a host begins with: what was used before its start
+ * is not known. */
+#define START_PART 0.5
+
+/** So long after its start a host's own demand is not known yet. */
+#define LEARNING (8 * SR_SEC)
+
+/** demand_t - what one host is asked for by an account. */
+typedef struct {
+	double asked; /* only grows */
+	double rate;  /* per s, averaged */
+	sr_usec_t at;
+} demand_t;
+
+typedef struct {
+	double rate;
+	double burst;
+	double level;
+	sr_usec_t filled;
+	sr_usec_t began;
+	demand_t own;
+	GHashTable *others; /* node -> demand_t */
+} bucket_t;
+
+struct sr_allowance {
+	GHashTable *buckets; /* account -> bucket_t */
+	unsigned n_hosts;
+};
+
+static void free_bucket(gpointer data)
+{
+	bucket_t *bucket = data;
+
+	g_hash_table_unref(bucket->others);
+	g_free(bucket);
+}
+
+sr_allowance_t *sr_allowance_new(void)
+{
+	sr_allowance_t *allowance = g_new0(sr_allowance_t, 1);
+
+	allowance->n_hosts = 1;
+	allowance->buckets = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, free_bucket);
+	return allowance;
+}
+
+void sr_allowance_free(sr_allowance_t *allowance)
+{
+	if (!allowance)
+		return;
+	g_hash_table_unref(allowance->buckets);
+	g_free(allowance);
+}
+
+void sr_allowance_set_hosts(sr_allowance_t *allowance, unsigned n)
+{
+	allowance->n_hosts = MAX(n, 1);
+}
+
+static bucket_t *bucket_of(sr_allowance_t *allowance, sr_usec_t now,
+			   const char *account)
+{
+	bucket_t *bucket = g_hash_table_lookup(allowance->buckets, account);
+
+	if (!bucket) {
+		bucket = g_new0(bucket_t, 1);
+		bucket->began = now;
+		bucket->filled = now;
+		bucket->own.at = now;
+		bucket->others = g_hash_table_new_full(g_str_hash, g_str_equal,
+						       g_free, g_free);
+		g_hash_table_insert(allowance->buckets, g_strdup(account),
+				    bucket);
+	}
+	return bucket;
+}
+
+static double seconds_since(sr_usec_t then, sr_usec_t now)
+{
+	return (double)MAX(now - then, 0) / SR_SEC;
+}
+
+/* Counts what is asked for here into the average. */
+static void ask(demand_t *own, sr_usec_t now, double amount)
+{
+	own->rate *= exp(-seconds_since(own->at, now) / DEMAND_TIME_S);
+	own->rate += amount / DEMAND_TIME_S;
+	own->asked += amount;
+	own->at = now;
+}
+
+static double others_rate(bucket_t *bucket, sr_usec_t now, unsigned *n)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double sum = 0;
+
+	*n = 0;
+	g_hash_table_iter_init(&iter, bucket->others);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const demand_t *other = value;
+
+		if (now - other->at > SR_ALLOWANCE_FORGET) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		sum += other->rate;
+		(*n)++;
+	}
+	return sum;
+}
+
+static double share_of(const sr_allowance_t *allowance, bucket_t *bucket,
+		       sr_usec_t now)
+{
+	unsigned n_others;
+	double others = others_rate(bucket, now, &n_others);
+	unsigned n = MAX(allowance->n_hosts, n_others + 1);
+	double own = bucket->own.rate *
+		     exp(-seconds_since(bucket->own.at, now) / DEMAND_TIME_S);
+
+	if (now - bucket->began < LEARNING) {
+		if (n_others == 0)
+			return 1.0 / n;
+		own = MAX(own, others / n_others);
+	}
+	if (own + others <= 0)
+		return 1.0 / n;
+	return EVEN_PART / n + (1 - EVEN_PART) * own / (own + others);
+}
+
+static void fill(bucket_t *bucket, sr_usec_t now, double share)
+{
+	double earned =
+		bucket->rate * share * seconds_since(bucket->filled, now);
+
+	bucket->level =
+		MIN(bucket->level + earned, bucket->burst * share);
+	bucket->filled = now;
+}
+
+void sr_allowance_set_limit(sr_allowance_t *allowance, sr_usec_t now,
+			    const char *account, double rate_per_s,
+			    double burst)
+{
+	bucket_t *bucket = bucket_of(allowance, now, account);
+	double share = share_of(allowance, bucket, now);
+
+	if (bucket->rate == 0)
+		bucket->level = START_PART * burst * share;
+	else
+		fill(bucket, now, share);
+	bucket->filled = now;
+	bucket->rate = rate_per_s;
+	bucket->burst = burst;
+	bucket->level = MIN(bucket->level, burst * share);
+}
+
+sr_usec_t sr_allowance_take(sr_allowance_t *allowance, sr_usec_t now,
+			    const char *account, double amount)
+{
+	bucket_t *bucket = bucket_of(allowance, now, account);
+	double share;
+
+	ask(&bucket->own, now, amount);
+	if (bucket->rate <= 0)
+		return 0;
+	share = share_of(allowance, bucket, now);
+	fill(bucket, now, share);
+	if (bucket->level < 0)
+		return (sr_usec_t)(-bucket->level / (bucket->rate * share) *
+				   SR_SEC) +
+		       1;
+	bucket->level -= amount;
+	return 0;
+}
+
+void sr_allowance_give_back(sr_allowance_t *allowance, const char *account,
+			    double amount)
+{
+	bucket_t *bucket = g_hash_table_lookup(allowance->buckets, account);
+
+	if (bucket)
+		bucket->level += amount;
+}
+
+double sr_allowance_share(sr_allowance_t *allowance, sr_usec_t now,
+			  const char *account)
+{
+	return share_of(allowance, bucket_of(allowance, now, account), now);
+}
+
+void sr_allowance_foreach(const sr_allowance_t *allowance,
+			  void (*fn)(void *user, const char *account,
+				     double asked),
+			  void *user)
+{
+	GHashTableIter iter;
+	gpointer account;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, allowance->buckets);
+	while (g_hash_table_iter_next(&iter, &account, &value))
+		fn(user, account, ((const bucket_t *)value)->own.asked);
+}
+
+void sr_allowance_heard(sr_allowance_t *allowance, sr_usec_t now,
+			const char *node, const char *account, double asked)
+{
+	bucket_t *bucket = bucket_of(allowance, now, account);
+	demand_t *other = g_hash_table_lookup(bucket->others, node);
+	double passed;
+	double rate;
+
+	if (!other) {
+		/* What it was asked for before it was heard of says nothing of
+		 * its rate; until more is known it is like this host. */
+		other = g_new0(demand_t, 1);
+		other->asked = asked;
+		other->rate = bucket->own.rate;
+		other->at = now;
+		g_hash_table_insert(bucket->others, g_strdup(node), other);
+		return;
+	}
+	passed = seconds_since(other->at, now);
+	if (passed <= 0)
+		return;
+	rate = MAX(asked - other->asked, 0) / passed;
+	other->rate +=
+		(1 - exp(-passed / DEMAND_TIME_S)) * (rate - other->rate);
+	other->asked = MAX(asked, other->asked);
+	other->at = now;
+}
+
+void sr_allowance_left(sr_allowance_t *allowance, const char *node)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, allowance->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_remove(((bucket_t *)value)->others, node);
+}
--- /dev/null
+++ b/src/core/allowance.h
@@ -0,0 +1,64 @@
+#ifndef SR_CORE_ALLOWANCE_H
+#define SR_CORE_ALLOWANCE_H
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/**
+ * sr_allowance_t - rate limits of client accounts over all entry hosts
+ *
+ * Each host has a bucket for its share of an account's rate. A part of the
+ * rate is shared evenly, the rest by what each host was asked for of late, so
+ * that a sudden rise at all hosts together stays within the limit without a
+ * message. What a host was asked for is a counter that only grows. A host
+ * that has fallen silent keeps its share, so that parts of the fleet that are
+ * cut off from each other stay within the limit together.
+ */
+typedef struct sr_allowance sr_allowance_t;
+
+/** A host that was silent for this long is taken to be gone. */
+#define SR_ALLOWANCE_FORGET (30 * SR_SEC)
+
+sr_allowance_t *sr_allowance_new(void);
+void sr_allowance_free(sr_allowance_t *allowance);
+
+/** sr_allowance_set_hosts - how many entry hosts there are, this too. */
+void sr_allowance_set_hosts(sr_allowance_t *allowance, unsigned n);
+
+/** sr_allowance_set_limit - rate 0 lifts it. */
+void sr_allowance_set_limit(sr_allowance_t *allowance, sr_usec_t now,
+			    const char *account, double rate_per_s,
+			    double burst);
+
+/**
+ * sr_allowance_take - use up an amount
+ *
+ * Returns 0, or if this host's share is used up how long the account has to
+ * wait until it is not.
+ */
+sr_usec_t sr_allowance_take(sr_allowance_t *allowance, sr_usec_t now,
+			    const char *account, double amount);
+
+/** sr_allowance_give_back - a request that was taken did not run. */
+void sr_allowance_give_back(sr_allowance_t *allowance, const char *account,
+			    double amount);
+
+/** sr_allowance_share - this host's part of the account's rate, 0 to 1. */
+double sr_allowance_share(sr_allowance_t *allowance, sr_usec_t now,
+			  const char *account);
+
+/** sr_allowance_foreach - what this host was asked for, by account. */
+void sr_allowance_foreach(const sr_allowance_t *allowance,
+			  void (*fn)(void *user, const char *account,
+				     double asked),
+			  void *user);
+
+/** sr_allowance_heard - another host's counter for an account. */
+void sr_allowance_heard(sr_allowance_t *allowance, sr_usec_t now,
+			const char *node, const char *account, double asked);
+
+/** sr_allowance_left - another host has ended in order. */
+void sr_allowance_left(sr_allowance_t *allowance, const char *node);
+
+#endif
--- a/src/core/dispatch.c
+++ b/src/core/dispatch.c
@@ -544,7 +544,7 @@
 	unsigned n = tokens - MIN(tokens, call->tokens_before);
 
 	sample(&call->service->duration_s, duration);
-	sr_retry_budget_succeeded(&call->service->retry_budget);
+	sr_retry_budget_earn(&call->service->retry_budget);
 	if (call->service->kind == SR_SERVICE_PLAIN) {
 		sample_plain(call->upstream, now, duration);
 	} else if (n > 1 && call->first_token_at > 0) {
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -33,6 +33,12 @@
 	SR_RUMOUR_USAGE,       /* key = node/account; requests in flight */
 	SR_RUMOUR_STATUS,      /* key = node; generation in force, draining */
 	SR_RUMOUR_ROLLOUT,     /* key = "service/version"; version = step */
+	SR_RUMOUR_TABLE,    /* key "", version = that of the table of routes */
+	SR_RUMOUR_INSTANCE, /* key = instance; version = twice the revision of
+			     * its entry, and 1 more for its removal */
+	SR_RUMOUR_DEMAND,   /* key = node; what accounts asked it for */
+	SR_RUMOUR_LOAD,	    /* key = node; its work at instances */
+	SR_RUMOUR_WINDOW,   /* key = node/window; requests that began to run */
 	SR_RUMOUR_N_KINDS,
 } sr_rumour_kind_t;
 
--- /dev/null
+++ b/src/core/instances.c
@@ -0,0 +1,199 @@
+#include "core/instances.h"
+
+#include <string.h>
+
+struct sr_instances {
+	GHashTable *by_name;	/* char * -> sr_instance_t */
+	GHashTable *by_service; /* char * -> GPtrArray of sr_instance_t */
+	GHashTable *removed;	/* char * -> guint64 *: revision of removal */
+	GPtrArray *all;
+	guint32 next_id;
+};
+
+/** Removals that are remembered; beyond that they are forgotten at once, and
+ * an entry older than they are could come back until the next listing. */
+#define REMOVED_MAX 4096
+
+sr_instance_t *sr_instance_ref(sr_instance_t *instance)
+{
+	instance->references++;
+	return instance;
+}
+
+void sr_instance_unref(sr_instance_t *instance)
+{
+	if (!instance || --instance->references > 0)
+		return;
+	g_free(instance->name);
+	g_free(instance->service);
+	g_free(instance->address);
+	g_free(instance->failure_domain);
+	g_free(instance->version);
+	g_free(instance);
+}
+
+static void unref_instance(gpointer data)
+{
+	sr_instance_unref(data);
+}
+
+sr_instances_t *sr_instances_new(void)
+{
+	sr_instances_t *instances = g_new0(sr_instances_t, 1);
+
+	instances->by_name = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, unref_instance);
+	instances->by_service =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	instances->removed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	instances->all = g_ptr_array_new();
+	instances->next_id = 1;
+	return instances;
+}
+
+void sr_instances_free(sr_instances_t *instances)
+{
+	if (!instances)
+		return;
+	g_hash_table_unref(instances->by_service);
+	g_hash_table_unref(instances->by_name);
+	g_hash_table_unref(instances->removed);
+	g_ptr_array_unref(instances->all);
+	g_free(instances);
+}
+
+static void link_instance(sr_instances_t *instances, sr_instance_t *instance)
+{
+	GPtrArray *list =
+		g_hash_table_lookup(instances->by_service, instance->service);
+
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(instances->by_service,
+				    g_strdup(instance->service), list);
+	}
+	g_ptr_array_add(list, instance);
+	g_ptr_array_add(instances->all, instance);
+	g_hash_table_insert(instances->by_name, instance->name, instance);
+}
+
+static void unlink_instance(sr_instances_t *instances, sr_instance_t *instance)
+{
+	GPtrArray *list =
+		g_hash_table_lookup(instances->by_service, instance->service);
+
+	g_ptr_array_remove_fast(list, instance);
+	g_ptr_array_remove_fast(instances->all, instance);
+	instance->is_gone = TRUE;
+	g_hash_table_remove(instances->by_name, instance->name);
+}
+
+static void update(sr_instance_t *instance, const sr_registration_t *entry,
+		   sr_usec_t now)
+{
+	instance->slots = entry->slots;
+	instance->revision = entry->revision;
+	instance->reclaimable = entry->reclaimable;
+	/* One start of an instance never goes back from leaving. */
+	instance->draining = instance->draining || entry->draining;
+	instance->cold_until = entry->cold_for > 0 ? now + entry->cold_for : 0;
+	instance->leaves_at = entry->leaves_in > 0 ? now + entry->leaves_in : 0;
+}
+
+static sr_instance_t *new_instance(sr_instances_t *instances,
+				   const sr_registration_t *entry,
+				   sr_usec_t now)
+{
+	sr_instance_t *instance = g_new0(sr_instance_t, 1);
+
+	instance->id = instances->next_id++;
+	instance->references = 1;
+	instance->name = g_strdup(entry->name);
+	instance->service = g_strdup(entry->service);
+	instance->address = g_strdup(entry->address);
+	instance->failure_domain = g_strdup(entry->failure_domain);
+	instance->version = g_strdup(entry->version);
+	instance->born_ms = entry->born_ms;
+	update(instance, entry, now);
+	return instance;
+}
+
+static gboolean was_removed_later(const sr_instances_t *instances,
+				  const sr_registration_t *entry)
+{
+	const guint64 *revision =
+		g_hash_table_lookup(instances->removed, entry->name);
+
+	return revision && *revision >= entry->revision;
+}
+
+sr_instance_change_t sr_instances_register(sr_instances_t *instances,
+					   const sr_registration_t *entry,
+					   sr_usec_t now)
+{
+	sr_instance_t *known =
+		g_hash_table_lookup(instances->by_name, entry->name);
+	gboolean restarted = FALSE;
+
+	if (was_removed_later(instances, entry))
+		return SR_INSTANCE_UNCHANGED;
+	if (known && entry->revision <= known->revision)
+		return SR_INSTANCE_UNCHANGED;
+	if (known && known->born_ms == entry->born_ms &&
+	    !strcmp(known->address, entry->address) &&
+	    !strcmp(known->service, entry->service) &&
+	    !strcmp(known->version, entry->version)) {
+		update(known, entry, now);
+		return SR_INSTANCE_UPDATED;
+	}
+	if (known) {
+		unlink_instance(instances, known);
+		restarted = TRUE;
+	}
+	g_hash_table_remove(instances->removed, entry->name);
+	link_instance(instances, new_instance(instances, entry, now));
+	return restarted ? SR_INSTANCE_RESTARTED : SR_INSTANCE_ADDED;
+}
+
+gboolean sr_instances_remove(sr_instances_t *instances, const char *name,
+			     guint64 revision)
+{
+	sr_instance_t *known = g_hash_table_lookup(instances->by_name, name);
+
+	if (known && known->revision > revision)
+		return FALSE;
+	if (g_hash_table_size(instances->removed) >= REMOVED_MAX)
+		g_hash_table_remove_all(instances->removed);
+	g_hash_table_insert(instances->removed, g_strdup(name),
+			    g_memdup2(&revision, sizeof(revision)));
+	if (!known)
+		return FALSE;
+	unlink_instance(instances, known);
+	return TRUE;
+}
+
+sr_instance_t *sr_instances_find(const sr_instances_t *instances,
+				 const char *name)
+{
+	return g_hash_table_lookup(instances->by_name, name);
+}
+
+const GPtrArray *sr_instances_of_service(const sr_instances_t *instances,
+					 const char *service)
+{
+	return g_hash_table_lookup(instances->by_service, service);
+}
+
+const GPtrArray *sr_instances_all(const sr_instances_t *instances)
+{
+	return instances->all;
+}
+
+gboolean sr_instance_is_usable(const sr_instance_t *instance, sr_usec_t now)
+{
+	return !instance->is_gone && !instance->draining &&
+	       sr_ejection_state(&instance->ejection, now) !=
+		       SR_EJECTION_EJECTED;
+}
--- /dev/null
+++ b/src/core/placement.c
@@ -0,0 +1,227 @@
+#include "core/placement.h"
+
+#include "base/rendezvous.h"
+
+/** What other hosts told of their work is void after this. */
+#define OTHERS_LIFE (3 * SR_SEC)
+
+/** Part of a shared prefix that its home is taken to have cached although
+ * this host has not sent it there; other hosts may have. */
+#define HOME_CACHED 0.7
+
+/** What an instance in another failure domain has to be faster by, in s;
+ * about the round trip to it. */
+#define FAR_COST_S 0.003
+
+/** Each request at an engine delays the steps of all others; in s. */
+#define STEP_COST_S 0.0004
+
+/** Figures of an engine that has not been observed yet. */
+#define START_TOKENS_PER_S 40000.0
+#define START_BASE_S 0.04
+#define START_DURATION_S 0.5
+
+/** Weight of one observation in the smoothed figures. */
+#define SMOOTHING 0.05
+
+/** Prompts shorter than this say little of the speed of reading. */
+#define SPEED_MIN_TOKENS 1500.0
+
+/** An instance that is still cold is taken to be slower by this factor. */
+#define COLD_FACTOR 1.6
+
+void sr_engine_speed_init(sr_engine_speed_t *speed)
+{
+	speed->tokens_per_s = START_TOKENS_PER_S;
+	speed->base_s = START_BASE_S;
+	speed->duration_s = START_DURATION_S;
+}
+
+void sr_engine_speed_first(sr_engine_speed_t *speed, double unread_tokens,
+			   sr_usec_t took)
+{
+	double seconds = (double)took / SR_SEC;
+
+	if (unread_tokens < SPEED_MIN_TOKENS) {
+		if (unread_tokens < 1)
+			speed->base_s += SMOOTHING * (seconds - speed->base_s);
+		return;
+	}
+	seconds = MAX(seconds - speed->base_s, 0.001);
+	speed->tokens_per_s +=
+		SMOOTHING * (unread_tokens / seconds - speed->tokens_per_s);
+}
+
+void sr_engine_speed_whole(sr_engine_speed_t *speed, sr_usec_t took)
+{
+	speed->duration_s +=
+		SMOOTHING * ((double)took / SR_SEC - speed->duration_s);
+}
+
+static gboolean knows_others(const sr_instance_t *instance, sr_usec_t now)
+{
+	return instance->others_at > 0 &&
+	       now - instance->others_at < OTHERS_LIFE;
+}
+
+double sr_placement_in_flight(const sr_instance_t *instance, sr_usec_t now)
+{
+	double others =
+		knows_others(instance, now) ? instance->others_in_flight : 0;
+
+	return instance->in_flight + others;
+}
+
+static double unread_tokens(const sr_instance_t *instance, sr_usec_t now)
+{
+	double others = knows_others(instance, now) ?
+				instance->others_unread_tokens :
+				0;
+
+	return instance->unread_tokens + others;
+}
+
+static gboolean is_tried(const sr_placement_request_t *request, guint32 id)
+{
+	for (unsigned i = 0; i < request->n_tried; i++) {
+		if (request->tried[i] == id)
+			return TRUE;
+	}
+	return FALSE;
+}
+
+/* Blocks that requests have in common; the last one is the request's own. */
+static unsigned n_shared(const sr_prompt_t *prompt)
+{
+	return prompt && prompt->n_blocks > 0 ? prompt->n_blocks - 1 : 0;
+}
+
+static double tokens_of(const sr_prompt_t *prompt, unsigned from, unsigned to)
+{
+	double sum = 0;
+
+	for (unsigned i = from; i < to; i++)
+		sum += prompt->tokens[i];
+	return sum;
+}
+
+/* The usable instance that should hold the prefix; NULL without one. */
+static const sr_instance_t *home_of(const GPtrArray *list,
+				    const sr_prompt_t *prompt, sr_usec_t now)
+{
+	const sr_instance_t *home = NULL;
+	guint64 best = 0;
+	char thing[24];
+
+	if (n_shared(prompt) == 0)
+		return NULL;
+	g_snprintf(thing, sizeof(thing), "%" G_GINT64_MODIFIER "x",
+		   prompt->blocks[n_shared(prompt) - 1]);
+	for (guint i = 0; i < list->len; i++) {
+		const sr_instance_t *instance = list->pdata[i];
+		guint64 score;
+
+		if (!sr_instance_is_usable(instance, now))
+			continue;
+		score = sr_rendezvous_score(instance->name, thing);
+		if (!home || score > best) {
+			home = instance;
+			best = score;
+		}
+	}
+	return home;
+}
+
+static double uncached_tokens(const sr_placement_t *placement,
+			      const sr_prompt_t *prompt,
+			      const sr_instance_t *instance, gboolean is_home,
+			      sr_usec_t now)
+{
+	unsigned shared = n_shared(prompt);
+	unsigned cached;
+	double rest;
+
+	if (!prompt || !prompt->is_stated)
+		return 0;
+	cached = sr_prefix_index_match(placement->index, now, instance->id,
+				       prompt->blocks, shared);
+	rest = tokens_of(prompt, cached, shared);
+	if (is_home)
+		rest *= 1 - HOME_CACHED;
+	return rest + tokens_of(prompt, shared, prompt->n_blocks);
+}
+
+/* Expected wait for a slot: nothing while there are some. */
+static double slot_wait(const sr_instance_t *instance,
+			const sr_engine_speed_t *speed, sr_usec_t now)
+{
+	double slots = MAX(instance->slots, 1);
+	double excess = sr_placement_in_flight(instance, now) + 1 - slots;
+
+	return excess > 0 ? excess / slots * speed->duration_s : 0;
+}
+
+static double first_event_s(const sr_placement_request_t *request,
+			    const sr_instance_t *instance, double uncached,
+			    sr_usec_t now)
+{
+	const sr_engine_speed_t *speed = request->speed;
+	double seconds = slot_wait(instance, speed, now);
+
+	if (request->is_engine)
+		seconds += speed->base_s +
+			   (unread_tokens(instance, now) + uncached) /
+				   speed->tokens_per_s +
+			   STEP_COST_S * sr_placement_in_flight(instance, now);
+	else
+		seconds += speed->duration_s *
+			   (1 + sr_placement_in_flight(instance, now) /
+					MAX(instance->slots, 1));
+	return instance->cold_until > now ? seconds * COLD_FACTOR : seconds;
+}
+
+sr_placement_choice_t
+sr_placement_choose(const sr_placement_t *placement,
+		    const sr_placement_request_t *request, sr_usec_t now)
+{
+	const GPtrArray *list = sr_instances_of_service(placement->instances,
+							request->service);
+	sr_placement_choice_t choice = { .least_occupancy = G_MAXDOUBLE };
+	const sr_instance_t *home;
+	double best = 0;
+
+	if (!list)
+		return choice;
+	home = home_of(list, request->prompt, now);
+	for (guint i = 0; i < list->len; i++) {
+		/* Equals are taken in turn, or all hosts would choose the
+		 * first one. */
+		sr_instance_t *instance =
+			list->pdata[(i + (guint)(request->jitter * list->len)) %
+				    list->len];
+		double occupancy = sr_placement_in_flight(instance, now) /
+				   MAX(instance->slots, 1);
+		double uncached;
+		double cost;
+
+		if (!sr_instance_is_usable(instance, now) ||
+		    is_tried(request, instance->id))
+			continue;
+		uncached = uncached_tokens(placement, request->prompt, instance,
+					   instance == home, now);
+		cost = first_event_s(request, instance, uncached, now);
+		choice.least_occupancy =
+			MIN(choice.least_occupancy, occupancy);
+		if (g_strcmp0(instance->failure_domain,
+			      placement->failure_domain))
+			cost += FAR_COST_S;
+		if (!choice.instance || cost < best) {
+			best = cost;
+			choice.instance = instance;
+			choice.uncached_tokens = uncached;
+			choice.first_s = cost;
+			choice.occupancy = occupancy;
+		}
+	}
+	return choice;
+}
--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -8,12 +8,26 @@
 
 void sr_retry_budget_init(sr_retry_budget_t *budget)
 {
-	budget->tokens = TOKENS_MAX;
+	sr_retry_budget_init_with(budget, TOKENS_PER_SUCCESS, TOKENS_MAX);
 }
 
-void sr_retry_budget_succeeded(sr_retry_budget_t *budget)
+void sr_retry_budget_init_with(sr_retry_budget_t *budget, double earn,
+			       double max)
 {
-	budget->tokens = MIN(budget->tokens + TOKENS_PER_SUCCESS, TOKENS_MAX);
+	budget->earn = earn;
+	budget->max = max;
+	budget->tokens = max;
+}
+
+void sr_retry_budget_set_max(sr_retry_budget_t *budget, double max)
+{
+	budget->max = max;
+	budget->tokens = MIN(budget->tokens, max);
+}
+
+void sr_retry_budget_earn(sr_retry_budget_t *budget)
+{
+	budget->tokens = MIN(budget->tokens + budget->earn, budget->max);
 }
 
 gboolean sr_retry_budget_take(sr_retry_budget_t *budget, double cost)
--- a/src/daemon/control_rumours.c
+++ b/src/daemon/control_rumours.c
@@ -223,6 +223,12 @@
 		break;
 	case SR_RUMOUR_STATUS:
 		break; /* read when an operator asks */
+	case SR_RUMOUR_TABLE: /* of the gateway */
+	case SR_RUMOUR_INSTANCE:
+	case SR_RUMOUR_DEMAND:
+	case SR_RUMOUR_LOAD:
+	case SR_RUMOUR_WINDOW:
+		break;
 	case SR_RUMOUR_RECALL:
 	case SR_RUMOUR_SHARD_OWNER:
 	case SR_RUMOUR_EVIDENCE:
--- /dev/null
+++ b/src/fleet/beliefs_internal.h
@@ -0,0 +1,62 @@
+#ifndef SR_FLEET_BELIEFS_INTERNAL_H
+#define SR_FLEET_BELIEFS_INTERNAL_H
+
+#include "core/gossip.h"
+#include "daemon/members.h"
+#include "fleet/beliefs.h"
+#include "peer/peer.h"
+
+/** Shared between the files of the beliefs only. */
+
+struct sr_beliefs {
+	sr_beliefs_options_t options;
+	char *owner; /* node and incarnation */
+	guint64 incarnation;
+	guint64 n_told;
+	sr_peer_t *peer;
+	sr_gossip_t *gossip;
+	sr_members_t *members;
+	sr_usage_windows_t *usage;
+	sr_timer_t *timer;
+	sr_usec_t next_tell;
+	/* the table in force and the newest that was heard of */
+	GBytes *text;
+	guint64 version;
+	guint64 heard_version;
+	sr_timer_t *fetch_timer;
+	gboolean fetching;
+	/* the highest revision that came from the platform, and from peers */
+	guint64 own_revision;
+	guint64 heard_revision;
+	sr_usec_t behind_since; /* 0 if not behind the peers */
+	/* what other hosts run: node -> load of tellings.c */
+	GHashTable *loads;
+	guint64 told_windows[SR_USAGE_WINDOWS_KEPT]; /* sums, by window */
+	/* accounts that are being told, for the callback of tellings.c */
+	GString *demand;
+};
+
+static inline sr_usec_t sr_beliefs_now(const sr_beliefs_t *beliefs)
+{
+	return sr_clock_now(beliefs->options.clock);
+}
+
+/** sr_beliefs_put - spread something that only this host tells. */
+void sr_beliefs_put_own(sr_beliefs_t *beliefs, sr_rumour_kind_t kind,
+			const char *key, const char *text, sr_usec_t ttl);
+
+/* tellings.c: work, demand and usage */
+
+void sr_tellings_init(sr_beliefs_t *beliefs);
+void sr_tellings_clear(sr_beliefs_t *beliefs);
+
+/** sr_tellings_tell - tell the others; call once a second. */
+void sr_tellings_tell(sr_beliefs_t *beliefs);
+void sr_tellings_heard_demand(sr_beliefs_t *beliefs, const sr_rumour_t *rumour);
+void sr_tellings_heard_load(sr_beliefs_t *beliefs, const sr_rumour_t *rumour);
+void sr_tellings_heard_window(sr_beliefs_t *beliefs, const sr_rumour_t *rumour);
+
+/** sr_tellings_apply - put others' work into the table of instances. */
+void sr_tellings_apply(sr_beliefs_t *beliefs);
+
+#endif
--- /dev/null
+++ b/src/fleet/tellings.c
@@ -0,0 +1,240 @@
+#include <string.h>
+
+#include "fleet/beliefs_internal.h"
+
+/** What hosts tell of their work and demand is void after this. */
+#define TELLING_TTL (5 * SR_SEC)
+
+/** Counts of usage are kept this long by the others, longer than any window
+ * waits for its report. */
+#define WINDOW_TTL (40 * SR_SEC)
+
+/** Windows that may lie ahead of this host's clock. */
+#define WINDOWS_AHEAD 1
+
+typedef struct {
+	char *instance;
+	double in_flight;
+	double unread_tokens;
+} load_item_t;
+
+typedef struct {
+	sr_usec_t at;
+	GArray *items; /* load_item_t */
+} load_t;
+
+static void clear_item(gpointer data)
+{
+	load_item_t *item = data;
+
+	g_free(item->instance);
+}
+
+static void free_load(gpointer data)
+{
+	load_t *load = data;
+
+	g_array_unref(load->items);
+	g_free(load);
+}
+
+void sr_tellings_init(sr_beliefs_t *beliefs)
+{
+	beliefs->loads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       free_load);
+	beliefs->demand = g_string_new(NULL);
+	if (beliefs->options.usage_window > 0)
+		beliefs->usage = sr_usage_windows_new(
+			beliefs->owner, beliefs->options.usage_window);
+}
+
+void sr_tellings_clear(sr_beliefs_t *beliefs)
+{
+	g_hash_table_unref(beliefs->loads);
+	g_string_free(beliefs->demand, TRUE);
+	sr_usage_windows_free(beliefs->usage);
+}
+
+static void append_demand(void *user, const char *account, double asked)
+{
+	sr_beliefs_t *beliefs = user;
+
+	if (beliefs->demand->len < SR_RUMOUR_MAX - 64)
+		g_string_append_printf(beliefs->demand, "%s=%.0f\n", account,
+				       asked);
+}
+
+static void tell_demand(sr_beliefs_t *beliefs)
+{
+	g_string_truncate(beliefs->demand, 0);
+	sr_allowance_foreach(sr_gateway_allowance(beliefs->options.gateway),
+			     append_demand, beliefs);
+	if (beliefs->demand->len > 0)
+		sr_beliefs_put_own(beliefs, SR_RUMOUR_DEMAND,
+				   beliefs->options.node, beliefs->demand->str,
+				   TELLING_TTL);
+}
+
+static void tell_load(sr_beliefs_t *beliefs)
+{
+	const GPtrArray *all = sr_instances_all(
+		sr_gateway_instances(beliefs->options.gateway));
+	GString *text = g_string_new(NULL);
+
+	for (guint i = 0; i < all->len && text->len < SR_RUMOUR_MAX - 64; i++) {
+		const sr_instance_t *instance = all->pdata[i];
+
+		if (instance->in_flight > 0)
+			g_string_append_printf(text, "%s %u %.0f\n",
+					       instance->name,
+					       instance->in_flight,
+					       instance->unread_tokens);
+	}
+	if (text->len > 0)
+		sr_beliefs_put_own(beliefs, SR_RUMOUR_LOAD,
+				   beliefs->options.node, text->str,
+				   TELLING_TTL);
+	g_string_free(text, TRUE);
+}
+
+static void tell_window(sr_beliefs_t *beliefs, guint64 window)
+{
+	guint64 *told = &beliefs->told_windows[window % SR_USAGE_WINDOWS_KEPT];
+	guint64 mark;
+	char *text;
+	char *key;
+	guint64 sum = sr_usage_windows_text(beliefs->usage, window, &text);
+
+	/* The sum and the window, so that another window is news as well. */
+	mark = window * G_MAXUINT16 + sum;
+	if (sum > 0 && mark != *told && strlen(text) <= SR_USAGE_TEXT_MAX) {
+		*told = mark;
+		key = g_strdup_printf("%s/%" G_GUINT64_FORMAT, beliefs->owner,
+				      window);
+		sr_beliefs_put_own(beliefs, SR_RUMOUR_WINDOW, key, text,
+				   WINDOW_TTL);
+		g_free(key);
+	}
+	g_free(text);
+}
+
+static guint64 window_now(const sr_beliefs_t *beliefs)
+{
+	return sr_usage_windows_at(beliefs->usage,
+				   sr_clock_unix_ms(beliefs->options.clock));
+}
+
+void sr_tellings_tell(sr_beliefs_t *beliefs)
+{
+	tell_demand(beliefs);
+	tell_load(beliefs);
+	if (beliefs->usage) {
+		guint64 window = window_now(beliefs);
+
+		tell_window(beliefs, window - 1);
+		tell_window(beliefs, window);
+	}
+}
+
+void sr_tellings_heard_demand(sr_beliefs_t *beliefs, const sr_rumour_t *rumour)
+{
+	char *text = g_strndup((const char *)rumour->value, rumour->size);
+	char **lines = g_strsplit(text, "\n", -1);
+
+	for (char **line = lines; *line; line++) {
+		char *mark = strrchr(*line, '=');
+
+		if (!mark)
+			continue;
+		*mark = '\0';
+		sr_allowance_heard(
+			sr_gateway_allowance(beliefs->options.gateway),
+			sr_beliefs_now(beliefs), rumour->key, *line,
+			g_ascii_strtod(mark + 1, NULL));
+	}
+	g_strfreev(lines);
+	g_free(text);
+}
+
+void sr_tellings_heard_load(sr_beliefs_t *beliefs, const sr_rumour_t *rumour)
+{
+	char *text = g_strndup((const char *)rumour->value, rumour->size);
+	char **lines = g_strsplit(text, "\n", -1);
+	load_t *load = g_new0(load_t, 1);
+
+	load->at = sr_beliefs_now(beliefs);
+	load->items = g_array_new(FALSE, FALSE, sizeof(load_item_t));
+	g_array_set_clear_func(load->items, clear_item);
+	for (char **line = lines; *line; line++) {
+		char **parts = g_strsplit(*line, " ", 3);
+
+		if (g_strv_length(parts) == 3) {
+			const load_item_t item = {
+				.instance = g_strdup(parts[0]),
+				.in_flight = g_ascii_strtod(parts[1], NULL),
+				.unread_tokens = g_ascii_strtod(parts[2], NULL),
+			};
+
+			g_array_append_val(load->items, item);
+		}
+		g_strfreev(parts);
+	}
+	g_hash_table_insert(beliefs->loads, g_strdup(rumour->key), load);
+	g_strfreev(lines);
+	g_free(text);
+}
+
+void sr_tellings_heard_window(sr_beliefs_t *beliefs, const sr_rumour_t *rumour)
+{
+	const char *mark = strrchr(rumour->key, '/');
+	char *node;
+	guint64 window;
+
+	if (!beliefs->usage || !mark ||
+	    !g_ascii_string_to_unsigned(mark + 1, 10, 0, G_MAXUINT64, &window,
+					NULL) ||
+	    window > window_now(beliefs) + WINDOWS_AHEAD)
+		return;
+	node = g_strndup(rumour->key, (gsize)(mark - rumour->key));
+	sr_usage_windows_heard(beliefs->usage, node, window,
+			       (const char *)rumour->value, rumour->size);
+	g_free(node);
+}
+
+void sr_tellings_apply(sr_beliefs_t *beliefs)
+{
+	sr_instances_t *instances =
+		sr_gateway_instances(beliefs->options.gateway);
+	const GPtrArray *all = sr_instances_all(instances);
+	sr_usec_t now = sr_beliefs_now(beliefs);
+	GHashTableIter iter;
+	gpointer value;
+
+	for (guint i = 0; i < all->len; i++) {
+		sr_instance_t *instance = all->pdata[i];
+
+		instance->others_in_flight = 0;
+		instance->others_unread_tokens = 0;
+		instance->others_at = now;
+	}
+	g_hash_table_iter_init(&iter, beliefs->loads);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const load_t *load = value;
+
+		if (now - load->at > TELLING_TTL) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		for (guint i = 0; i < load->items->len; i++) {
+			const load_item_t *item =
+				&g_array_index(load->items, load_item_t, i);
+			sr_instance_t *instance =
+				sr_instances_find(instances, item->instance);
+
+			if (!instance)
+				continue;
+			instance->others_in_flight += item->in_flight;
+			instance->others_unread_tokens += item->unread_tokens;
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/monitor.c
@@ -0,0 +1,122 @@
+#include <string.h>
+
+#include "gateway/internal.h"
+
+/** Largest request that the monitoring addresses read, in bytes. */
+#define REQUEST_MAX (8 * 1024)
+
+/** monitor_t - one connection to the readiness or metrics address. */
+typedef struct {
+	sr_gateway_t *gateway;
+	sr_channel_t *channel;
+	sr_parser_t *parser;
+	gboolean shows_metrics;
+	gboolean closing;
+} monitor_t;
+
+static void free_monitor(monitor_t *monitor)
+{
+	sr_channel_free(monitor->channel);
+	sr_parser_free(monitor->parser);
+	g_free(monitor);
+}
+
+static void respond(monitor_t *monitor, const char *status, const char *body)
+{
+	const sr_message_t *request = sr_parser_message(monitor->parser);
+	GString *answer = g_string_new(NULL);
+
+	g_string_append_printf(answer,
+			       "HTTP/1.1 %s\r\nContent-Type: text/plain\r\n"
+			       "Content-Length: %zu\r\n%s\r\n",
+			       status, strlen(body),
+			       request->keeps_alive ? "" :
+						      "Connection: close\r\n");
+	if (g_strcmp0(request->method, "HEAD"))
+		g_string_append(answer, body);
+	sr_channel_write(monitor->channel, answer->str, answer->len);
+	g_string_free(answer, TRUE);
+	if (!request->keeps_alive) {
+		monitor->closing = TRUE;
+		sr_channel_shutdown(monitor->channel);
+	}
+}
+
+static void respond_metrics(monitor_t *monitor)
+{
+	GString *text = g_string_new(NULL);
+
+	sr_metrics_write(monitor->gateway->options.metrics, text);
+	respond(monitor, "200 OK", text->str);
+	g_string_free(text, TRUE);
+}
+
+static void answer_request(monitor_t *monitor)
+{
+	const sr_dialect_t *dialect = monitor->gateway->options.dialect;
+	const char *target = sr_parser_message(monitor->parser)->target;
+
+	if (monitor->shows_metrics && !strcmp(target, dialect->metrics_path))
+		respond_metrics(monitor);
+	else if (monitor->shows_metrics || strcmp(target, dialect->ready_path))
+		respond(monitor, "404 Not Found", "no such page\n");
+	else if (sr_gateway_is_ready(monitor->gateway))
+		respond(monitor, "200 OK", "ready\n");
+	else
+		respond(monitor, "503 Service Unavailable", "not ready\n");
+	sr_parser_next(monitor->parser);
+}
+
+static void on_received(void *user, const guint8 *data, gsize size)
+{
+	monitor_t *monitor = user;
+
+	while (size > 0 && !monitor->closing) {
+		gsize used = 0;
+
+		if (sr_parser_feed(monitor->parser, data, size, &used)) {
+			free_monitor(monitor);
+			return;
+		}
+		data += used;
+		size -= used;
+		if (sr_parser_message(monitor->parser)->is_complete)
+			answer_request(monitor);
+	}
+}
+
+static void on_ended(void *user, sr_channel_end_t how)
+{
+	(void)how;
+	free_monitor(user);
+}
+
+static const sr_channel_events_t monitor_events = {
+	.received = on_received,
+	.ended = on_ended,
+};
+
+static void accept_monitor(sr_gateway_t *gateway, int fd, gboolean metrics)
+{
+	const sr_parser_options_t options = {
+		.kind = SR_MESSAGE_REQUEST,
+		.max_head = REQUEST_MAX,
+		.max_body = REQUEST_MAX,
+	};
+	monitor_t *monitor = g_new0(monitor_t, 1);
+
+	monitor->gateway = gateway;
+	monitor->shows_metrics = metrics;
+	monitor->parser = sr_parser_new(&options);
+	monitor->channel = sr_channel_accepted(fd, &monitor_events, monitor);
+}
+
+void sr_monitor_accept_ready(sr_gateway_t *gateway, int fd)
+{
+	accept_monitor(gateway, fd, FALSE);
+}
+
+void sr_monitor_accept_metrics(sr_gateway_t *gateway, int fd)
+{
+	accept_monitor(gateway, fd, TRUE);
+}
--- /dev/null
+++ b/src/http/channel.c
@@ -0,0 +1,354 @@
+#include "http/channel.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/settings.h"
+
+#define READ_SIZE (64 * 1024)
+/** Reads in one turn, so that one peer does not hold up the others. */
+#define READS_PER_TURN 4
+/** Unacknowledged bytes end a connection after this, in ms. */
+#define USER_TIMEOUT_MS 3000
+/** Keep-alive probes of a connection that says nothing, in s. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 3
+#define LISTEN_BACKLOG 1024
+
+struct sr_channel {
+	int fd;
+	GSource *source;
+	gpointer tag;
+	GIOCondition condition;
+	sr_channel_events_t events;
+	void *user;
+	GByteArray *out;
+	gsize sent; /* bytes of out that have left */
+	gboolean connecting;
+	gboolean paused;
+	gboolean shuts_down; /* once out is empty */
+	gboolean freed;
+	gboolean in_callback;
+	gboolean is_broken; /* a write failed; told by the next turn */
+};
+
+static void destroy(sr_channel_t *channel)
+{
+	if (channel->source) {
+		g_source_destroy(channel->source);
+		g_source_unref(channel->source);
+	}
+	close(channel->fd);
+	g_byte_array_unref(channel->out);
+	g_free(channel);
+}
+
+static void update_condition(sr_channel_t *channel)
+{
+	GIOCondition wanted = 0;
+
+	if (channel->connecting || channel->out->len > channel->sent ||
+	    channel->is_broken)
+		wanted |= G_IO_OUT;
+	if (!channel->connecting && !channel->paused)
+		wanted |= G_IO_IN;
+	if (wanted == channel->condition)
+		return;
+	channel->condition = wanted;
+	g_source_modify_unix_fd(channel->source, channel->tag, wanted);
+}
+
+static void flush(sr_channel_t *channel)
+{
+	while (channel->sent < channel->out->len) {
+		ssize_t n = send(channel->fd, channel->out->data + channel->sent,
+				 channel->out->len - channel->sent,
+				 MSG_NOSIGNAL);
+
+		if (n < 0) {
+			if (errno == EINTR)
+				continue;
+			channel->is_broken = errno != EAGAIN;
+			break;
+		}
+		channel->sent += (gsize)n;
+	}
+	if (channel->sent < channel->out->len)
+		return;
+	g_byte_array_set_size(channel->out, 0);
+	channel->sent = 0;
+	if (channel->shuts_down)
+		shutdown(channel->fd, SHUT_WR);
+}
+
+static void end(sr_channel_t *channel, sr_channel_end_t how)
+{
+	channel->paused = TRUE;
+	channel->is_broken = FALSE;
+	g_byte_array_set_size(channel->out, 0);
+	channel->sent = 0;
+	update_condition(channel);
+	channel->events.ended(channel->user, how);
+}
+
+static void finish_connect(sr_channel_t *channel)
+{
+	int err = 0;
+	socklen_t size = sizeof(err);
+
+	getsockopt(channel->fd, SOL_SOCKET, SO_ERROR, &err, &size);
+	channel->connecting = FALSE;
+	if (err) {
+		end(channel, SR_CHANNEL_UNREACHABLE);
+		return;
+	}
+	if (channel->events.connected)
+		channel->events.connected(channel->user);
+}
+
+static void read_input(sr_channel_t *channel)
+{
+	guint8 data[READ_SIZE];
+
+	for (int i = 0; i < READS_PER_TURN; i++) {
+		ssize_t n = recv(channel->fd, data, sizeof(data), 0);
+
+		if (n > 0) {
+			channel->events.received(channel->user, data, (gsize)n);
+			if (channel->freed || channel->paused ||
+			    n < (ssize_t)sizeof(data))
+				return;
+			continue;
+		}
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		end(channel, n == 0 ? SR_CHANNEL_FINISHED : SR_CHANNEL_RESET);
+		return;
+	}
+}
+
+static void run_turn(sr_channel_t *channel, GIOCondition ready)
+{
+	if (channel->connecting) {
+		finish_connect(channel);
+	} else if (channel->is_broken) {
+		end(channel, SR_CHANNEL_RESET);
+		return;
+	}
+	if (channel->freed || channel->connecting)
+		return;
+	if (channel->sent < channel->out->len)
+		flush(channel);
+	if (ready & (G_IO_IN | G_IO_HUP | G_IO_ERR) && !channel->paused)
+		read_input(channel);
+}
+
+static gboolean on_ready(gint fd, GIOCondition ready, gpointer user)
+{
+	sr_channel_t *channel = user;
+
+	(void)fd;
+	channel->in_callback = TRUE;
+	run_turn(channel, ready);
+	channel->in_callback = FALSE;
+	if (channel->freed)
+		destroy(channel);
+	else
+		update_condition(channel);
+	return G_SOURCE_CONTINUE;
+}
+
+typedef struct {
+	GSource base;
+	sr_channel_t *channel;
+} channel_source_t;
+
+static gboolean dispatch_source(GSource *base, GSourceFunc fn, gpointer data)
+{
+	channel_source_t *source = (channel_source_t *)base;
+	sr_channel_t *channel = source->channel;
+
+	(void)fn;
+	(void)data;
+	return on_ready(channel->fd,
+			g_source_query_unix_fd(base, channel->tag), channel);
+}
+
+static GSourceFuncs source_funcs = {
+	.dispatch = dispatch_source,
+};
+
+static sr_channel_t *new_channel(int fd, const sr_channel_events_t *events,
+				 void *user)
+{
+	sr_channel_t *channel = g_new0(sr_channel_t, 1);
+	channel_source_t *source = (channel_source_t *)g_source_new(
+		&source_funcs, sizeof(*source));
+
+	source->channel = channel;
+	channel->fd = fd;
+	channel->events = *events;
+	channel->user = user;
+	channel->out = g_byte_array_new();
+	channel->source = &source->base;
+	channel->condition = G_IO_IN;
+	channel->tag = g_source_add_unix_fd(channel->source, fd, G_IO_IN);
+	g_source_attach(channel->source, NULL);
+	return channel;
+}
+
+static void set_option(int fd, int level, int name, int value)
+{
+	/* an option that is not to be had only delays what it would tell */
+	(void)setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+static void set_options(int fd)
+{
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+}
+
+sr_channel_t *sr_channel_accepted(int fd, const sr_channel_events_t *events,
+				  void *user)
+{
+	set_options(fd);
+	return new_channel(fd, events, user);
+}
+
+static gboolean to_native(const char *address, struct sockaddr_storage *native,
+			  socklen_t *size)
+{
+	GSocketAddress *parsed = sr_address_parse(address);
+	gboolean ok;
+
+	if (!parsed)
+		return FALSE;
+	*size = (socklen_t)g_socket_address_get_native_size(parsed);
+	ok = g_socket_address_to_native(parsed, native, sizeof(*native), NULL);
+	g_object_unref(parsed);
+	return ok;
+}
+
+sr_channel_t *sr_channel_connect(const char *address,
+				 const sr_channel_events_t *events, void *user)
+{
+	struct sockaddr_storage native;
+	sr_channel_t *channel;
+	socklen_t size;
+	int fd;
+
+	if (!to_native(address, &native, &size))
+		return NULL;
+	fd = socket(native.ss_family,
+		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return NULL;
+	set_options(fd);
+	if (connect(fd, (struct sockaddr *)&native, size) &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	channel = new_channel(fd, events, user);
+	channel->connecting = TRUE;
+	update_condition(channel);
+	return channel;
+}
+
+void sr_channel_free(sr_channel_t *channel)
+{
+	if (!channel)
+		return;
+	channel->freed = TRUE;
+	if (!channel->in_callback)
+		destroy(channel);
+}
+
+void sr_channel_shutdown(sr_channel_t *channel)
+{
+	channel->shuts_down = TRUE;
+	if (!channel->connecting && channel->out->len == 0)
+		shutdown(channel->fd, SHUT_WR);
+}
+
+void sr_channel_reset(sr_channel_t *channel)
+{
+	const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(channel->fd, SOL_SOCKET, SO_LINGER, &at_once,
+		   sizeof(at_once));
+	sr_channel_free(channel);
+}
+
+void sr_channel_set_events(sr_channel_t *channel,
+			   const sr_channel_events_t *events, void *user)
+{
+	channel->events = *events;
+	channel->user = user;
+}
+
+void sr_channel_write(sr_channel_t *channel, const void *data, gsize size)
+{
+	if (channel->is_broken || channel->freed)
+		return;
+	g_byte_array_append(channel->out, data, (guint)size);
+	if (channel->out->len - channel->sent > SR_CHANNEL_BACKLOG)
+		channel->is_broken = TRUE;
+	else if (!channel->connecting)
+		flush(channel);
+	update_condition(channel);
+}
+
+void sr_channel_pause(sr_channel_t *channel, gboolean paused)
+{
+	channel->paused = paused;
+	update_condition(channel);
+}
+
+gboolean sr_channel_is_flushed(const sr_channel_t *channel)
+{
+	return channel->out->len == 0;
+}
+
+gboolean sr_channel_is_connected(const sr_channel_t *channel)
+{
+	return !channel->connecting;
+}
+
+int sr_listen(const char *address)
+{
+	struct sockaddr_storage native;
+	socklen_t size;
+	int fd;
+
+	if (!to_native(address, &native, &size))
+		return SR_ERR_INVALID;
+	fd = socket(native.ss_family,
+		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return SR_ERR_IO;
+	set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+	if (bind(fd, (struct sockaddr *)&native, size) ||
+	    listen(fd, LISTEN_BACKLOG)) {
+		close(fd);
+		return SR_ERR_IO;
+	}
+	return fd;
+}
+
+int sr_accept(int listener)
+{
+	return accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+}
--- /dev/null
+++ b/src/http/events.c
@@ -0,0 +1,117 @@
+#include "http/events.h"
+
+#include <string.h>
+
+struct sr_events {
+	GByteArray *buffer;
+	gsize taken; /* bytes of events that were handed out */
+};
+
+sr_events_t *sr_events_new(void)
+{
+	sr_events_t *events = g_new0(sr_events_t, 1);
+
+	events->buffer = g_byte_array_new();
+	return events;
+}
+
+void sr_events_free(sr_events_t *events)
+{
+	if (!events)
+		return;
+	g_byte_array_unref(events->buffer);
+	g_free(events);
+}
+
+static void drop_taken(sr_events_t *events)
+{
+	if (events->taken == 0)
+		return;
+	g_byte_array_remove_range(events->buffer, 0, (guint)events->taken);
+	events->taken = 0;
+}
+
+gboolean sr_events_feed(sr_events_t *events, const guint8 *data, gsize size)
+{
+	drop_taken(events);
+	if (events->buffer->len + size > SR_EVENT_MAX)
+		return FALSE;
+	g_byte_array_append(events->buffer, data, (guint)size);
+	return TRUE;
+}
+
+/* The line that begins at start: its length without its end, and where the
+ * next one begins. FALSE if its end isn't there yet. */
+static gboolean read_line(const guint8 *data, gsize size, gsize start,
+			  gsize *length, gsize *next)
+{
+	for (gsize i = start; i < size; i++) {
+		if (data[i] == '\n') {
+			*length = i - start;
+			*next = i + 1;
+			return TRUE;
+		}
+		if (data[i] != '\r')
+			continue;
+		if (i + 1 == size)
+			return FALSE; /* a line feed may follow */
+		*length = i - start;
+		*next = data[i + 1] == '\n' ? i + 2 : i + 1;
+		return TRUE;
+	}
+	return FALSE;
+}
+
+static void read_id(sr_event_t *event, const guint8 *line, gsize length)
+{
+	char text[24];
+	char *end;
+
+	if (length < 4 || memcmp(line, "id:", 3))
+		return;
+	line += 3;
+	length -= 3;
+	while (length > 0 && *line == ' ') {
+		line++;
+		length--;
+	}
+	if (length == 0 || length >= sizeof(text))
+		return;
+	memcpy(text, line, length);
+	text[length] = '\0';
+	event->id = g_ascii_strtoull(text, &end, 10);
+	event->has_id = *end == '\0';
+}
+
+gboolean sr_events_next(sr_events_t *events, sr_event_t *event)
+{
+	const guint8 *data = events->buffer->data;
+	gsize size = events->buffer->len;
+	gsize at = events->taken;
+	gsize length;
+	gsize next;
+
+	memset(event, 0, sizeof(*event));
+	while (read_line(data, size, at, &length, &next)) {
+		if (length == 0) {
+			event->data = data + events->taken;
+			event->size = next - events->taken;
+			events->taken = next;
+			return TRUE;
+		}
+		read_id(event, data + at, length);
+		at = next;
+	}
+	return FALSE;
+}
+
+gboolean sr_events_is_clean(const sr_events_t *events)
+{
+	return events->buffer->len == events->taken;
+}
+
+void sr_events_reset(sr_events_t *events)
+{
+	g_byte_array_set_size(events->buffer, 0);
+	events->taken = 0;
+}
--- /dev/null
+++ b/src/http/parser.c
@@ -0,0 +1,365 @@
+#include "http/parser.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+struct sr_parser {
+	sr_parser_options_t options;
+	http_parser parser;
+	sr_message_t message;
+	GString *target;
+	GString *reason;
+	GString *name;
+	GString *value;
+	gsize head_size;
+	guint8 last; /* byte of the head before the next one */
+	gboolean in_empty_line; /* its line feed is still due */
+	gboolean has_begun;
+	gboolean reads_value;
+	gboolean no_body;
+	sr_err_t problem;
+};
+
+/* RFC 9110, 5.6.2: the characters of a field name. */
+static gboolean is_token_char(char c)
+{
+	return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+static void end_field(sr_parser_t *parser)
+{
+	if (!parser->reads_value)
+		return;
+	g_strchomp(parser->value->str);
+	sr_headers_add(parser->message.headers, parser->name->str,
+		       parser->value->str);
+	g_string_truncate(parser->name, 0);
+	g_string_truncate(parser->value, 0);
+	parser->reads_value = FALSE;
+}
+
+static int on_target(http_parser *p, const char *at, size_t size)
+{
+	sr_parser_t *parser = p->data;
+
+	g_string_append_len(parser->target, at, (gssize)size);
+	return 0;
+}
+
+static int on_reason(http_parser *p, const char *at, size_t size)
+{
+	sr_parser_t *parser = p->data;
+
+	g_string_append_len(parser->reason, at, (gssize)size);
+	return 0;
+}
+
+static int on_name(http_parser *p, const char *at, size_t size)
+{
+	sr_parser_t *parser = p->data;
+
+	if (parser->message.has_head) /* a trailer; it is dropped */
+		return 0;
+	end_field(parser);
+	for (size_t i = 0; i < size; i++) {
+		if (!is_token_char(at[i]))
+			return 1;
+	}
+	g_string_append_len(parser->name, at, (gssize)size);
+	return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t size)
+{
+	sr_parser_t *parser = p->data;
+
+	if (parser->message.has_head)
+		return 0;
+	parser->reads_value = TRUE;
+	g_string_append_len(parser->value, at, (gssize)size);
+	return 0;
+}
+
+static gboolean is_number(const char *text)
+{
+	return *text && strspn(text, "0123456789") == strlen(text);
+}
+
+/* Is there one way only to tell where the message ends? */
+static gboolean is_framing_plain(const sr_parser_t *parser)
+{
+	const sr_headers_t *headers = parser->message.headers;
+	const char *length = sr_headers_get(headers, "Content-Length");
+	const char *coding = sr_headers_get(headers, "Transfer-Encoding");
+
+	if (length && coding)
+		return FALSE;
+	if (sr_headers_count(headers, "Content-Length") > 1 ||
+	    sr_headers_count(headers, "Transfer-Encoding") > 1)
+		return FALSE;
+	if (length && !is_number(length))
+		return FALSE;
+	return !coding || !g_ascii_strcasecmp(coding, "chunked");
+}
+
+static int on_head(http_parser *p)
+{
+	sr_parser_t *parser = p->data;
+	sr_message_t *message = &parser->message;
+	const char *length;
+
+	end_field(parser);
+	if (!is_framing_plain(parser))
+		return -1;
+	message->has_head = TRUE;
+	message->keeps_alive = http_should_keep_alive(p);
+	message->is_chunked = (p->flags & F_CHUNKED) != 0;
+	if (parser->options.kind == SR_MESSAGE_REQUEST) {
+		message->method = g_strdup(
+			http_method_str((enum http_method)p->method));
+		message->target = g_strdup(parser->target->str);
+	} else {
+		message->status = p->status_code;
+		message->reason = g_strdup(parser->reason->str);
+	}
+	/* Only HTTP/1.1 is spoken on; a switch of protocols is not offered. */
+	p->upgrade = 0;
+	length = sr_headers_get(message->headers, "Content-Length");
+	if (length && !parser->no_body &&
+	    g_ascii_strtoull(length, NULL, 10) > parser->options.max_body) {
+		parser->problem = SR_ERR_TOO_LARGE;
+		return -1;
+	}
+	if (parser->options.kind == SR_MESSAGE_RESPONSE && !length &&
+	    !message->is_chunked && !parser->no_body &&
+	    message->status >= 200 && message->status != 204 &&
+	    message->status != 304)
+		message->ends_with_connection = TRUE;
+	return parser->no_body ? 1 : 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t size)
+{
+	sr_parser_t *parser = p->data;
+	GByteArray *body = parser->message.body;
+
+	if (body->len + size > parser->options.max_body) {
+		parser->problem = SR_ERR_TOO_LARGE;
+		return 1;
+	}
+	g_byte_array_append(body, (const guint8 *)at, (guint)size);
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	sr_parser_t *parser = p->data;
+
+	parser->message.is_complete = TRUE;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_target,
+	.on_status = on_reason,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void clear_message(sr_message_t *message)
+{
+	g_free(message->method);
+	g_free(message->target);
+	g_free(message->reason);
+	sr_headers_free(message->headers);
+	g_byte_array_unref(message->body);
+	memset(message, 0, sizeof(*message));
+}
+
+static void start_message(sr_parser_t *parser)
+{
+	parser->message.headers = sr_headers_new();
+	parser->message.body = g_byte_array_new();
+	g_string_truncate(parser->target, 0);
+	g_string_truncate(parser->reason, 0);
+	g_string_truncate(parser->name, 0);
+	g_string_truncate(parser->value, 0);
+	parser->head_size = 0;
+	parser->last = 0;
+	parser->in_empty_line = FALSE;
+	parser->has_begun = FALSE;
+	parser->reads_value = FALSE;
+	parser->no_body = FALSE;
+	parser->problem = SR_OK;
+	http_parser_init(&parser->parser,
+			 parser->options.kind == SR_MESSAGE_REQUEST ?
+				 HTTP_REQUEST :
+				 HTTP_RESPONSE);
+	parser->parser.data = parser;
+}
+
+sr_parser_t *sr_parser_new(const sr_parser_options_t *options)
+{
+	sr_parser_t *parser = g_new0(sr_parser_t, 1);
+
+	parser->options = *options;
+	parser->target = g_string_new(NULL);
+	parser->reason = g_string_new(NULL);
+	parser->name = g_string_new(NULL);
+	parser->value = g_string_new(NULL);
+	start_message(parser);
+	return parser;
+}
+
+void sr_parser_free(sr_parser_t *parser)
+{
+	if (!parser)
+		return;
+	clear_message(&parser->message);
+	g_string_free(parser->target, TRUE);
+	g_string_free(parser->reason, TRUE);
+	g_string_free(parser->name, TRUE);
+	g_string_free(parser->value, TRUE);
+	g_free(parser);
+}
+
+void sr_parser_set_limits(sr_parser_t *parser, gsize max_head, gsize max_body)
+{
+	parser->options.max_head = max_head;
+	parser->options.max_body = max_body;
+}
+
+void sr_parser_expect_no_body(sr_parser_t *parser)
+{
+	parser->no_body = TRUE;
+}
+
+/* Checks the bytes of a head that http_parser would let pass. Returns how
+ * many of them belong to the head, or -1. */
+static gssize check_head(sr_parser_t *parser, const guint8 *data, gsize size)
+{
+	for (gsize i = 0; i < size; i++) {
+		guint8 c = data[i];
+
+		if (c == '\0' || (c == '\n' && parser->last != '\r') ||
+		    (parser->last == '\r' && c != '\n'))
+			return -1;
+		if (parser->last == '\n' && (c == ' ' || c == '\t'))
+			return -1;
+		if (parser->in_empty_line) {
+			parser->in_empty_line = FALSE;
+			parser->last = 0;
+			return (gssize)i + 1;
+		}
+		parser->in_empty_line = parser->last == '\n' && c == '\r';
+		parser->last = c;
+	}
+	return (gssize)size;
+}
+
+static sr_err_t feed(sr_parser_t *parser, const guint8 *data, gsize size,
+		     gsize *used)
+{
+	gsize n = http_parser_execute(&parser->parser, &callbacks,
+				      (const char *)data, size);
+	enum http_errno err = HTTP_PARSER_ERRNO(&parser->parser);
+
+	*used += n;
+	if (err == HPE_OK || err == HPE_PAUSED)
+		return SR_OK;
+	if (parser->problem == SR_OK)
+		parser->problem = SR_ERR_PROTOCOL;
+	return parser->problem;
+}
+
+/* An interim response says nothing about the final one. */
+static gboolean skip_interim(sr_parser_t *parser)
+{
+	gboolean no_body = parser->no_body;
+
+	if (!parser->message.is_complete ||
+	    parser->options.kind != SR_MESSAGE_RESPONSE ||
+	    parser->message.status >= 200)
+		return FALSE;
+	sr_parser_next(parser);
+	parser->no_body = no_body;
+	return TRUE;
+}
+
+sr_err_t sr_parser_feed(sr_parser_t *parser, const guint8 *data, gsize size,
+			gsize *used)
+{
+	*used = 0;
+	while (*used < size && !parser->message.is_complete) {
+		gsize before = *used;
+		gsize rest = size - before;
+		sr_err_t err;
+
+		if (parser->problem)
+			return parser->problem;
+		parser->has_begun = TRUE;
+		if (!parser->message.has_head) {
+			gssize head = check_head(parser, data + before, rest);
+
+			if (head < 0)
+				return parser->problem = SR_ERR_PROTOCOL;
+			rest = (gsize)head;
+			parser->head_size += rest;
+			if (parser->head_size > parser->options.max_head)
+				return parser->problem = SR_ERR_INVALID;
+		}
+		err = feed(parser, data + before, rest, used);
+		if (err)
+			return err;
+		if (skip_interim(parser))
+			continue;
+		/* the library reports the end only when it sees the next byte
+		 * of an empty body, so a pause may leave nothing used */
+		if (*used == before && !parser->message.is_complete)
+			return parser->problem = SR_ERR_PROTOCOL;
+	}
+	return SR_OK;
+}
+
+sr_err_t sr_parser_finish(sr_parser_t *parser)
+{
+	gsize used = 0;
+
+	if (parser->problem)
+		return parser->problem;
+	if (parser->message.is_complete)
+		return SR_OK;
+	if (!parser->message.ends_with_connection)
+		return SR_ERR_PROTOCOL;
+	if (feed(parser, NULL, 0, &used) || !parser->message.is_complete)
+		return SR_ERR_PROTOCOL;
+	return SR_OK;
+}
+
+const sr_message_t *sr_parser_message(const sr_parser_t *parser)
+{
+	return &parser->message;
+}
+
+GBytes *sr_parser_take_body(sr_parser_t *parser)
+{
+	GByteArray *body = parser->message.body;
+
+	parser->message.body = g_byte_array_new();
+	return g_byte_array_free_to_bytes(body);
+}
+
+void sr_parser_next(sr_parser_t *parser)
+{
+	clear_message(&parser->message);
+	start_message(parser);
+}
+
+gboolean sr_parser_has_begun(const sr_parser_t *parser)
+{
+	return parser->has_begun;
+}
--- a/src/platform/budget.c
+++ b/src/platform/budget.c
@@ -40,7 +40,7 @@
 	unsigned doublings = MIN(budget->failures, 10);
 	sr_usec_t most = SR_BUDGET_BACKOFF_MIN << doublings;
 
-	most = MIN(most, SR_BUDGET_BACKOFF_MAX);
+	most = MIN(most, budget->backoff_max);
 	return 1 + (sr_usec_t)(g_rand_double(budget->random) * (double)most);
 }
 
@@ -73,9 +73,15 @@
 			       .burst = burst,
 			       .tokens = burst,
 			       .filled = now,
+			       .backoff_max = SR_BUDGET_BACKOFF_MAX,
 			       .random = g_rand_new_with_seed_array(words, 2) };
 }
 
+void sr_budget_set_backoff(sr_budget_t *budget, sr_usec_t max)
+{
+	budget->backoff_max = max;
+}
+
 void sr_budget_clear(sr_budget_t *budget)
 {
 	g_rand_free(budget->random);
--- a/src/platform/budget.h
+++ b/src/platform/budget.h
@@ -27,6 +27,7 @@
 	sr_usec_t probe_at;   /* when out */
 	sr_usec_t hold_until; /* the platform asked for a pause */
 	sr_usec_t ramp_start; /* 0 outside a ramp */
+	sr_usec_t backoff_max;
 	GRand *random;
 } sr_budget_t;
 
@@ -55,6 +56,9 @@
 				   sr_store_class_t class, gboolean waits,
 				   sr_usec_t *wait);
 
+/** sr_budget_set_backoff - the longest time between two probes. */
+void sr_budget_set_backoff(sr_budget_t *budget, sr_usec_t max);
+
 /** sr_budget_answered - the platform gave an answer that is no failure. */
 void sr_budget_answered(sr_budget_t *budget, sr_usec_t now);
 
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -8,9 +8,6 @@
 #include "platform/decode.h"
 #include "platform/exchange.h"
 
-/* How much longer than the platform a watch waits before it gives up. */
-#define WATCH_GRACE (2 * SR_SEC)
-
 typedef enum {
 	CALL_OBJECT, /* of the object API, through the store */
 	CALL_PLAIN,
@@ -29,6 +26,7 @@
 	const char *if_none_match;
 	const char *content_type;
 	GBytes *body;
+	char **headers; /* names and values by turns, or NULL */
 	sr_usec_t timeout;
 	sr_usec_t give_up; /* when it is no longer worth sending */
 	sr_store_fn store_done;
@@ -46,6 +44,7 @@
 	unsigned max_in_flight;
 	unsigned max_queued;
 	sr_usec_t default_limit;
+	sr_usec_t watch_grace;
 	sr_list_t queue[SR_STORE_N_CLASSES];
 	unsigned queued[SR_STORE_N_CLASSES];
 	sr_list_t in_flight;
@@ -59,6 +58,7 @@
 	g_free(call->method);
 	g_free(call->url);
 	g_free(call->if_match);
+	g_strfreev(call->headers);
 	g_clear_pointer(&call->body, g_bytes_unref);
 	g_free(call);
 }
@@ -224,6 +224,7 @@
 		.if_match = call->if_match,
 		.if_none_match = call->if_none_match,
 		.content_type = call->content_type,
+		.headers = call->headers,
 		.body = call->body,
 		.timeout = call->timeout,
 		.done = on_exchange,
@@ -328,7 +329,7 @@
 
 	call->give_up = now + call->timeout;
 	if (call->waits)
-		call->timeout += WATCH_GRACE;
+		call->timeout += platform->watch_grace;
 	if (platform->queued[call->class] >= platform->max_queued)
 		call->give_up = now;
 	sr_list_append(&platform->queue[call->class], &call->link);
@@ -427,6 +428,7 @@
 	call->method = g_strdup(request->method);
 	call->url = g_strconcat(platform->url, request->path, NULL);
 	call->content_type = "application/json";
+	call->headers = g_strdupv((char **)request->headers);
 	if (request->body)
 		call->body = g_bytes_ref(request->body);
 	call->plain_done = request->done;
@@ -496,9 +498,14 @@
 	platform->default_limit = options->default_limit ?
 					  options->default_limit :
 					  SR_PLATFORM_TIMEOUT;
+	platform->watch_grace = options->watch_grace ?
+					options->watch_grace :
+					SR_PLATFORM_WATCH_GRACE;
 	platform->session = new_session(platform->max_in_flight);
 	sr_budget_init(&platform->budget, rate, burst, options->seed,
 		       sr_clock_now(options->clock));
+	if (options->backoff_max)
+		sr_budget_set_backoff(&platform->budget, options->backoff_max);
 	for (unsigned class = 0; class < SR_STORE_N_CLASSES; class ++)
 		sr_list_init(&platform->queue[class]);
 	sr_list_init(&platform->in_flight);
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -27,6 +27,10 @@
 	unsigned max_in_flight;	 /* 0 for SR_PLATFORM_IN_FLIGHT */
 	unsigned max_queued;	 /* per class; 0 for SR_PLATFORM_QUEUED */
 	sr_usec_t default_limit; /* of a call; 0 for SR_PLATFORM_TIMEOUT */
+	sr_usec_t watch_grace;	 /* beyond the time that a watch was to wait;
+				  * 0 for SR_PLATFORM_WATCH_GRACE */
+	sr_usec_t backoff_max;	 /* between two probes of an outage; 0 for
+				  * SR_BUDGET_BACKOFF_MAX */
 } sr_platform_options_t;
 
 #define SR_PLATFORM_RATE 50.0
@@ -34,6 +38,7 @@
 #define SR_PLATFORM_IN_FLIGHT 32
 #define SR_PLATFORM_QUEUED 256
 #define SR_PLATFORM_TIMEOUT (2 * SR_SEC)
+#define SR_PLATFORM_WATCH_GRACE (2 * SR_SEC)
 /** How long a watch waits on the platform if the call names no time. */
 #define SR_PLATFORM_WATCH (30 * SR_SEC)
 
@@ -86,6 +91,8 @@
 	const char *method;
 	const char *path; /* with the query; begins with "/" */
 	GBytes *body;	  /* JSON, or NULL */
+	const char *const *headers; /* names and values by turns, ended by
+				     * NULL; or NULL */
 	sr_store_class_t class;
 	sr_usec_t timeout; /* 0 for the default */
 	gboolean waits;	   /* a long poll: its silence is no failure */
--- a/src/platform/exchange.c
+++ b/src/platform/exchange.c
@@ -169,6 +169,8 @@
 	if (options->if_none_match)
 		soup_message_headers_replace(headers, "If-None-Match",
 					     options->if_none_match);
+	for (char **pair = options->headers; pair && *pair; pair += 2)
+		soup_message_headers_replace(headers, pair[0], pair[1]);
 	if (options->body)
 		soup_message_set_request_body_from_bytes(
 			message, options->content_type, options->body);
--- a/test/policy_test.c
+++ b/test/policy_test.c
@@ -103,7 +103,7 @@
 		taken += sr_retry_budget_take(&budget, 1) ? 1 : 0;
 	assert_true(taken <= 20);
 	for (int i = 0; i < 100; i++)
-		sr_retry_budget_succeeded(&budget);
+		sr_retry_budget_earn(&budget);
 	for (int i = 0; i < 1000; i++)
 		taken += sr_retry_budget_take(&budget, 1) ? 1 : 0;
 	assert_in_range(taken, 25, 30);
