Admit by the wait behind others

Cause: the plain service's first guess of its own duration was beyond its target, so that every request to it was refused.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -146,8 +146,7 @@
 	double earned =
 		bucket->rate * share * seconds_since(bucket->filled, now);
 
-	bucket->level =
-		MIN(bucket->level + earned, bucket->burst * share);
+	bucket->level = MIN(bucket->level + earned, bucket->burst * share);
 	bucket->filled = now;
 }
 
--- a/src/core/gateway_admission.c
+++ b/src/core/gateway_admission.c
@@ -7,6 +7,10 @@
 /** How far beyond its target a request is still taken, by priority. */
 static const double target_parts[] = { 2.0, 1.6, 1.2, 1.0 };
 
+/** A shorter wait than this is no reason to refuse: a request that is late
+ * by its own work alone is no better off later. */
+#define WAIT_MIN_S 0.03
+
 /** Bounds of the time after which a refused request may come back. */
 #define RETRY_MIN (150 * SR_MSEC)
 #define RETRY_MAX (2 * SR_SEC)
@@ -19,15 +23,17 @@
 
 	if (facts->target <= 0)
 		return by_time;
-	return MIN(by_time, (sr_usec_t)(target_parts[row] *
-					(double)facts->target));
+	return MIN(by_time,
+		   (sr_usec_t)(target_parts[row] * (double)facts->target));
 }
 
 sr_admission_verdict_t sr_gateway_admit(const sr_admission_facts_t *facts)
 {
 	sr_usec_t first = (sr_usec_t)(facts->first_s * SR_SEC);
 	sr_usec_t excess = first - limit_of(facts);
-	sr_admission_verdict_t verdict = { .admitted = excess <= 0 };
+	sr_admission_verdict_t verdict = {
+		.admitted = excess <= 0 || facts->wait_s < WAIT_MIN_S,
+	};
 
 	if (verdict.admitted)
 		return verdict;
--- a/src/core/gateway_admission.h
+++ b/src/core/gateway_admission.h
@@ -13,6 +13,7 @@
  * urgent ones still find room.
  */
 typedef struct {
+	double wait_s;	     /* expected behind earlier requests */
 	double first_s;	     /* expected time to the first event or answer */
 	sr_usec_t target;    /* for it */
 	sr_usec_t time_left; /* until the final answer is due */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -19,7 +19,7 @@
 /** Figures of an engine that has not been observed yet. */
 #define START_TOKENS_PER_S 40000.0
 #define START_BASE_S 0.04
-#define START_DURATION_S 0.5
+#define START_DURATION_S 0.05
 
 /** Weight of one observation in the smoothed figures. */
 #define SMOOTHING 0.05
@@ -161,31 +161,42 @@
 	return excess > 0 ? excess / slots * speed->duration_s : 0;
 }
 
-static double first_event_s(const sr_placement_request_t *request,
-			    const sr_instance_t *instance, double uncached,
-			    sr_usec_t now)
+/* Expected time behind the requests that are there already. */
+static double wait_s(const sr_placement_request_t *request,
+		     const sr_instance_t *instance, sr_usec_t now)
 {
 	const sr_engine_speed_t *speed = request->speed;
 	double seconds = slot_wait(instance, speed, now);
 
 	if (request->is_engine)
-		seconds += speed->base_s +
-			   (unread_tokens(instance, now) + uncached) /
-				   speed->tokens_per_s +
-			   STEP_COST_S * sr_placement_in_flight(instance, now);
+		seconds += unread_tokens(instance, now) / speed->tokens_per_s;
+	return seconds;
+}
+
+/* Expected time for the request's own first event, without the wait. */
+static double work_s(const sr_placement_request_t *request,
+		     const sr_instance_t *instance, double uncached,
+		     sr_usec_t now)
+{
+	const sr_engine_speed_t *speed = request->speed;
+	double seconds;
+
+	if (request->is_engine)
+		seconds = speed->base_s + uncached / speed->tokens_per_s +
+			  STEP_COST_S * sr_placement_in_flight(instance, now);
 	else
-		seconds += speed->duration_s *
-			   (1 + sr_placement_in_flight(instance, now) /
-					MAX(instance->slots, 1));
+		seconds = speed->duration_s *
+			  (1 + sr_placement_in_flight(instance, now) /
+				       MAX(instance->slots, 1));
 	return instance->cold_until > now ? seconds * COLD_FACTOR : seconds;
 }
 
-sr_placement_choice_t
-sr_placement_choose(const sr_placement_t *placement,
-		    const sr_placement_request_t *request, sr_usec_t now)
+sr_placement_choice_t sr_placement_choose(const sr_placement_t *placement,
+					  const sr_placement_request_t *request,
+					  sr_usec_t now)
 {
-	const GPtrArray *list = sr_instances_of_service(placement->instances,
-							request->service);
+	const GPtrArray *list =
+		sr_instances_of_service(placement->instances, request->service);
 	sr_placement_choice_t choice = { .least_occupancy = G_MAXDOUBLE };
 	const sr_instance_t *home;
 	double best = 0;
@@ -202,6 +213,7 @@
 		double occupancy = sr_placement_in_flight(instance, now) /
 				   MAX(instance->slots, 1);
 		double uncached;
+		double wait;
 		double cost;
 
 		if (!sr_instance_is_usable(instance, now) ||
@@ -209,9 +221,9 @@
 			continue;
 		uncached = uncached_tokens(placement, request->prompt, instance,
 					   instance == home, now);
-		cost = first_event_s(request, instance, uncached, now);
-		choice.least_occupancy =
-			MIN(choice.least_occupancy, occupancy);
+		wait = wait_s(request, instance, now);
+		cost = wait + work_s(request, instance, uncached, now);
+		choice.least_occupancy = MIN(choice.least_occupancy, occupancy);
 		if (g_strcmp0(instance->failure_domain,
 			      placement->failure_domain))
 			cost += FAR_COST_S;
@@ -219,6 +231,7 @@
 			best = cost;
 			choice.instance = instance;
 			choice.uncached_tokens = uncached;
+			choice.wait_s = wait;
 			choice.first_s = cost;
 			choice.occupancy = occupancy;
 		}
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -66,14 +66,15 @@
 typedef struct {
 	sr_instance_t *instance; /* borrowed; NULL if none is usable */
 	double uncached_tokens;
-	double first_s;	  /* expected time to the first event */
-	double occupancy; /* requests there over its slots */
+	double wait_s;		/* of it, behind requests that came before */
+	double first_s;		/* expected time to the first event */
+	double occupancy;	/* requests there over its slots */
 	double least_occupancy; /* of all that are usable */
 } sr_placement_choice_t;
 
-sr_placement_choice_t
-sr_placement_choose(const sr_placement_t *placement,
-		    const sr_placement_request_t *request, sr_usec_t now);
+sr_placement_choice_t sr_placement_choose(const sr_placement_t *placement,
+					  const sr_placement_request_t *request,
+					  sr_usec_t now);
 
 /** sr_placement_in_flight - requests at the instance from all entry hosts. */
 double sr_placement_in_flight(const sr_instance_t *instance, sr_usec_t now);
--- a/src/core/repeat_policy.h
+++ b/src/core/repeat_policy.h
@@ -33,13 +33,13 @@
 	sr_route_kind_t kind;
 	gboolean resumable;
 	sr_attempt_outcome_t outcome;
-	gboolean may_have_run;	/* because of an earlier attempt */
-	unsigned n_sent;	/* attempts that left this host, this too */
-	unsigned n_unsent;	/* attempts that did not */
-	unsigned max_attempts;	/* of those that left */
-	sr_usec_t time_left;	/* until the final answer is due */
+	gboolean may_have_run;	 /* because of an earlier attempt */
+	unsigned n_sent;	 /* attempts that left this host, this too */
+	unsigned n_unsent;	 /* attempts that did not */
+	unsigned max_attempts;	 /* of those that left */
+	sr_usec_t time_left;	 /* until the final answer is due */
 	gboolean instance_ended; /* the instance is known to be gone */
-	gboolean in_budget;	/* the retry budget has room for one more */
+	gboolean in_budget;	 /* the retry budget has room for one more */
 } sr_repeat_facts_t;
 
 /** Less time than this is no use to another instance. */
--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -170,7 +170,8 @@
 					      const char *path)
 {
 	char *lower = g_ascii_strdown(authority, -1);
-	const GPtrArray *routes = g_hash_table_lookup(table->by_authority, lower);
+	const GPtrArray *routes =
+		g_hash_table_lookup(table->by_authority, lower);
 
 	g_free(lower);
 	for (guint i = 0; routes && i < routes->len; i++) {
@@ -219,9 +220,9 @@
 	if (route->services->len == 0)
 		return NULL;
 	for (guint i = 0; i < route->services->len; i++)
-		total += g_array_index(route->services, sr_weighted_service_t,
-				       i)
-				 .weight;
+		total +=
+			g_array_index(route->services, sr_weighted_service_t, i)
+				.weight;
 	unit *= total;
 	for (guint i = 0; i < route->services->len; i++) {
 		const sr_weighted_service_t *weighted = &g_array_index(
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -16,7 +16,7 @@
 /** What may be repeated of a request on a route. */
 typedef enum {
 	SR_ROUTE_IDEMPOTENT,
-	SR_ROUTE_ONCE, /* may run once at most */
+	SR_ROUTE_ONCE,	 /* may run once at most */
 	SR_ROUTE_STREAM, /* a stream of events; once, unless it is resumable */
 	SR_ROUTE_N_KINDS,
 } sr_route_kind_t;
@@ -31,9 +31,9 @@
 	char *authority; /* of the request, in lower case */
 	char *prefix;	 /* begins and ends with a slash */
 	sr_route_kind_t kind;
-	gboolean resumable; /* a stream may go on at another instance */
-	gboolean is_public; /* no key is asked for */
-	unsigned priority;  /* 0 goes first */
+	gboolean resumable;    /* a stream may go on at another instance */
+	gboolean is_public;    /* no key is asked for */
+	unsigned priority;     /* 0 goes first */
 	unsigned max_attempts; /* instances that one request is sent to */
 	sr_usec_t timeout;     /* for the whole answer */
 	sr_usec_t target;      /* for the answer, or a stream's first event */
@@ -43,8 +43,8 @@
 
 typedef struct {
 	char *name;
-	GPtrArray *keys;	 /* char * */
-	gboolean has_priority;	 /* it replaces that of the route */
+	GPtrArray *keys;       /* char * */
+	gboolean has_priority; /* it replaces that of the route */
 	unsigned priority;
 	gboolean counts_tokens;	 /* the allowance is in tokens */
 	double uncounted_tokens; /* of a request that states none */
@@ -56,8 +56,8 @@
 typedef struct {
 	unsigned min; /* per failure domain */
 	unsigned max;
-	sr_usec_t boot; /* until a new instance serves */
-	double reclaimable_price; /* part of the usual one; 0: none offered */
+	sr_usec_t boot;		   /* until a new instance serves */
+	double reclaimable_price;  /* part of the usual one; 0: none offered */
 	GHashTable *domain_prices; /* failure domain -> double *, per s */
 } sr_scaling_t;
 
@@ -66,9 +66,9 @@
 	char *health_path;
 	unsigned max_connections; /* of one instance, from all callers */
 	gboolean is_engine;
-	unsigned slots;		/* of an engine */
-	guint64 memory_tokens;	/* of an engine */
-	sr_scaling_t *scaling;	/* NULL if its size is not ours to order */
+	unsigned slots;	       /* of an engine */
+	guint64 memory_tokens; /* of an engine */
+	sr_scaling_t *scaling; /* NULL if its size is not ours to order */
 } sr_gateway_service_t;
 
 typedef struct {
@@ -85,8 +85,9 @@
 	GPtrArray *services; /* sr_gateway_service_t */
 	gboolean asks_for_keys;
 	sr_caller_limits_t limits;
-	GHashTable *by_authority; /* char * -> GPtrArray, longest prefix first */
-	GHashTable *by_key;	  /* char * -> sr_gateway_account_t */
+	GHashTable
+		*by_authority; /* char * -> GPtrArray, longest prefix first */
+	GHashTable *by_key;    /* char * -> sr_gateway_account_t */
 	int references;
 } sr_route_table_t;
 
--- a/src/core/usage_windows.c
+++ b/src/core/usage_windows.c
@@ -56,9 +56,8 @@
 	if (slot->hosts)
 		g_hash_table_unref(slot->hosts);
 	slot->window = window;
-	slot->hosts =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_hash_table_unref);
+	slot->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    (GDestroyNotify)g_hash_table_unref);
 	return slot;
 }
 
@@ -119,9 +118,9 @@
 		while (g_hash_table_iter_next(&iter, &account, &count)) {
 			guint64 n = *(guint64 *)count;
 
-			g_string_append_printf(
-				out, "%s=%" G_GUINT64_FORMAT "\n",
-				(const char *)account, n);
+			g_string_append_printf(out,
+					       "%s=%" G_GUINT64_FORMAT "\n",
+					       (const char *)account, n);
 			sum += n;
 		}
 	}
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -121,9 +121,8 @@
 static void fetch_after(sr_beliefs_t *beliefs, sr_usec_t delay)
 {
 	if (!beliefs->fetch_timer && !beliefs->fetching)
-		beliefs->fetch_timer =
-			sr_timer_start(beliefs->options.clock, delay,
-				       on_fetch_timer, beliefs);
+		beliefs->fetch_timer = sr_timer_start(
+			beliefs->options.clock, delay, on_fetch_timer, beliefs);
 }
 
 static void heard_table(sr_beliefs_t *beliefs, const sr_rumour_t *rumour)
--- a/src/fleet/beliefs.h
+++ b/src/fleet/beliefs.h
@@ -24,8 +24,8 @@
 typedef struct {
 	const char *node;
 	const char *failure_domain;
-	const char *peer_address;   /* IP:PORT to listen on */
-	const GPtrArray *seeds;	    /* char *, IP:PORT */
+	const char *peer_address; /* IP:PORT to listen on */
+	const GPtrArray *seeds;	  /* char *, IP:PORT */
 	const char *cluster;
 	const guint8 *secret;
 	gsize secret_size;
--- a/src/fleet/tellings.c
+++ b/src/fleet/tellings.c
@@ -85,10 +85,9 @@
 		const sr_instance_t *instance = all->pdata[i];
 
 		if (instance->in_flight > 0)
-			g_string_append_printf(text, "%s %u %.0f\n",
-					       instance->name,
-					       instance->in_flight,
-					       instance->unread_tokens);
+			g_string_append_printf(
+				text, "%s %u %.0f\n", instance->name,
+				instance->in_flight, instance->unread_tokens);
 	}
 	if (text->len > 0)
 		sr_beliefs_put_own(beliefs, SR_RUMOUR_LOAD,
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -26,7 +26,7 @@
 	sr_parser_t *parser;
 	sr_timer_t *connect_timer;
 	const char *cause; /* of its end, for the log */
-	gboolean is_fresh;   /* the connection had no request before */
+	gboolean is_fresh; /* the connection had no request before */
 	gboolean is_sent;
 	gboolean is_tainted; /* the connection carried a stray answer */
 	gboolean is_checked; /* the head is that of our answer */
@@ -282,8 +282,8 @@
 static gboolean open_channel(sr_attempt_t *attempt)
 {
 	const sr_attempt_options_t *options = &attempt->options;
-	sr_usec_t max_idle = options->may_run_twice ? KEEP_DEFAULT :
-						      ONCE_IDLE_MAX;
+	sr_usec_t max_idle =
+		options->may_run_twice ? KEEP_DEFAULT : ONCE_IDLE_MAX;
 
 	attempt->channel = sr_pool_take(options->gateway->pool,
 					options->instance, max_idle);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -42,8 +42,7 @@
 		g_free(labels);
 	}
 	for (unsigned i = 0; i < G_N_ELEMENTS(meters->attempts); i++) {
-		char *labels =
-			sr_metrics_labels("outcome", outcomes[i], NULL);
+		char *labels = sr_metrics_labels("outcome", outcomes[i], NULL);
 
 		meters->attempts[i] = sr_metrics_counter(
 			metrics, "sassafras_gateway_attempts_total",
@@ -62,9 +61,9 @@
 	meters->first_event = sr_metrics_histogram(
 		metrics, "sassafras_gateway_first_event_seconds",
 		"from a request's first byte to the first event", NULL);
-	meters->sessions = sr_metrics_gauge(metrics,
-					    "sassafras_gateway_connections",
-					    "open connections of callers", NULL);
+	meters->sessions =
+		sr_metrics_gauge(metrics, "sassafras_gateway_connections",
+				 "open connections of callers", NULL);
 	meters->transactions =
 		sr_metrics_gauge(metrics, "sassafras_gateway_in_flight",
 				 "requests without a final answer", NULL);
@@ -110,7 +109,7 @@
 	sr_acceptor_free(gateway->caller_acceptor);
 	sr_acceptor_free(gateway->ready_acceptor);
 	sr_acceptor_free(gateway->metrics_acceptor);
-	sr_list_for_each_safe(link, &gateway->sessions)
+	sr_list_for_each_safe (link, &gateway->sessions)
 		sr_session_free(sr_session_of_link(link));
 	sr_pool_free(gateway->pool);
 	sr_instances_free(gateway->instances);
@@ -143,10 +142,9 @@
 		return state;
 	state = g_new0(sr_gateway_service_state_t, 1);
 	sr_engine_speed_init(&state->speed);
-	sr_retry_budget_init_with(&state->retries,
-				  RETRY_USED_PART *
-					  gateway->options.retry_ratio,
-				  retry_max(gateway));
+	sr_retry_budget_init_with(
+		&state->retries, RETRY_USED_PART * gateway->options.retry_ratio,
+		retry_max(gateway));
 	g_hash_table_insert(gateway->services, g_strdup(service), state);
 	return state;
 }
@@ -181,7 +179,7 @@
 
 	gateway->sweep = sr_timer_start(gateway->options.clock, SWEEP_PERIOD,
 					on_sweep, gateway);
-	sr_list_for_each_safe(link, &gateway->sessions)
+	sr_list_for_each_safe (link, &gateway->sessions)
 		sr_session_sweep(sr_session_of_link(link), now);
 	sr_pool_sweep(gateway->pool, now);
 	sweep_stop(gateway, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -31,8 +31,8 @@
 	gsize buffered_bytes;	     /* of all bodies held; 0: the default */
 	sr_usec_t stop_accepting;    /* after the begin of a planned stop */
 	sr_usec_t stop_limit;	     /* from its begin to the end, at most */
-	double retry_ratio;	/* retries for each request; 0: the default */
-	double retry_slack;	/* retries of all hosts beside; 0: default */
+	double retry_ratio; /* retries for each request; 0: the default */
+	double retry_slack; /* retries of all hosts beside; 0: default */
 	const sr_dialect_t *dialect; /* borrowed */
 	sr_clock_t *clock;	     /* borrowed */
 	sr_log_t *log;		     /* borrowed; may be NULL */
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -117,17 +117,17 @@
 /** sr_transaction_begin - the session's message is whole; it is answered later
  * or from inside this call. */
 void sr_transaction_begin(sr_session_t *session, sr_gateway_t *gateway,
-		       const sr_message_t *request, sr_usec_t began,
-		       sr_transaction_t **slot);
+			  const sr_message_t *request, sr_usec_t began,
+			  sr_transaction_t **slot);
 
 /** sr_transaction_caller_left - frees the transaction. */
 void sr_transaction_caller_left(sr_transaction_t *transaction);
 
 /** What an attempt tells its transaction. */
 void sr_transaction_on_stream(sr_transaction_t *transaction, const guint8 *data,
-			   gsize size);
+			      gsize size);
 void sr_transaction_on_ended(sr_transaction_t *transaction,
-			  sr_attempt_outcome_t outcome);
+			     sr_attempt_outcome_t outcome);
 
 /* attempt.c: one sending of a request to an instance */
 
@@ -136,9 +136,9 @@
 	sr_transaction_t *transaction;
 	sr_instance_t *instance;
 	const char *request_id;
-	GByteArray *bytes;	 /* head and body; taken over */
-	gboolean is_stream;	 /* a success is told in parts */
-	gboolean is_head_only;	 /* the answer has no body */
+	GByteArray *bytes;     /* head and body; taken over */
+	gboolean is_stream;    /* a success is told in parts */
+	gboolean is_head_only; /* the answer has no body */
 	gboolean may_run_twice;
 } sr_attempt_options_t;
 
@@ -176,11 +176,11 @@
 typedef struct {
 	const sr_dialect_t *dialect;
 	const sr_message_t *request;
-	const char *account;	 /* or NULL */
+	const char *account; /* or NULL */
 	const char *instance;
 	sr_usec_t time_left;
-	gint urgency;		 /* negative for none */
-	gboolean resumes;	 /* the stream goes on after last_event */
+	gint urgency;	  /* negative for none */
+	gboolean resumes; /* the stream goes on after last_event */
 	guint64 last_event;
 } sr_request_head_t;
 
--- a/src/gateway/pool.c
+++ b/src/gateway/pool.c
@@ -70,8 +70,7 @@
 {
 	shelf_t *shelf = data;
 
-	sr_list_for_each_safe(link, &shelf->idle)
-	{
+	sr_list_for_each_safe (link, &shelf->idle) {
 		idle_t *idle = sr_list_entry(link, idle_t, link);
 
 		sr_channel_free(idle->channel);
@@ -86,8 +85,7 @@
 	sr_pool_t *pool = g_new0(sr_pool_t, 1);
 
 	pool->gateway = gateway;
-	pool->shelves =
-		g_hash_table_new_full(NULL, NULL, NULL, free_shelf);
+	pool->shelves = g_hash_table_new_full(NULL, NULL, NULL, free_shelf);
 	return pool;
 }
 
@@ -160,8 +158,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		shelf_t *shelf = value;
 
-		sr_list_for_each_safe(link, &shelf->idle)
-		{
+		sr_list_for_each_safe (link, &shelf->idle) {
 			idle_t *idle = sr_list_entry(link, idle_t, link);
 
 			if (now >= idle->until)
--- a/src/gateway/request_head.c
+++ b/src/gateway/request_head.c
@@ -30,10 +30,8 @@
 static gboolean is_own(const sr_dialect_t *dialect, const char *name)
 {
 	const char *const own[] = {
-		dialect->deadline_ms,
-		dialect->account,
-		dialect->expect_instance,
-		dialect->urgency,
+		dialect->deadline_ms,	  dialect->account,
+		dialect->expect_instance, dialect->urgency,
 		"Authorization",
 	};
 
--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -19,10 +19,10 @@
 	sr_parser_t *parser;
 	GByteArray *input; /* not parsed yet */
 	sr_transaction_t *transaction;
-	gsize held; /* bytes of the gateway's account of buffered ones */
-	sr_usec_t began;     /* first byte of the message, or last activity */
+	gsize held;	 /* bytes of the gateway's account of buffered ones */
+	sr_usec_t began; /* first byte of the message, or last activity */
 	sr_usec_t closing_at; /* linger until; 0 if open */
-	gboolean closes;     /* after the answer that is being written */
+	gboolean closes;      /* after the answer that is being written */
 	gboolean processing;
 	gboolean paused;
 	gboolean dead;
@@ -287,7 +287,8 @@
 			refuse(session, as_caller_error(err));
 		else if (message->is_complete)
 			sr_transaction_begin(session, session->gateway, message,
-					  session->began, &session->transaction);
+					     session->began,
+					     &session->transaction);
 	}
 	session->processing = FALSE;
 	unref(session);
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -35,7 +35,7 @@
 	/* the attempt under way */
 	sr_attempt_t *attempt;
 	sr_usec_t sent_at;
-	double unread; /* prompt tokens counted at the instance */
+	double unread;	      /* prompt tokens counted at the instance */
 	double unread_before; /* all that were to be read there */
 	/* all attempts */
 	GArray *tried; /* guint32, ids of instances */
@@ -100,8 +100,9 @@
 {
 	const sr_gateway_t *gateway = transaction->gateway;
 	const sr_instance_t *instance =
-		transaction->attempt ? sr_attempt_instance(transaction->attempt) :
-				    NULL;
+		transaction->attempt ?
+			sr_attempt_instance(transaction->attempt) :
+			NULL;
 	char code[16];
 	char sent[32];
 	char took[24];
@@ -111,14 +112,16 @@
 	g_snprintf(sent, sizeof(sent), "%u+%u", transaction->n_sent,
 		   transaction->n_unsent);
 	g_snprintf(took, sizeof(took), "%.1f",
-		   (double)(now_of(transaction) - transaction->began) / SR_MSEC);
+		   (double)(now_of(transaction) - transaction->began) /
+			   SR_MSEC);
 	g_snprintf(table, sizeof(table), "%" G_GUINT64_FORMAT,
 		   transaction->table ? transaction->table->version : 0);
 	sr_log_event(gateway->options.log, SR_LOG_INFO, event, "request",
 		     transaction->id ? transaction->id : "", "route",
-		     transaction->route ? transaction->route->name : "", "account",
-		     transaction->account ? transaction->account->name : "", "status",
-		     code, "cause", cause, "instance",
+		     transaction->route ? transaction->route->name : "",
+		     "account",
+		     transaction->account ? transaction->account->name : "",
+		     "status", code, "cause", cause, "instance",
 		     instance ? instance->name : "", "sent", sent, "ms", took,
 		     "table", table, NULL);
 }
@@ -128,9 +131,9 @@
 	const sr_gateway_meters_t *meters = &transaction->gateway->meters;
 
 	sr_counter_add(meters->answered[MIN(status / 100, 5)], 1);
-	sr_histogram_observe(meters->duration,
-			     (double)(now_of(transaction) - transaction->began) /
-				     SR_SEC);
+	sr_histogram_observe(
+		meters->duration,
+		(double)(now_of(transaction) - transaction->began) / SR_SEC);
 }
 
 typedef struct {
@@ -172,8 +175,8 @@
 }
 
 /* A refusal says that the request has not run; it must be true. */
-static void refuse(sr_transaction_t *transaction, sr_err_t err, const char *cause,
-		   sr_usec_t retry_after)
+static void refuse(sr_transaction_t *transaction, sr_err_t err,
+		   const char *cause, sr_usec_t retry_after)
 {
 	const failure_t failure = {
 		.err = transaction->may_have_run ? SR_ERR_OUTCOME_UNKNOWN : err,
@@ -250,27 +253,28 @@
 	};
 
 	transaction->is_streaming = TRUE;
-	sr_histogram_observe(transaction->gateway->meters.first_event,
-			     (double)(now_of(transaction) - transaction->began) /
-				     SR_SEC);
+	sr_histogram_observe(
+		transaction->gateway->meters.first_event,
+		(double)(now_of(transaction) - transaction->began) / SR_SEC);
 	sr_session_begin(transaction->session, &head);
 }
 
 static void on_first_event(sr_transaction_t *transaction)
 {
-	sr_gateway_service_state_t *state =
-		sr_gateway_service_state(transaction->gateway, transaction->service);
+	sr_gateway_service_state_t *state = sr_gateway_service_state(
+		transaction->gateway, transaction->service);
 
 	if (transaction->unread_before >= 0)
 		sr_engine_speed_first(&state->speed, transaction->unread_before,
-				      now_of(transaction) - transaction->sent_at);
+				      now_of(transaction) -
+					      transaction->sent_at);
 	transaction->unread_before = -1;
 	release_unread(transaction);
 	note_run(transaction);
 }
 
 void sr_transaction_on_stream(sr_transaction_t *transaction, const guint8 *data,
-			   gsize size)
+			      gsize size)
 {
 	sr_event_t event;
 
@@ -305,8 +309,8 @@
 static sr_placement_choice_t choose(sr_transaction_t *transaction)
 {
 	sr_gateway_t *gateway = transaction->gateway;
-	const sr_gateway_service_t *service =
-		sr_route_table_service(transaction->table, transaction->service);
+	const sr_gateway_service_t *service = sr_route_table_service(
+		transaction->table, transaction->service);
 	const sr_placement_t placement = {
 		.instances = gateway->instances,
 		.index = gateway->prefixes,
@@ -316,8 +320,9 @@
 		.service = transaction->service,
 		.is_engine = service && service->is_engine,
 		.prompt = &transaction->prompt,
-		.speed = &sr_gateway_service_state(gateway, transaction->service)
-				  ->speed,
+		.speed =
+			&sr_gateway_service_state(gateway, transaction->service)
+				 ->speed,
 		.tried = (const guint32 *)(void *)transaction->tried->data,
 		.n_tried = transaction->tried->len,
 		.jitter = g_rand_double(gateway->random),
@@ -331,6 +336,7 @@
 		      const sr_placement_choice_t *choice)
 {
 	const sr_admission_facts_t facts = {
+		.wait_s = choice->wait_s,
 		.first_s = choice->first_s,
 		.target = transaction->route->target,
 		.time_left = transaction->due - now_of(transaction),
@@ -346,18 +352,19 @@
 	g_snprintf(first, sizeof(first), "%.3f", choice->first_s);
 	g_snprintf(occupancy, sizeof(occupancy), "%.2f", choice->occupancy);
 	sr_log_event(transaction->gateway->options.log, SR_LOG_INFO, "refused",
-		     "request", transaction->id, "service", transaction->service,
-		     "expected_s", first, "occupancy", occupancy, NULL);
-	refuse(transaction, SR_ERR_OVERLOADED,
-	       "the answer would come too late", verdict.retry_after);
+		     "request", transaction->id, "service",
+		     transaction->service, "expected_s", first, "occupancy",
+		     occupancy, NULL);
+	refuse(transaction, SR_ERR_OVERLOADED, "the answer would come too late",
+	       verdict.retry_after);
 	return FALSE;
 }
 
 static gint urgency_of(const sr_transaction_t *transaction)
 {
 	const sr_dialect_t *dialect = transaction->gateway->options.dialect;
-	const sr_gateway_service_t *service =
-		sr_route_table_service(transaction->table, transaction->service);
+	const sr_gateway_service_t *service = sr_route_table_service(
+		transaction->table, transaction->service);
 
 	if (!dialect->urgency || !service || !service->is_engine)
 		return -1;
@@ -370,11 +377,13 @@
 	const sr_request_head_t head = {
 		.dialect = transaction->gateway->options.dialect,
 		.request = transaction->request,
-		.account = transaction->account ? transaction->account->name : NULL,
+		.account = transaction->account ? transaction->account->name :
+						  NULL,
 		.instance = instance->name,
 		.time_left = transaction->due - now_of(transaction),
 		.urgency = urgency_of(transaction),
-		.resumes = transaction->is_streaming && transaction->has_last_event,
+		.resumes = transaction->is_streaming &&
+			   transaction->has_last_event,
 		.last_event = transaction->last_event,
 	};
 
@@ -453,7 +462,8 @@
 }
 
 /* What the attempt says of its instance's health. */
-static void judge_instance(sr_transaction_t *transaction, sr_instance_t *instance,
+static void judge_instance(sr_transaction_t *transaction,
+			   sr_instance_t *instance,
 			   sr_attempt_outcome_t outcome)
 {
 	sr_ejection_t *ejection = &instance->ejection;
@@ -489,11 +499,12 @@
 		     sent, NULL);
 }
 
-static sr_next_t next_of(sr_transaction_t *transaction, sr_attempt_outcome_t outcome,
+static sr_next_t next_of(sr_transaction_t *transaction,
+			 sr_attempt_outcome_t outcome,
 			 const sr_instance_t *instance)
 {
-	sr_gateway_service_state_t *state =
-		sr_gateway_service_state(transaction->gateway, transaction->service);
+	sr_gateway_service_state_t *state = sr_gateway_service_state(
+		transaction->gateway, transaction->service);
 	const sr_repeat_facts_t facts = {
 		.kind = transaction->route->kind,
 		.resumable = transaction->route->resumable,
@@ -520,17 +531,19 @@
 		  const char *cause)
 {
 	sr_instance_t *instance =
-		transaction->attempt ? sr_attempt_instance(transaction->attempt) :
-				    NULL;
-	sr_gateway_service_state_t *state =
-		sr_gateway_service_state(transaction->gateway, transaction->service);
+		transaction->attempt ?
+			sr_attempt_instance(transaction->attempt) :
+			NULL;
+	sr_gateway_service_state_t *state = sr_gateway_service_state(
+		transaction->gateway, transaction->service);
 	failure_t failure = { .err = SR_ERR_UPSTREAM_FAILED, .cause = cause };
 
 	switch (next_of(transaction, outcome, instance)) {
 	case SR_NEXT_PASS_ON:
 		/* Our word that it has not run is not the instance's. */
 		if (outcome == SR_ATTEMPT_FAILED &&
-		    is_promise(sr_attempt_message(transaction->attempt)->status))
+		    is_promise(
+			    sr_attempt_message(transaction->attempt)->status))
 			fail(transaction, &failure);
 		else
 			pass_on(transaction);
@@ -570,11 +583,6 @@
 /* A whole stream: its last event may lack the empty line. */
 static void finish_stream(sr_transaction_t *transaction)
 {
-	sr_gateway_service_state_t *state =
-		sr_gateway_service_state(transaction->gateway, transaction->service);
-
-	sr_engine_speed_whole(&state->speed,
-			      now_of(transaction) - transaction->sent_at);
 	if (!transaction->is_streaming)
 		begin_stream(transaction);
 	end_stream(transaction);
@@ -588,7 +596,17 @@
 	       message->status < 300;
 }
 
-void sr_transaction_on_ended(sr_transaction_t *transaction, sr_attempt_outcome_t outcome)
+static void note_duration(const sr_transaction_t *transaction)
+{
+	sr_gateway_service_state_t *state = sr_gateway_service_state(
+		transaction->gateway, transaction->service);
+
+	sr_engine_speed_whole(&state->speed,
+			      now_of(transaction) - transaction->sent_at);
+}
+
+void sr_transaction_on_ended(sr_transaction_t *transaction,
+			     sr_attempt_outcome_t outcome)
 {
 	sr_instance_t *instance = sr_attempt_instance(transaction->attempt);
 
@@ -607,24 +625,28 @@
 		if (transaction->route->kind != SR_ROUTE_STREAM)
 			note_run(transaction);
 	}
+	if (outcome == SR_ATTEMPT_ANSWERED)
+		note_duration(transaction);
 	if (outcome == SR_ATTEMPT_ANSWERED && is_whole_stream(transaction))
 		finish_stream(transaction);
 	else
-		go_on(transaction, outcome, sr_attempt_cause(transaction->attempt));
+		go_on(transaction, outcome,
+		      sr_attempt_cause(transaction->attempt));
 }
 
 void sr_transaction_caller_left(sr_transaction_t *transaction)
 {
 	sr_counter_add(transaction->gateway->meters.left, 1);
-	log_end(transaction, "caller-left", 0, "connection closed by the caller");
+	log_end(transaction, "caller-left", 0,
+		"connection closed by the caller");
 	free_transaction(transaction);
 }
 
 static void on_due(void *user)
 {
 	sr_transaction_t *transaction = user;
-	gboolean sent =
-		transaction->attempt && sr_attempt_is_sent(transaction->attempt);
+	gboolean sent = transaction->attempt &&
+			sr_attempt_is_sent(transaction->attempt);
 
 	transaction->due_timer = NULL;
 	if (transaction->is_streaming) {
@@ -636,7 +658,8 @@
 		transaction->may_have_run = TRUE;
 		fail(transaction, &failure);
 	} else {
-		refuse(transaction, SR_ERR_OVERLOADED, "time limit", RETRY_SOON);
+		refuse(transaction, SR_ERR_OVERLOADED, "time limit",
+		       RETRY_SOON);
 	}
 }
 
@@ -655,7 +678,8 @@
 	if (!transaction->route)
 		return FALSE;
 	transaction->service = sr_gateway_route_pick(
-		transaction->route, g_rand_double(transaction->gateway->random));
+		transaction->route,
+		g_rand_double(transaction->gateway->random));
 	return transaction->service != NULL;
 }
 
@@ -687,13 +711,13 @@
 				  TIMEOUT_DEFAULT;
 	guint64 ms;
 
-	if (text && g_ascii_string_to_unsigned(text, 10, 1, G_MAXUINT32, &ms,
-					       NULL))
+	if (text &&
+	    g_ascii_string_to_unsigned(text, 10, 1, G_MAXUINT32, &ms, NULL))
 		limit = MIN(limit, (sr_usec_t)ms * SR_MSEC);
 	transaction->due = transaction->began + limit;
-	transaction->due_timer = sr_timer_start(transaction->gateway->options.clock,
-					     transaction->due - now_of(transaction),
-					     on_due, transaction);
+	transaction->due_timer = sr_timer_start(
+		transaction->gateway->options.clock,
+		transaction->due - now_of(transaction), on_due, transaction);
 }
 
 /* Returns 0, or how long the account has to wait. */
@@ -707,11 +731,11 @@
 	if (!account)
 		return 0;
 	if (account->counts_tokens)
-		amount = prompt->is_stated ? prompt->prompt_tokens +
-						     prompt->output_tokens :
-					     account->uncounted_tokens;
-	wait = sr_allowance_take(transaction->gateway->allowance, now_of(transaction),
-				 account->name, amount);
+		amount = prompt->is_stated ?
+				 prompt->prompt_tokens + prompt->output_tokens :
+				 account->uncounted_tokens;
+	wait = sr_allowance_take(transaction->gateway->allowance,
+				 now_of(transaction), account->name, amount);
 	if (wait == 0)
 		transaction->charged = amount;
 	return wait;
@@ -742,7 +766,8 @@
 {
 	const char *name = transaction->gateway->options.dialect->last_event_id;
 	const char *text =
-		name ? sr_headers_get(transaction->request->headers, name) : NULL;
+		name ? sr_headers_get(transaction->request->headers, name) :
+		       NULL;
 
 	if (text && g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64,
 					       &transaction->last_event, NULL))
@@ -763,7 +788,8 @@
 	gateway->options.dialect->read_prompt(transaction->request->headers,
 					      &transaction->prompt);
 	sr_retry_budget_earn(
-		&sr_gateway_service_state(gateway, transaction->service)->retries);
+		&sr_gateway_service_state(gateway, transaction->service)
+			 ->retries);
 	read_last_event(transaction);
 	set_due(transaction);
 	wait = take_allowance(transaction);
@@ -775,8 +801,8 @@
 }
 
 void sr_transaction_begin(sr_session_t *session, sr_gateway_t *gateway,
-		       const sr_message_t *request, sr_usec_t began,
-		       sr_transaction_t **slot)
+			  const sr_message_t *request, sr_usec_t began,
+			  sr_transaction_t **slot)
 {
 	sr_transaction_t *transaction = g_new0(sr_transaction_t, 1);
 
--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -68,9 +68,9 @@
 static void flush(sr_channel_t *channel)
 {
 	while (channel->sent < channel->out->len) {
-		ssize_t n = send(channel->fd, channel->out->data + channel->sent,
-				 channel->out->len - channel->sent,
-				 MSG_NOSIGNAL);
+		ssize_t n =
+			send(channel->fd, channel->out->data + channel->sent,
+			     channel->out->len - channel->sent, MSG_NOSIGNAL);
 
 		if (n < 0) {
 			if (errno == EINTR)
@@ -177,8 +177,8 @@
 
 	(void)fn;
 	(void)data;
-	return on_ready(channel->fd,
-			g_source_query_unix_fd(base, channel->tag), channel);
+	return on_ready(channel->fd, g_source_query_unix_fd(base, channel->tag),
+			channel);
 }
 
 static GSourceFuncs source_funcs = {
--- a/src/http/headers.c
+++ b/src/http/headers.c
@@ -101,9 +101,15 @@
 gboolean sr_headers_is_hop_by_hop(const sr_headers_t *headers, const char *name)
 {
 	static const char *const fixed[] = {
-		"Connection",	       "Keep-Alive",	"Proxy-Connection",
-		"Proxy-Authorization", "TE",		"Trailer",
-		"Transfer-Encoding",   "Content-Length", "Upgrade",
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Connection",
+		"Proxy-Authorization",
+		"TE",
+		"Trailer",
+		"Transfer-Encoding",
+		"Content-Length",
+		"Upgrade",
 		"Expect",
 	};
 
--- a/src/http/parser.c
+++ b/src/http/parser.c
@@ -12,7 +12,7 @@
 	GString *name;
 	GString *value;
 	gsize head_size;
-	guint8 last; /* byte of the head before the next one */
+	guint8 last;		/* byte of the head before the next one */
 	gboolean in_empty_line; /* its line feed is still due */
 	gboolean has_begun;
 	gboolean reads_value;
@@ -115,8 +115,8 @@
 	message->keeps_alive = http_should_keep_alive(p);
 	message->is_chunked = (p->flags & F_CHUNKED) != 0;
 	if (parser->options.kind == SR_MESSAGE_REQUEST) {
-		message->method = g_strdup(
-			http_method_str((enum http_method)p->method));
+		message->method =
+			g_strdup(http_method_str((enum http_method)p->method));
 		message->target = g_strdup(parser->target->str);
 	} else {
 		message->status = p->status_code;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -23,8 +23,8 @@
 
 /** sr_message_t - the message that is being read; borrowed. */
 typedef struct {
-	char *method; /* requests */
-	char *target; /* requests; as it was sent */
+	char *method;	 /* requests */
+	char *target;	 /* requests; as it was sent */
 	unsigned status; /* responses */
 	char *reason;
 	sr_headers_t *headers;
--- a/src/platform/client.c
+++ b/src/platform/client.c
@@ -498,9 +498,8 @@
 	platform->default_limit = options->default_limit ?
 					  options->default_limit :
 					  SR_PLATFORM_TIMEOUT;
-	platform->watch_grace = options->watch_grace ?
-					options->watch_grace :
-					SR_PLATFORM_WATCH_GRACE;
+	platform->watch_grace = options->watch_grace ? options->watch_grace :
+						       SR_PLATFORM_WATCH_GRACE;
 	platform->session = new_session(platform->max_in_flight);
 	sr_budget_init(&platform->budget, rate, burst, options->seed,
 		       sr_clock_now(options->clock));
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -89,8 +89,8 @@
 
 typedef struct {
 	const char *method;
-	const char *path; /* with the query; begins with "/" */
-	GBytes *body;	  /* JSON, or NULL */
+	const char *path;	    /* with the query; begins with "/" */
+	GBytes *body;		    /* JSON, or NULL */
 	const char *const *headers; /* names and values by turns, ended by
 				     * NULL; or NULL */
 	sr_store_class_t class;
--- a/src/platform/exchange.h
+++ b/src/platform/exchange.h
@@ -34,7 +34,7 @@
 	const char *if_none_match; /* or NULL */
 	const char *content_type;
 	char **headers; /* names and values by turns, ended by NULL; or NULL */
-	GBytes *body; /* or NULL; a reference is taken */
+	GBytes *body;	/* or NULL; a reference is taken */
 	sr_usec_t timeout;
 	sr_exchange_fn done; /* called once; the exchange is then gone */
 	void *user;
