--- /dev/null
+++ b/src/core/fleet_plan.c
@@ -0,0 +1,254 @@
+#include "core/fleet_plan.h"
+
+#include <math.h>
+
+/** Part of an instance's time that prompts may take: the rest is for the
+ * steps of running requests and for uneven arrivals. */
+#define BUSY_MAX 0.35
+
+/** Instances that are kept however little there is to do. */
+#define NEED_MIN 3.0
+
+/** How much reclaimable capacity the other domains have together when the
+ * largest one has been reclaimed. */
+#define RECLAIMABLE_FACTOR 1.3
+
+/** Part of the need that is covered by instances that stay. */
+#define STAYING_PART 0.35
+#define STAYING_MIN 2
+
+/** An order that did not come about is given again after this. */
+#define REPEAT_AFTER (8 * SR_SEC)
+
+/** An order that was refused is given again after this. */
+#define REFUSED_AFTER (3 * SR_SEC)
+
+/** Less is ordered only when less was enough for this long. */
+#define SHRINK_AFTER (6 * SR_SEC)
+
+typedef struct {
+	unsigned ordered;
+	gboolean is_known; /* ordered was taken by the platform */
+	gboolean in_flight;
+	sr_usec_t at;	      /* of the last order */
+	sr_usec_t not_before; /* of the next one */
+	sr_usec_t fewer_since; /* fewer were enough since; 0 if not */
+} subject_t;
+
+struct sr_fleet_plan {
+	GHashTable *subjects; /* "service/domain/kind" -> subject_t */
+};
+
+sr_fleet_plan_t *sr_fleet_plan_new(void)
+{
+	sr_fleet_plan_t *plan = g_new0(sr_fleet_plan_t, 1);
+
+	plan->subjects =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return plan;
+}
+
+void sr_fleet_plan_free(sr_fleet_plan_t *plan)
+{
+	if (!plan)
+		return;
+	g_hash_table_unref(plan->subjects);
+	g_free(plan);
+}
+
+static subject_t *subject_of(sr_fleet_plan_t *plan, const char *service,
+			     const char *domain, gboolean reclaimable)
+{
+	char *key = g_strdup_printf("%s/%s/%d", service, domain,
+				    reclaimable ? 1 : 0);
+	subject_t *subject = g_hash_table_lookup(plan->subjects, key);
+
+	if (subject) {
+		g_free(key);
+		return subject;
+	}
+	subject = g_new0(subject_t, 1);
+	g_hash_table_insert(plan->subjects, key, subject);
+	return subject;
+}
+
+/* Instances of a kind that serve and stay; a NULL domain counts all. */
+static unsigned count(const sr_fleet_facts_t *facts, const char *domain,
+		      gboolean reclaimable)
+{
+	const GPtrArray *list = sr_instances_of_service(facts->instances,
+							facts->service->name);
+	unsigned n = 0;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const sr_instance_t *instance = list->pdata[i];
+
+		if (!instance->draining &&
+		    !instance->reclaimable == !reclaimable &&
+		    (!domain || !g_strcmp0(instance->failure_domain, domain)))
+			n++;
+	}
+	return n;
+}
+
+static double need_of(const sr_fleet_facts_t *facts)
+{
+	return MAX(facts->work / BUSY_MAX, NEED_MIN);
+}
+
+static double price_of(const sr_scaling_t *scaling, const char *domain)
+{
+	const double *price =
+		g_hash_table_lookup(scaling->domain_prices, domain);
+
+	return price ? *price : 1;
+}
+
+/* How many domains are cheaper than this one. */
+static unsigned rank_of(const sr_scaling_t *scaling, const char *domain)
+{
+	double own = price_of(scaling, domain);
+	GHashTableIter iter;
+	gpointer other;
+	gpointer price;
+	unsigned rank = 0;
+
+	g_hash_table_iter_init(&iter, scaling->domain_prices);
+	while (g_hash_table_iter_next(&iter, &other, &price)) {
+		double value = *(double *)price;
+
+		if (value < own ||
+		    (value == own && g_strcmp0(other, domain) < 0))
+			rank++;
+	}
+	return rank;
+}
+
+/* Instances that stay, dealt to the domains from the cheapest on. */
+static unsigned staying_in(const sr_fleet_facts_t *facts, const char *domain)
+{
+	const sr_scaling_t *scaling = facts->service->scaling;
+	unsigned n = g_hash_table_size(scaling->domain_prices);
+	double part = scaling->reclaimable_price > 0 ? STAYING_PART :
+						       RECLAIMABLE_FACTOR;
+	unsigned total = (unsigned)ceil(need_of(facts) * part);
+	unsigned rank = rank_of(scaling, domain);
+
+	total = MAX(total, STAYING_MIN);
+	return MIN(total / n + (rank < total % n ? 1 : 0), scaling->max);
+}
+
+static unsigned reclaimable_in(const sr_fleet_facts_t *facts,
+			       const char *domain)
+{
+	const sr_scaling_t *scaling = facts->service->scaling;
+	unsigned n = g_hash_table_size(scaling->domain_prices);
+	unsigned others = n > 1 ? n - 1 : 1;
+	unsigned wanted =
+		(unsigned)ceil(need_of(facts) * RECLAIMABLE_FACTOR / others);
+
+	if (scaling->reclaimable_price <= 0)
+		return 0;
+	return MIN(wanted, scaling->max - MIN(staying_in(facts, domain),
+					      scaling->max));
+}
+
+static unsigned wanted_in(const sr_fleet_facts_t *facts, const char *domain,
+			  gboolean reclaimable)
+{
+	const sr_scaling_t *scaling = facts->service->scaling;
+	unsigned staying = staying_in(facts, domain);
+	unsigned spare = reclaimable_in(facts, domain);
+
+	if (reclaimable)
+		return spare;
+	return MAX(staying, scaling->min > spare ? scaling->min - spare : 0);
+}
+
+/* Is there enough without the instances that would be given back? */
+static gboolean may_shrink(const sr_fleet_facts_t *facts, unsigned given_back)
+{
+	unsigned serving =
+		count(facts, NULL, FALSE) + count(facts, NULL, TRUE);
+
+	return (double)serving - given_back >=
+	       need_of(facts) * (1 + STAYING_PART);
+}
+
+static gboolean is_due(subject_t *subject, const sr_fleet_facts_t *facts,
+		       const char *domain, gboolean reclaimable,
+		       unsigned wanted, sr_usec_t now)
+{
+	unsigned serving = count(facts, domain, reclaimable);
+	unsigned present = subject->is_known ? subject->ordered : serving;
+
+	if (subject->in_flight || now < subject->not_before)
+		return FALSE;
+	if (wanted >= present) {
+		subject->fewer_since = 0;
+		if (!subject->is_known)
+			return TRUE;
+		if (wanted > present)
+			return TRUE;
+		return serving < wanted && now - subject->at > REPEAT_AFTER;
+	}
+	if (subject->fewer_since == 0)
+		subject->fewer_since = now;
+	return now - subject->fewer_since > SHRINK_AFTER &&
+	       may_shrink(facts, present - wanted);
+}
+
+static gboolean try_subject(sr_fleet_plan_t *plan, sr_usec_t now,
+			    const sr_fleet_facts_t *facts, const char *domain,
+			    gboolean reclaimable, sr_fleet_order_t *order)
+{
+	unsigned wanted = wanted_in(facts, domain, reclaimable);
+	subject_t *subject = subject_of(plan, facts->service->name, domain,
+					reclaimable);
+
+	if (!is_due(subject, facts, domain, reclaimable, wanted, now))
+		return FALSE;
+	subject->ordered = wanted;
+	subject->in_flight = TRUE;
+	subject->at = now;
+	*order = (sr_fleet_order_t){
+		.service = facts->service->name,
+		.failure_domain = domain,
+		.reclaimable = reclaimable,
+		.desired = wanted,
+	};
+	return TRUE;
+}
+
+gboolean sr_fleet_plan_next(sr_fleet_plan_t *plan, sr_usec_t now,
+			    const sr_fleet_facts_t *facts,
+			    sr_fleet_order_t *order)
+{
+	GHashTableIter iter;
+	gpointer domain;
+
+	g_hash_table_iter_init(&iter, facts->service->scaling->domain_prices);
+	while (g_hash_table_iter_next(&iter, &domain, NULL)) {
+		if (try_subject(plan, now, facts, domain, TRUE, order) ||
+		    try_subject(plan, now, facts, domain, FALSE, order))
+			return TRUE;
+	}
+	return FALSE;
+}
+
+void sr_fleet_plan_answered(sr_fleet_plan_t *plan, const char *service,
+			    const char *failure_domain, gboolean reclaimable,
+			    gboolean taken)
+{
+	subject_t *subject =
+		subject_of(plan, service, failure_domain, reclaimable);
+
+	subject->in_flight = FALSE;
+	subject->is_known = taken;
+	subject->not_before = taken ? 0 : subject->at + REFUSED_AFTER;
+}
+
+void sr_fleet_plan_forget(sr_fleet_plan_t *plan)
+{
+	g_hash_table_remove_all(plan->subjects);
+}
--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -153,6 +153,23 @@
 	return owner;
 }
 
+unsigned sr_members_rank(const sr_members_t *members, const char *thing)
+{
+	guint64 own = sr_rendezvous_score(members->node, thing);
+	GHashTableIter iter;
+	gpointer value;
+	unsigned rank = 0;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const live_t *live = value;
+
+		if (sr_rendezvous_score(live->name, thing) > own)
+			rank++;
+	}
+	return rank;
+}
+
 const char *sr_members_pick(sr_members_t *members)
 {
 	guint n = g_hash_table_size(members->live) - 1;
--- a/src/daemon/members.h
+++ b/src/daemon/members.h
@@ -52,6 +52,9 @@
 const char *sr_members_owner(const sr_members_t *members,
 			     const char *failure_domain, const char *thing);
 
+/** sr_members_rank - how many live nodes should rather own a thing. */
+unsigned sr_members_rank(const sr_members_t *members, const char *thing);
+
 /** sr_members_pick - address of a random other live node; NULL if alone. */
 const char *sr_members_pick(sr_members_t *members);
 
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -428,6 +428,11 @@
 	return sr_members_count(beliefs->members);
 }
 
+unsigned sr_beliefs_rank(const sr_beliefs_t *beliefs, const char *thing)
+{
+	return sr_members_rank(beliefs->members, thing);
+}
+
 void sr_beliefs_leave(sr_beliefs_t *beliefs)
 {
 	sr_gossip_leave(beliefs->gossip, sr_beliefs_now(beliefs));
--- a/src/fleet/beliefs.h
+++ b/src/fleet/beliefs.h
@@ -64,6 +64,13 @@
 /** sr_beliefs_hosts - live entry hosts that are known, this one too. */
 unsigned sr_beliefs_hosts(const sr_beliefs_t *beliefs);
 
+/** sr_beliefs_rank - how many live hosts should rather own a thing. */
+unsigned sr_beliefs_rank(const sr_beliefs_t *beliefs, const char *thing);
+
+/** sr_beliefs_work - of a service's engines for the prompts of all hosts, in
+ * busy instances. */
+double sr_beliefs_work(const sr_beliefs_t *beliefs, const char *service);
+
 /** sr_beliefs_leave - tell the others of a planned stop. */
 void sr_beliefs_leave(sr_beliefs_t *beliefs);
 
--- a/src/fleet/beliefs_internal.h
+++ b/src/fleet/beliefs_internal.h
@@ -31,6 +31,7 @@
 	sr_usec_t behind_since; /* 0 if not behind the peers */
 	/* what other hosts run: node -> load of tellings.c */
 	GHashTable *loads;
+	GHashTable *works; /* "node/service" -> work of tellings.c */
 	guint64 told_windows[SR_USAGE_WINDOWS_KEPT]; /* sums, by window */
 	/* accounts that are being told, for the callback of tellings.c */
 	GString *demand;
--- /dev/null
+++ b/src/fleet/duties.c
@@ -0,0 +1,256 @@
+#include "fleet/duties.h"
+
+#include "core/lease.h"
+
+/** Period in which what is due is looked at. */
+#define TICK (200 * SR_MSEC)
+
+/** A call to the platform takes at most this long; the lease has to hold for
+ * longer when it is sent. */
+#define CALL_MARGIN (1100 * SR_MSEC)
+
+/** A lease is this much longer than the time in which the duties must not
+ * return to a host. */
+#define LEASE_EXTRA SR_SEC
+
+/** Time for the counts of a window to come in from the other hosts: they are
+ * told once a second and spread within another. */
+#define USAGE_SETTLE (3 * SR_SEC)
+
+/** Live hosts that want the lease: the holder and who follows it. */
+#define CLAIMANTS 2
+
+/** A report or order that was not taken is sent again after this. */
+#define RETRY_DELAY (500 * SR_MSEC)
+
+struct sr_duties {
+	sr_duties_options_t options;
+	sr_lease_t *lease;
+	sr_usage_reports_t *reports;
+	sr_fleet_plan_t *plan;
+	sr_timer_t *timer;
+	sr_usec_t claims_from; /* it claims nothing before */
+	sr_usec_t retry_at;
+	gboolean stopping;
+};
+
+static sr_usec_t now_of(const sr_duties_t *duties)
+{
+	return sr_clock_now(duties->options.clock);
+}
+
+static void log_duty(const sr_duties_t *duties, const char *event,
+		     guint64 epoch, const char *detail)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, epoch);
+	sr_log_event(duties->options.log, SR_LOG_INFO, event, "epoch", text,
+		     "detail", detail, NULL);
+}
+
+/* Time in which the duties must not come back to a host that had them. */
+static sr_usec_t hold_off(const sr_duties_t *duties)
+{
+	return duties->options.lease + LEASE_EXTRA;
+}
+
+static void on_acquired(void *user, guint64 epoch, GBytes *payload)
+{
+	sr_duties_t *duties = user;
+
+	log_duty(duties, "duties-taken", epoch, "");
+	sr_usage_reports_load(duties->reports, payload);
+	sr_fleet_plan_forget(duties->plan);
+}
+
+static void on_lost(void *user)
+{
+	sr_duties_t *duties = user;
+
+	log_duty(duties, "duties-lost", 0, sr_lease_holder(duties->lease));
+	duties->claims_from = now_of(duties) + hold_off(duties);
+}
+
+static void on_written(void *user, sr_err_t err)
+{
+	sr_duties_t *duties = user;
+
+	sr_usage_reports_written(duties->reports, err == SR_OK);
+}
+
+static gboolean may_act(const sr_duties_t *duties)
+{
+	return sr_lease_is_held(duties->lease, now_of(duties), CALL_MARGIN);
+}
+
+static void close_windows(sr_duties_t *duties)
+{
+	const sr_usage_windows_t *usage =
+		sr_beliefs_usage(duties->options.beliefs);
+	GBytes *payload;
+
+	if (!usage)
+		return;
+	payload = sr_usage_reports_close(
+		duties->reports, usage,
+		sr_clock_unix_ms(duties->options.clock));
+	if (!payload)
+		return;
+	if (sr_lease_write(duties->lease, now_of(duties), payload) != SR_OK)
+		sr_usage_reports_written(duties->reports, FALSE);
+	g_bytes_unref(payload);
+}
+
+static void send_reports(sr_duties_t *duties)
+{
+	sr_usage_report_t report;
+
+	while (sr_usage_reports_next(duties->reports, &report)) {
+		const sr_duty_call_t call = {
+			.epoch = sr_lease_epoch(duties->lease),
+			.report = &report,
+		};
+
+		duties->options.call(duties->options.user, &call);
+	}
+}
+
+static void order_for(sr_duties_t *duties, const sr_gateway_service_t *service)
+{
+	const sr_fleet_facts_t facts = {
+		.service = service,
+		.instances = sr_gateway_instances(duties->options.gateway),
+		.work = sr_beliefs_work(duties->options.beliefs,
+					service->name),
+	};
+	sr_fleet_order_t order;
+
+	while (sr_fleet_plan_next(duties->plan, now_of(duties), &facts,
+				  &order)) {
+		const sr_duty_call_t call = {
+			.epoch = sr_lease_epoch(duties->lease),
+			.order = &order,
+		};
+		char text[160];
+
+		g_snprintf(text, sizeof(text), "%s in %s: %u%s, work %.2f",
+			   order.service, order.failure_domain, order.desired,
+			   order.reclaimable ? " reclaimable" : "",
+			   facts.work);
+		log_duty(duties, "ordered", call.epoch, text);
+		duties->options.call(duties->options.user, &call);
+	}
+}
+
+static void give_orders(sr_duties_t *duties)
+{
+	const sr_route_table_t *table =
+		sr_gateway_table(duties->options.gateway);
+
+	if (!table || !duties->options.orders_instances)
+		return;
+	for (guint i = 0; i < table->services->len; i++) {
+		const sr_gateway_service_t *service = table->services->pdata[i];
+
+		if (service->scaling)
+			order_for(duties, service);
+	}
+}
+
+static gboolean wants_lease(const sr_duties_t *duties)
+{
+	if (duties->stopping)
+		return FALSE;
+	if (sr_lease_is_held(duties->lease, now_of(duties), 0))
+		return TRUE;
+	return now_of(duties) >= duties->claims_from &&
+	       sr_beliefs_rank(duties->options.beliefs, duties->options.key) <
+		       CLAIMANTS;
+}
+
+static void on_tick(void *user)
+{
+	sr_duties_t *duties = user;
+
+	duties->timer = sr_timer_start(duties->options.clock, TICK, on_tick,
+				       duties);
+	sr_lease_want(duties->lease, wants_lease(duties));
+	sr_lease_tick(duties->lease, now_of(duties));
+	if (!may_act(duties))
+		return;
+	close_windows(duties);
+	if (now_of(duties) >= duties->retry_at)
+		send_reports(duties);
+	give_orders(duties);
+}
+
+sr_duties_t *sr_duties_new(const sr_duties_options_t *options)
+{
+	sr_duties_t *duties = g_new0(sr_duties_t, 1);
+	const sr_lease_options_t lease = {
+		.store = options->store,
+		.class = SR_STORE_LEASE,
+		.key = options->key,
+		.owner = sr_beliefs_owner_name(options->beliefs),
+		.seed = options->seed,
+		.duration = options->lease + LEASE_EXTRA,
+		.acquired = on_acquired,
+		.lost = on_lost,
+		.written = on_written,
+		.user = duties,
+	};
+	const sr_usage_reports_options_t reports = {
+		.window = options->usage_window,
+		.settle = USAGE_SETTLE,
+		.due = options->usage_due,
+	};
+
+	duties->options = *options;
+	duties->lease = sr_lease_new(&lease);
+	duties->reports = sr_usage_reports_new(&reports);
+	duties->plan = sr_fleet_plan_new();
+	duties->claims_from = now_of(duties) + hold_off(duties);
+	on_tick(duties);
+	return duties;
+}
+
+void sr_duties_free(sr_duties_t *duties)
+{
+	if (!duties)
+		return;
+	sr_timer_cancel(duties->timer);
+	sr_lease_free(duties->lease);
+	sr_usage_reports_free(duties->reports);
+	sr_fleet_plan_free(duties->plan);
+	g_free(duties);
+}
+
+void sr_duties_reported(sr_duties_t *duties, guint64 window, gboolean taken)
+{
+	char text[40];
+
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT " %s", window,
+		   taken ? "taken" : "not taken");
+	log_duty(duties, "usage-reported", sr_lease_epoch(duties->lease), text);
+	sr_usage_reports_sent(duties->reports, window, taken);
+	if (!taken)
+		duties->retry_at = now_of(duties) + RETRY_DELAY;
+}
+
+void sr_duties_ordered(sr_duties_t *duties, const char *service,
+		       const char *failure_domain, gboolean reclaimable,
+		       gboolean taken)
+{
+	if (!taken)
+		log_duty(duties, "order-refused", sr_lease_epoch(duties->lease),
+			 failure_domain);
+	sr_fleet_plan_answered(duties->plan, service, failure_domain,
+			       reclaimable, taken);
+}
+
+void sr_duties_release(sr_duties_t *duties)
+{
+	duties->stopping = TRUE;
+	sr_lease_release(duties->lease, now_of(duties));
+}
--- a/src/fleet/tellings.c
+++ b/src/fleet/tellings.c
@@ -23,6 +23,20 @@
 	GArray *items; /* load_item_t */
 } load_t;
 
+/** work_t - what one host asks of a service's engines. */
+typedef struct {
+	char *service;
+	double total; /* s; only grows */
+	double rate;  /* averaged */
+	sr_usec_t at;
+} work_t;
+
+/** Time over which work is averaged, in s. */
+#define WORK_TIME_S 4.0
+
+/** Marks a line that tells of a service's work, not of an instance. */
+#define WORK_MARK '@'
+
 static void clear_item(gpointer data)
 {
 	load_item_t *item = data;
@@ -38,10 +52,64 @@
 	g_free(load);
 }
 
+static void free_work(gpointer data)
+{
+	work_t *work = data;
+
+	g_free(work->service);
+	g_free(work);
+}
+
+static void note_work(sr_beliefs_t *beliefs, const char *node,
+		      const char *service, double total)
+{
+	char *key = g_strdup_printf("%s/%s", node, service);
+	work_t *work = g_hash_table_lookup(beliefs->works, key);
+	sr_usec_t now = sr_beliefs_now(beliefs);
+	double passed;
+
+	if (!work || total < work->total) {
+		work = g_new0(work_t, 1);
+		work->service = g_strdup(service);
+		work->total = total;
+		work->at = now;
+		g_hash_table_insert(beliefs->works, key, work);
+		return;
+	}
+	g_free(key);
+	passed = (double)(now - work->at) / SR_SEC;
+	if (passed <= 0)
+		return;
+	work->rate += MIN(passed / WORK_TIME_S, 1) *
+		      ((total - work->total) / passed - work->rate);
+	work->total = total;
+	work->at = now;
+}
+
+double sr_beliefs_work(const sr_beliefs_t *beliefs, const char *service)
+{
+	sr_usec_t now = sr_beliefs_now(beliefs);
+	GHashTableIter iter;
+	gpointer value;
+	double sum = 0;
+
+	g_hash_table_iter_init(&iter, beliefs->works);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const work_t *work = value;
+
+		if (!strcmp(work->service, service) &&
+		    now - work->at < TELLING_TTL)
+			sum += work->rate;
+	}
+	return sum;
+}
+
 void sr_tellings_init(sr_beliefs_t *beliefs)
 {
 	beliefs->loads = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       free_load);
+	beliefs->works = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       free_work);
 	beliefs->demand = g_string_new(NULL);
 	if (beliefs->options.usage_window > 0)
 		beliefs->usage = sr_usage_windows_new(
@@ -51,6 +119,7 @@
 void sr_tellings_clear(sr_beliefs_t *beliefs)
 {
 	g_hash_table_unref(beliefs->loads);
+	g_hash_table_unref(beliefs->works);
 	g_string_free(beliefs->demand, TRUE);
 	sr_usage_windows_free(beliefs->usage);
 }
@@ -75,12 +144,32 @@
 				   TELLING_TTL);
 }
 
+typedef struct {
+	sr_beliefs_t *beliefs;
+	GString *text;
+} work_telling_t;
+
+static void append_work(void *user, const char *service, double work_s)
+{
+	work_telling_t *telling = user;
+
+	if (work_s <= 0)
+		return;
+	note_work(telling->beliefs, telling->beliefs->options.node, service,
+		  work_s);
+	g_string_append_printf(telling->text, "%c%s %.3f 0\n", WORK_MARK,
+			       service, work_s);
+}
+
 static void tell_load(sr_beliefs_t *beliefs)
 {
 	const GPtrArray *all = sr_instances_all(
 		sr_gateway_instances(beliefs->options.gateway));
 	GString *text = g_string_new(NULL);
+	work_telling_t telling = { .beliefs = beliefs, .text = text };
 
+	sr_gateway_foreach_work(beliefs->options.gateway, append_work,
+				&telling);
 	for (guint i = 0; i < all->len && text->len < SR_RUMOUR_MAX - 64; i++) {
 		const sr_instance_t *instance = all->pdata[i];
 
@@ -167,7 +256,10 @@
 	for (char **line = lines; *line; line++) {
 		char **parts = g_strsplit(*line, " ", 3);
 
-		if (g_strv_length(parts) == 3) {
+		if (g_strv_length(parts) == 3 && parts[0][0] == WORK_MARK) {
+			note_work(beliefs, rumour->key, parts[0] + 1,
+				  g_ascii_strtod(parts[1], NULL));
+		} else if (g_strv_length(parts) == 3) {
 			const load_item_t item = {
 				.instance = g_strdup(parts[0]),
 				.in_flight = g_ascii_strtod(parts[1], NULL),
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -268,6 +268,20 @@
 	return gateway->allowance;
 }
 
+void sr_gateway_foreach_work(sr_gateway_t *gateway,
+			     void (*fn)(void *user, const char *service,
+					double work_s),
+			     void *user)
+{
+	GHashTableIter iter;
+	gpointer service;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gateway->services);
+	while (g_hash_table_iter_next(&iter, &service, &value))
+		fn(user, service, ((sr_gateway_service_state_t *)value)->work_s);
+}
+
 void sr_gateway_set_hosts(sr_gateway_t *gateway, unsigned n)
 {
 	GHashTableIter iter;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,6 +71,13 @@
 
 sr_allowance_t *sr_gateway_allowance(sr_gateway_t *gateway);
 
+/** sr_gateway_foreach_work - by service, the time that its engines needed
+ * for the prompts sent from here, in s; it only grows. */
+void sr_gateway_foreach_work(sr_gateway_t *gateway,
+			     void (*fn)(void *user, const char *service,
+					double work_s),
+			     void *user);
+
 /** sr_gateway_set_hosts - how many entry hosts share the retry budget. */
 void sr_gateway_set_hosts(sr_gateway_t *gateway, unsigned n);
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -22,6 +22,7 @@
 typedef struct {
 	sr_engine_speed_t speed;
 	sr_retry_budget_t retries;
+	double work_s; /* of engines, for the prompts sent from here */
 } sr_gateway_service_state_t;
 
 typedef struct {
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -402,12 +402,15 @@
 static void account_attempt(sr_transaction_t *transaction,
 			    const sr_placement_choice_t *choice)
 {
+	sr_gateway_service_state_t *state = sr_gateway_service_state(
+		transaction->gateway, transaction->service);
 	sr_instance_t *instance = choice->instance;
 	sr_usec_t now = now_of(transaction);
 
 	instance->in_flight++;
 	sr_ejection_begin(&instance->ejection, now);
 	transaction->unread = choice->uncached_tokens;
+	state->work_s += transaction->unread / state->speed.tokens_per_s;
 	instance->unread_tokens += transaction->unread;
 	transaction->unread_before = instance->unread_tokens;
 	transaction->sent_at = now;
