--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -5,6 +5,15 @@
 /** Part of a rate that is shared evenly; the rest goes by demand. */
 #define EVEN_PART 0.3
 
+/** Parts of the tolerated slack that add to the burst and to the rate. The
+ * rest is for the last request of each host, which is taken while anything is
+ * left and may be large. */
+#define SLACK_TO_BURST 0.3
+#define SLACK_TO_RATE 0.3
+
+/** Part of the tolerated overage that is used. */
+#define OVERAGE_USED 0.5
+
 /** Time over which demand is averaged, in s: short enough to follow callers
  * that move, long against the time between two requests. */
 #define DEMAND_TIME_S 4.0
@@ -36,6 +45,7 @@
 struct sr_allowance {
 	GHashTable *buckets; /* account -> bucket_t */
 	unsigned n_hosts;
+	sr_allowance_tolerance_t tolerance;
 };
 
 static void free_bucket(gpointer data)
@@ -69,6 +79,23 @@
 	allowance->n_hosts = MAX(n, 1);
 }
 
+void sr_allowance_set_tolerance(sr_allowance_t *allowance,
+				const sr_allowance_tolerance_t *tolerance)
+{
+	allowance->tolerance = *tolerance;
+}
+
+static double rate_with_tolerance(const sr_allowance_t *allowance, double rate)
+{
+	const sr_allowance_tolerance_t *tolerance = &allowance->tolerance;
+
+	if (rate <= 0 || tolerance->window <= 0)
+		return rate;
+	return rate * (1 + OVERAGE_USED * tolerance->overage) +
+	       SLACK_TO_RATE * tolerance->slack * SR_SEC /
+		       (double)tolerance->window;
+}
+
 static bucket_t *bucket_of(sr_allowance_t *allowance, sr_usec_t now,
 			   const char *account)
 {
@@ -158,13 +185,15 @@
 	double share = share_of(allowance, bucket, now);
 
 	if (bucket->rate == 0)
-		bucket->level = START_PART * burst * share;
+		bucket->level = START_PART * share *
+				(burst +
+				 SLACK_TO_BURST * allowance->tolerance.slack);
 	else
 		fill(bucket, now, share);
 	bucket->filled = now;
-	bucket->rate = rate_per_s;
-	bucket->burst = burst;
-	bucket->level = MIN(bucket->level, burst * share);
+	bucket->rate = rate_with_tolerance(allowance, rate_per_s);
+	bucket->burst = burst + SLACK_TO_BURST * allowance->tolerance.slack;
+	bucket->level = MIN(bucket->level, bucket->burst * share);
 }
 
 sr_usec_t sr_allowance_take(sr_allowance_t *allowance, sr_usec_t now,
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -26,6 +26,21 @@
 /** sr_allowance_set_hosts - how many entry hosts there are, this too. */
 void sr_allowance_set_hosts(sr_allowance_t *allowance, unsigned n);
 
+/** sr_allowance_tolerance_t - by how much the sum over all hosts may be above
+ * a limit: (rate x window + burst) x (1 + overage) + slack in any window. */
+typedef struct {
+	sr_usec_t window;
+	double overage;
+	double slack;
+} sr_allowance_tolerance_t;
+
+/**
+ * sr_allowance_set_tolerance - use a part of it, so that a host's share is
+ * not too small for the requests that happen to come to it
+ */
+void sr_allowance_set_tolerance(sr_allowance_t *allowance,
+				const sr_allowance_tolerance_t *tolerance);
+
 /** sr_allowance_set_limit - rate 0 lifts it. */
 void sr_allowance_set_limit(sr_allowance_t *allowance, sr_usec_t now,
 			    const char *account, double rate_per_s,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,6 +33,7 @@
 	sr_usec_t stop_limit;	     /* from its begin to the end, at most */
 	double retry_ratio; /* retries for each request; 0: the default */
 	double retry_slack; /* retries of all hosts beside; 0: default */
+	sr_allowance_tolerance_t allowance; /* zeroes for none */
 	const sr_dialect_t *dialect; /* borrowed */
 	sr_clock_t *clock;	     /* borrowed */
 	sr_log_t *log;		     /* borrowed; may be NULL */
