--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -22,14 +22,16 @@
  * is not known. */
 #define START_PART 0.5
 
-/** So long after its start a host's own demand is not known yet. */
-#define LEARNING (8 * SR_SEC)
+/** Time over which a share moves to what demand makes it, in s. */
+#define SHARE_TIME_S 3.0
 
 /** demand_t - what one host is asked for by an account. */
 typedef struct {
 	double asked; /* only grows */
 	double rate;  /* per s, averaged */
 	sr_usec_t at;
+	double told;	     /* own: the rate that the others know by now */
+	double told_at_last; /* own: the rate at the last telling */
 } demand_t;
 
 typedef struct {
@@ -37,7 +39,8 @@
 	double burst;
 	double level;
 	sr_usec_t filled;
-	sr_usec_t began;
+	double share; /* of the rate, moving towards what demand makes it */
+	sr_usec_t share_at;
 	demand_t own;
 	GHashTable *others; /* node -> demand_t */
 } bucket_t;
@@ -103,8 +106,9 @@
 
 	if (!bucket) {
 		bucket = g_new0(bucket_t, 1);
-		bucket->began = now;
 		bucket->filled = now;
+		bucket->share = 1.0 / allowance->n_hosts;
+		bucket->share_at = now;
 		bucket->own.at = now;
 		bucket->others = g_hash_table_new_full(g_str_hash, g_str_equal,
 						       g_free, g_free);
@@ -128,7 +132,9 @@
 	own->at = now;
 }
 
-static double others_rate(bucket_t *bucket, sr_usec_t now, unsigned *n)
+/* What the other hosts are asked for; own is assumed of the silent ones. */
+static double others_rate(bucket_t *bucket, sr_usec_t now, double own,
+			  unsigned *n)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -143,31 +149,40 @@
 			g_hash_table_iter_remove(&iter);
 			continue;
 		}
-		sum += other->rate;
+		sum += now - other->at > SR_ALLOWANCE_SILENCE ?
+			       MAX(other->rate, own) :
+			       other->rate;
 		(*n)++;
 	}
 	return sum;
 }
 
-static double share_of(const sr_allowance_t *allowance, bucket_t *bucket,
-		       sr_usec_t now)
+static double target_share(const sr_allowance_t *allowance, bucket_t *bucket,
+			   sr_usec_t now)
 {
 	unsigned n_others;
-	double others = others_rate(bucket, now, &n_others);
+	double own = bucket->own.told;
+	double others = others_rate(bucket, now, own, &n_others);
 	unsigned n = MAX(allowance->n_hosts, n_others + 1);
-	double own = bucket->own.rate *
-		     exp(-seconds_since(bucket->own.at, now) / DEMAND_TIME_S);
 
-	if (now - bucket->began < LEARNING) {
-		if (n_others == 0)
-			return 1.0 / n;
-		own = MAX(own, others / n_others);
-	}
+	others += own * (n - 1 - n_others); /* not heard of yet */
 	if (own + others <= 0)
 		return 1.0 / n;
 	return EVEN_PART / n + (1 - EVEN_PART) * own / (own + others);
 }
 
+static double share_of(const sr_allowance_t *allowance, bucket_t *bucket,
+		       sr_usec_t now)
+{
+	double target = target_share(allowance, bucket, now);
+	double passed = seconds_since(bucket->share_at, now);
+
+	bucket->share +=
+		(1 - exp(-passed / SHARE_TIME_S)) * (target - bucket->share);
+	bucket->share_at = now;
+	return bucket->share;
+}
+
 static void fill(bucket_t *bucket, sr_usec_t now, double share)
 {
 	double earned =
@@ -185,9 +200,9 @@
 	double share = share_of(allowance, bucket, now);
 
 	if (bucket->rate == 0)
-		bucket->level = START_PART * share *
-				(burst +
-				 SLACK_TO_BURST * allowance->tolerance.slack);
+		bucket->level =
+			START_PART * share *
+			(burst + SLACK_TO_BURST * allowance->tolerance.slack);
 	else
 		fill(bucket, now, share);
 	bucket->filled = now;
@@ -230,7 +245,15 @@
 	return share_of(allowance, bucket_of(allowance, now, account), now);
 }
 
-void sr_allowance_foreach(const sr_allowance_t *allowance,
+/* A telling: what was told by the last one is known to the others by now. */
+static void tell(demand_t *own, sr_usec_t now)
+{
+	ask(own, now, 0);
+	own->told = own->told_at_last;
+	own->told_at_last = own->rate;
+}
+
+void sr_allowance_foreach(sr_allowance_t *allowance, sr_usec_t now,
 			  void (*fn)(void *user, const char *account,
 				     double asked),
 			  void *user)
@@ -240,8 +263,12 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, allowance->buckets);
-	while (g_hash_table_iter_next(&iter, &account, &value))
-		fn(user, account, ((const bucket_t *)value)->own.asked);
+	while (g_hash_table_iter_next(&iter, &account, &value)) {
+		bucket_t *bucket = value;
+
+		tell(&bucket->own, now);
+		fn(user, account, bucket->own.asked);
+	}
 }
 
 void sr_allowance_heard(sr_allowance_t *allowance, sr_usec_t now,
@@ -257,7 +284,7 @@
 		 * its rate; until more is known it is like this host. */
 		other = g_new0(demand_t, 1);
 		other->asked = asked;
-		other->rate = bucket->own.rate;
+		other->rate = bucket->own.told;
 		other->at = now;
 		g_hash_table_insert(bucket->others, g_strdup(node), other);
 		return;
@@ -265,10 +292,16 @@
 	passed = seconds_since(other->at, now);
 	if (passed <= 0)
 		return;
-	rate = MAX(asked - other->asked, 0) / passed;
+	if (asked < other->asked) {
+		/* it has started anew; its rate is as it was */
+		other->asked = asked;
+		other->at = now;
+		return;
+	}
+	rate = (asked - other->asked) / passed;
 	other->rate +=
 		(1 - exp(-passed / DEMAND_TIME_S)) * (rate - other->rate);
-	other->asked = MAX(asked, other->asked);
+	other->asked = asked;
 	other->at = now;
 }
 
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -12,11 +12,15 @@
  * rate is shared evenly, the rest by what each host was asked for of late, so
  * that a sudden rise at all hosts together stays within the limit without a
  * message. What a host was asked for is a counter that only grows. A host
- * that has fallen silent keeps its share, so that parts of the fleet that are
- * cut off from each other stay within the limit together.
+ * that is silent, or was not heard of for long, counts as asked for at least
+ * as much as this one, so that parts of the fleet that are cut off from each
+ * other stay within the limit together.
  */
 typedef struct sr_allowance sr_allowance_t;
 
+/** A host that was not heard of for this long counts as silent. */
+#define SR_ALLOWANCE_SILENCE (3 * SR_SEC)
+
 /** A host that was silent for this long is taken to be gone. */
 #define SR_ALLOWANCE_FORGET (30 * SR_SEC)
 
@@ -63,8 +67,13 @@
 double sr_allowance_share(sr_allowance_t *allowance, sr_usec_t now,
 			  const char *account);
 
-/** sr_allowance_foreach - what this host was asked for, by account. */
-void sr_allowance_foreach(const sr_allowance_t *allowance,
+/**
+ * sr_allowance_foreach - what this host was asked for, by account, to be told
+ *
+ * To be called about once a second. Shares are made from what was told by
+ * the call before, as the others have not heard of the latest one yet.
+ */
+void sr_allowance_foreach(sr_allowance_t *allowance, sr_usec_t now,
 			  void (*fn)(void *user, const char *account,
 				     double asked),
 			  void *user);
--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -30,8 +30,8 @@
 	unsigned ordered;
 	gboolean is_known; /* ordered was taken by the platform */
 	gboolean in_flight;
-	sr_usec_t at;	      /* of the last order */
-	sr_usec_t not_before; /* of the next one */
+	sr_usec_t at;	       /* of the last order */
+	sr_usec_t not_before;  /* of the next one */
 	sr_usec_t fewer_since; /* fewer were enough since; 0 if not */
 } subject_t;
 
@@ -76,8 +76,8 @@
 static unsigned count(const sr_fleet_facts_t *facts, const char *domain,
 		      gboolean reclaimable)
 {
-	const GPtrArray *list = sr_instances_of_service(facts->instances,
-							facts->service->name);
+	const GPtrArray *list =
+		sr_instances_of_service(facts->instances, facts->service->name);
 	unsigned n = 0;
 
 	for (guint i = 0; list && i < list->len; i++) {
@@ -149,8 +149,8 @@
 
 	if (scaling->reclaimable_price <= 0)
 		return 0;
-	return MIN(wanted, scaling->max - MIN(staying_in(facts, domain),
-					      scaling->max));
+	return MIN(wanted,
+		   scaling->max - MIN(staying_in(facts, domain), scaling->max));
 }
 
 static unsigned wanted_in(const sr_fleet_facts_t *facts, const char *domain,
@@ -168,8 +168,7 @@
 /* Is there enough without the instances that would be given back? */
 static gboolean may_shrink(const sr_fleet_facts_t *facts, unsigned given_back)
 {
-	unsigned serving =
-		count(facts, NULL, FALSE) + count(facts, NULL, TRUE);
+	unsigned serving = count(facts, NULL, FALSE) + count(facts, NULL, TRUE);
 
 	return (double)serving - given_back >=
 	       need_of(facts) * (1 + STAYING_PART);
@@ -203,8 +202,8 @@
 			    gboolean reclaimable, sr_fleet_order_t *order)
 {
 	unsigned wanted = wanted_in(facts, domain, reclaimable);
-	subject_t *subject = subject_of(plan, facts->service->name, domain,
-					reclaimable);
+	subject_t *subject =
+		subject_of(plan, facts->service->name, domain, reclaimable);
 
 	if (!is_due(subject, facts, domain, reclaimable, wanted, now))
 		return FALSE;
--- a/src/core/gossip.c
+++ b/src/core/gossip.c
@@ -220,6 +220,8 @@
 	g->options.name = g_strdup(options->name);
 	g->options.failure_domain = g_strdup(options->failure_domain);
 	g->options.address = g_strdup(options->address);
+	if (options->bytes_per_s == 0)
+		g->options.bytes_per_s = SR_GOSSIP_RATE;
 	g->random = g_rand_new_with_seed_array(seed, 2);
 	g->now = now;
 	g->last_tick = now;
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -72,12 +72,17 @@
 	sr_member_state_t state;
 } sr_member_t;
 
+/** Bytes that a node sends per second where no rate is set: most of what the
+ * plan allows a node for control. */
+#define SR_GOSSIP_RATE (6 * 1024)
+
 typedef struct {
 	const char *name;
 	const char *failure_domain;
 	const char *address;
-	guint64 incarnation; /* must grow with each start of the process */
-	guint64 seed;	     /* of the random choices */
+	guint64 incarnation;  /* must grow with each start of the process */
+	guint64 seed;	      /* of the random choices */
+	unsigned bytes_per_s; /* sent at most; 0 for SR_GOSSIP_RATE */
 	void (*send)(void *user, const char *address, const guint8 *data,
 		     gsize size);
 	/* a rumour that is new here, or a higher version of a known one */
--- a/src/core/gossip_internal.h
+++ b/src/core/gossip_internal.h
@@ -7,8 +7,7 @@
  * (gossip_send.c), failure detection (gossip_probe.c) and anti-entropy
  * (gossip_sync.c). */
 
-/* Rate and burst of what may be sent beside probes, in bytes. */
-#define SR_GOSSIP_RATE (6 * 1024)
+/* Burst of what may be sent beside probes, in bytes. */
 #define SR_GOSSIP_BURST (48 * 1024)
 
 typedef struct {
--- a/src/core/gossip_send.c
+++ b/src/core/gossip_send.c
@@ -298,6 +298,6 @@
 
 void sr_gossip_refill(sr_gossip_t *g, sr_usec_t elapsed)
 {
-	g->tokens += (double)elapsed / (double)SR_SEC * SR_GOSSIP_RATE;
+	g->tokens += (double)elapsed / (double)SR_SEC * g->options.bytes_per_s;
 	g->tokens = MIN(g->tokens, SR_GOSSIP_BURST);
 }
--- a/src/core/usage_reports.c
+++ b/src/core/usage_reports.c
@@ -70,9 +70,8 @@
 	GHashTable *counts;
 	guint64 window;
 
-	if (!words[0] || !g_ascii_string_to_unsigned(words[0], 10, 0,
-						     G_MAXUINT64, &window,
-						     NULL)) {
+	if (!words[0] || !g_ascii_string_to_unsigned(
+				 words[0], 10, 0, G_MAXUINT64, &window, NULL)) {
 		g_strfreev(words);
 		return;
 	}
@@ -81,9 +80,9 @@
 		char *mark = strrchr(*word, '=');
 		guint64 count;
 
-		if (!mark || !g_ascii_string_to_unsigned(mark + 1, 10, 0,
-							 G_MAXUINT64, &count,
-							 NULL))
+		if (!mark ||
+		    !g_ascii_string_to_unsigned(mark + 1, 10, 0, G_MAXUINT64,
+						&count, NULL))
 			continue;
 		*mark = '\0';
 		g_hash_table_insert(counts, g_strdup(*word),
@@ -137,8 +136,7 @@
 	const report_t *last = g_queue_peek_tail((GQueue *)&reports->reports);
 	/* What ended before that is past due. */
 	guint64 first = sr_usage_windows_at(
-		usage,
-		unix_ms - (options->window + options->due) / SR_MSEC);
+		usage, unix_ms - (options->window + options->due) / SR_MSEC);
 
 	return last ? MAX(last->window + 1, first) : first;
 }
@@ -154,8 +152,8 @@
 		return NULL;
 	window = next_window(reports, usage, unix_ms);
 	/* the first window that has not settled yet */
-	settled = sr_usage_windows_at(usage,
-				      unix_ms - options->settle / SR_MSEC);
+	settled =
+		sr_usage_windows_at(usage, unix_ms - options->settle / SR_MSEC);
 	if (window >= settled)
 		return NULL;
 	for (; window < settled; window++)
@@ -207,8 +205,7 @@
 	for (GList *item = reports->reports.head; item; item = item->next) {
 		report_t *report = item->data;
 
-		if (report->window == window &&
-		    report->state == REPORT_SENDING)
+		if (report->window == window && report->state == REPORT_SENDING)
 			report->state = taken ? REPORT_TAKEN : REPORT_FINAL;
 	}
 }
--- a/src/daemon/control_rumours.c
+++ b/src/daemon/control_rumours.c
@@ -222,7 +222,7 @@
 		hear_usage(control, rumour);
 		break;
 	case SR_RUMOUR_STATUS:
-		break; /* read when an operator asks */
+		break;	      /* read when an operator asks */
 	case SR_RUMOUR_TABLE: /* of the gateway */
 	case SR_RUMOUR_INSTANCE:
 	case SR_RUMOUR_DEMAND:
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -19,6 +19,10 @@
 /** Peers may know more for this long before the platform's word is missed. */
 #define BEHIND_MAX (400 * SR_MSEC)
 
+/** Bytes that a host sends for gossip per second at most: what ten hosts tell
+ * of themselves once a second, passed on by each some three times. */
+#define GOSSIP_RATE (24 * 1024)
+
 /** Name under which peers give out their newest table. */
 #define TABLE_KEY "table"
 
@@ -349,6 +353,7 @@
 		.address = options->peer_address,
 		.incarnation = beliefs->incarnation,
 		.seed = options->seed + 1,
+		.bytes_per_s = GOSSIP_RATE,
 		.send = on_send,
 		.heard = on_heard,
 		.member_changed = on_member_changed,
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -92,9 +92,9 @@
 
 	if (!usage)
 		return;
-	payload = sr_usage_reports_close(
-		duties->reports, usage,
-		sr_clock_unix_ms(duties->options.clock));
+	payload =
+		sr_usage_reports_close(duties->reports, usage,
+				       sr_clock_unix_ms(duties->options.clock));
 	if (!payload)
 		return;
 	if (sr_lease_write(duties->lease, now_of(duties), payload) != SR_OK)
@@ -121,8 +121,7 @@
 	const sr_fleet_facts_t facts = {
 		.service = service,
 		.instances = sr_gateway_instances(duties->options.gateway),
-		.work = sr_beliefs_work(duties->options.beliefs,
-					service->name),
+		.work = sr_beliefs_work(duties->options.beliefs, service->name),
 	};
 	sr_fleet_order_t order;
 
@@ -136,8 +135,7 @@
 
 		g_snprintf(text, sizeof(text), "%s in %s: %u%s, work %.2f",
 			   order.service, order.failure_domain, order.desired,
-			   order.reclaimable ? " reclaimable" : "",
-			   facts.work);
+			   order.reclaimable ? " reclaimable" : "", facts.work);
 		log_duty(duties, "ordered", call.epoch, text);
 		duties->options.call(duties->options.user, &call);
 	}
@@ -173,8 +171,8 @@
 {
 	sr_duties_t *duties = user;
 
-	duties->timer = sr_timer_start(duties->options.clock, TICK, on_tick,
-				       duties);
+	duties->timer =
+		sr_timer_start(duties->options.clock, TICK, on_tick, duties);
 	sr_lease_want(duties->lease, wants_lease(duties));
 	sr_lease_tick(duties->lease, now_of(duties));
 	if (!may_act(duties))
--- a/src/fleet/tellings.c
+++ b/src/fleet/tellings.c
@@ -137,7 +137,7 @@
 {
 	g_string_truncate(beliefs->demand, 0);
 	sr_allowance_foreach(sr_gateway_allowance(beliefs->options.gateway),
-			     append_demand, beliefs);
+			     sr_beliefs_now(beliefs), append_demand, beliefs);
 	if (beliefs->demand->len > 0)
 		sr_beliefs_put_own(beliefs, SR_RUMOUR_DEMAND,
 				   beliefs->options.node, beliefs->demand->str,
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -280,7 +280,8 @@
 
 	g_hash_table_iter_init(&iter, gateway->services);
 	while (g_hash_table_iter_next(&iter, &service, &value))
-		fn(user, service, ((sr_gateway_service_state_t *)value)->work_s);
+		fn(user, service,
+		   ((sr_gateway_service_state_t *)value)->work_s);
 }
 
 void sr_gateway_set_hosts(sr_gateway_t *gateway, unsigned n)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,10 +34,10 @@
 	double retry_ratio; /* retries for each request; 0: the default */
 	double retry_slack; /* retries of all hosts beside; 0: default */
 	sr_allowance_tolerance_t allowance; /* zeroes for none */
-	const sr_dialect_t *dialect; /* borrowed */
-	sr_clock_t *clock;	     /* borrowed */
-	sr_log_t *log;		     /* borrowed; may be NULL */
-	sr_metrics_t *metrics;	     /* borrowed */
+	const sr_dialect_t *dialect;	    /* borrowed */
+	sr_clock_t *clock;		    /* borrowed */
+	sr_log_t *log;			    /* borrowed; may be NULL */
+	sr_metrics_t *metrics;		    /* borrowed */
 	guint64 seed;
 	/* a request of the account began to run */
 	void (*began)(void *user, const char *account);
