--- a/src/core/usage_reports.c
+++ b/src/core/usage_reports.c
@@ -63,7 +63,7 @@
 		free_report(g_queue_pop_head(&reports->reports));
 }
 
-/* "WINDOW account=count account=count" */
+/* "WINDOW account=count account=count", accounts escaped as in a URI */
 static void load_line(sr_usage_reports_t *reports, const char *line)
 {
 	char **words = g_strsplit(line, " ", -1);
@@ -79,14 +79,17 @@
 	for (char **word = words + 1; *word; word++) {
 		char *mark = strrchr(*word, '=');
 		guint64 count;
+		char *account;
 
 		if (!mark ||
 		    !g_ascii_string_to_unsigned(mark + 1, 10, 0, G_MAXUINT64,
 						&count, NULL))
 			continue;
 		*mark = '\0';
-		g_hash_table_insert(counts, g_strdup(*word),
-				    g_memdup2(&count, sizeof(count)));
+		account = g_uri_unescape_string(*word, NULL);
+		if (account)
+			g_hash_table_insert(counts, account,
+					    g_memdup2(&count, sizeof(count)));
 	}
 	append_report(reports, window, counts, REPORT_FINAL);
 	g_strfreev(words);
@@ -120,10 +123,14 @@
 		g_string_append_printf(text, "%" G_GUINT64_FORMAT,
 				       report->window);
 		g_hash_table_iter_init(&iter, report->counts);
-		while (g_hash_table_iter_next(&iter, &account, &count))
+		while (g_hash_table_iter_next(&iter, &account, &count)) {
+			char *escaped =
+				g_uri_escape_string(account, NULL, FALSE);
+
 			g_string_append_printf(text, " %s=%" G_GUINT64_FORMAT,
-					       (char *)account,
-					       *(guint64 *)count);
+					       escaped, *(guint64 *)count);
+			g_free(escaped);
+		}
 		g_string_append_c(text, '\n');
 	}
 	return g_string_free_to_bytes(text);
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -163,7 +163,8 @@
 	};
 	sr_session_t *session = transaction->session;
 
-	if (transaction->charged > 0 && transaction->n_sent == 0)
+	if (transaction->account && transaction->charged > 0 &&
+	    transaction->n_sent == 0)
 		sr_allowance_give_back(transaction->gateway->allowance,
 				       transaction->account->name,
 				       transaction->charged);
--- /dev/null
+++ b/test/http_test.c
@@ -0,0 +1,287 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "http/events.h"
+#include "http/parser.h"
+
+static sr_parser_t *new_parser(sr_message_kind_t kind)
+{
+	const sr_parser_options_t options = {
+		.kind = kind,
+		.max_head = 1024,
+		.max_body = 64,
+	};
+
+	return sr_parser_new(&options);
+}
+
+/* Reads a text in pieces of a size; returns the first error. */
+static sr_err_t read_in_pieces(sr_parser_t *parser, const char *text,
+			       gsize piece, gsize *left)
+{
+	gsize size = strlen(text);
+	gsize at = 0;
+
+	while (at < size && !sr_parser_message(parser)->is_complete) {
+		gsize used = 0;
+		sr_err_t err = sr_parser_feed(parser, (const guint8 *)text + at,
+					      MIN(piece, size - at), &used);
+
+		if (err)
+			return err;
+		at += used;
+	}
+	if (left)
+		*left = size - at;
+	return SR_OK;
+}
+
+static void test_request_is_read_as_sent(void **state)
+{
+	static const char text[] =
+		"POST /a%2fb/../c?x=1 HTTP/1.1\r\nHost: h.example\r\n"
+		"X-A:  two words \r\nContent-Length: 5\r\n\r\nhelloGET /";
+
+	(void)state;
+	for (gsize piece = 1; piece < sizeof(text); piece++) {
+		sr_parser_t *parser = new_parser(SR_MESSAGE_REQUEST);
+		const sr_message_t *message = sr_parser_message(parser);
+		gsize left;
+
+		assert_int_equal(read_in_pieces(parser, text, piece, &left),
+				 SR_OK);
+		assert_true(message->is_complete);
+		assert_string_equal(message->method, "POST");
+		assert_string_equal(message->target, "/a%2fb/../c?x=1");
+		assert_string_equal(sr_headers_get(message->headers, "x-a"),
+				    "two words");
+		assert_int_equal(message->body->len, 5);
+		assert_int_equal(left, strlen("GET /"));
+		sr_parser_free(parser);
+	}
+}
+
+static void test_chunked_request(void **state)
+{
+	sr_parser_t *parser = new_parser(SR_MESSAGE_REQUEST);
+	gsize left;
+
+	(void)state;
+	assert_int_equal(
+		read_in_pieces(parser,
+			       "POST / HTTP/1.1\r\nHost: h\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n"
+			       "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\n\r\nX",
+			       7, &left),
+		SR_OK);
+	assert_true(sr_parser_message(parser)->is_complete);
+	assert_int_equal(sr_parser_message(parser)->body->len, 5);
+	assert_null(sr_headers_get(sr_parser_message(parser)->headers, "T"));
+	assert_int_equal(left, 1);
+	sr_parser_free(parser);
+}
+
+/* Each of these could hide a second request from one of two readers. */
+static void test_ambiguous_requests_are_refused(void **state)
+{
+	static const char *const texts[] = {
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		"Content-Length: 4\r\n\r\nabcd",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		"Content-Length: 3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, "
+		"chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+		"xchunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : "
+		"chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n4zz\r\nabcd\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n-1\r\nabcd\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n2\r\nabcd\r\n0\r\n\r\n",
+		"GET / HTTP/1.1\nHost: h\n\n",
+		"GET / HTTP/1.1\r\nHost: h\r\nA: b\nC: d\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: h\r\nA: b\rC: d\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n folded\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: h\r\n: empty\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: h\r\nA b: c\r\n\r\n",
+		"NOT-HTTP\r\n\r\n",
+	};
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+		for (gsize piece = 1; piece < 200; piece += 33) {
+			sr_parser_t *parser = new_parser(SR_MESSAGE_REQUEST);
+
+			if (read_in_pieces(parser, texts[i], piece, NULL) !=
+			    SR_ERR_PROTOCOL)
+				fail_msg("text %zu in pieces of %zu was read",
+					 i, piece);
+			sr_parser_free(parser);
+		}
+	}
+}
+
+static void test_limits(void **state)
+{
+	sr_parser_t *parser = new_parser(SR_MESSAGE_REQUEST);
+	GString *text = g_string_new("GET / HTTP/1.1\r\nHost: h\r\nA: ");
+
+	(void)state;
+	for (int i = 0; i < 1100; i++)
+		g_string_append_c(text, 'x');
+	assert_int_equal(read_in_pieces(parser, text->str, 100, NULL),
+			 SR_ERR_INVALID);
+	sr_parser_free(parser);
+	parser = new_parser(SR_MESSAGE_REQUEST);
+	assert_int_equal(read_in_pieces(parser,
+					"POST / HTTP/1.1\r\nHost: h\r\n"
+					"Content-Length: 65\r\n\r\n",
+					100, NULL),
+			 SR_ERR_TOO_LARGE);
+	sr_parser_free(parser);
+	g_string_free(text, TRUE);
+}
+
+static void test_upgrade_is_an_ordinary_request(void **state)
+{
+	sr_parser_t *parser = new_parser(SR_MESSAGE_REQUEST);
+	gsize left;
+
+	(void)state;
+	assert_int_equal(read_in_pieces(parser,
+					"GET / HTTP/1.1\r\nHost: h\r\nUpgrade: "
+					"x\r\nConnection: upgrade\r\n"
+					"Content-Length: 3\r\n\r\nabcX",
+					100, &left),
+			 SR_OK);
+	assert_true(sr_parser_message(parser)->is_complete);
+	assert_int_equal(sr_parser_message(parser)->body->len, 3);
+	assert_int_equal(left, 1);
+	sr_parser_free(parser);
+}
+
+static void test_response_without_length(void **state)
+{
+	sr_parser_t *parser = new_parser(SR_MESSAGE_RESPONSE);
+
+	(void)state;
+	assert_int_equal(
+		read_in_pieces(parser, "HTTP/1.1 200 OK\r\n\r\nab", 3, NULL),
+		SR_OK);
+	assert_true(sr_parser_message(parser)->ends_with_connection);
+	assert_false(sr_parser_message(parser)->is_complete);
+	assert_int_equal(sr_parser_finish(parser), SR_OK);
+	assert_true(sr_parser_message(parser)->is_complete);
+	sr_parser_free(parser);
+}
+
+static void test_cut_response_is_not_whole(void **state)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc"
+		"\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+	};
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+		sr_parser_t *parser = new_parser(SR_MESSAGE_RESPONSE);
+
+		assert_int_equal(read_in_pieces(parser, texts[i], 5, NULL),
+				 SR_OK);
+		assert_int_equal(sr_parser_finish(parser), SR_ERR_PROTOCOL);
+		sr_parser_free(parser);
+	}
+}
+
+static void test_interim_response_is_skipped(void **state)
+{
+	sr_parser_t *parser = new_parser(SR_MESSAGE_RESPONSE);
+
+	(void)state;
+	assert_int_equal(read_in_pieces(parser,
+					"HTTP/1.1 100 Continue\r\n\r\n"
+					"HTTP/1.1 204 No Content\r\n\r\n",
+					9, NULL),
+			 SR_OK);
+	assert_int_equal(sr_parser_message(parser)->status, 204);
+	assert_true(sr_parser_message(parser)->is_complete);
+	sr_parser_free(parser);
+}
+
+static void test_hop_by_hop_fields(void **state)
+{
+	sr_headers_t *headers = sr_headers_new();
+
+	(void)state;
+	sr_headers_add(headers, "Connection", "close, X-Mine");
+	assert_true(sr_headers_is_hop_by_hop(headers, "x-mine"));
+	assert_true(sr_headers_is_hop_by_hop(headers, "Keep-Alive"));
+	assert_false(sr_headers_is_hop_by_hop(headers, "X-Min"));
+	sr_headers_free(headers);
+}
+
+static void test_events_come_whole(void **state)
+{
+	static const char text[] = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n"
+				   ": note\n\nid: 3\nda";
+
+	(void)state;
+	for (gsize piece = 1; piece < sizeof(text); piece++) {
+		sr_events_t *events = sr_events_new();
+		GString *out = g_string_new(NULL);
+		sr_event_t event;
+		guint64 ids = 0;
+
+		for (gsize at = 0; at < strlen(text); at += piece) {
+			assert_true(sr_events_feed(
+				events, (const guint8 *)text + at,
+				MIN(piece, strlen(text) - at)));
+			while (sr_events_next(events, &event)) {
+				g_string_append_len(out,
+						    (const char *)event.data,
+						    (gssize)event.size);
+				if (event.has_id)
+					ids = ids * 10 + event.id;
+			}
+		}
+		assert_int_equal(ids, 12);
+		assert_int_equal(out->len, strlen(text) - strlen("id: 3\nda"));
+		assert_memory_equal(out->str, text, out->len);
+		assert_false(sr_events_is_clean(events));
+		sr_events_free(events);
+		g_string_free(out, TRUE);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_request_is_read_as_sent),
+		cmocka_unit_test(test_chunked_request),
+		cmocka_unit_test(test_ambiguous_requests_are_refused),
+		cmocka_unit_test(test_limits),
+		cmocka_unit_test(test_upgrade_is_an_ordinary_request),
+		cmocka_unit_test(test_response_without_length),
+		cmocka_unit_test(test_cut_response_is_not_whole),
+		cmocka_unit_test(test_interim_response_is_skipped),
+		cmocka_unit_test(test_hop_by_hop_fields),
+		cmocka_unit_test(test_events_come_whole),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
