--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -14,6 +14,10 @@
  * evenly over the window. */
 #define BURST_PART 0.2
 
+/** Part of the rate that is kept for small requests while large ones before
+ * them have used up the rest. It counts as overage. */
+#define RESERVE_PART 0.08
+
 /** Time over which demand is averaged, in s: short enough to follow callers
  * that move, long against the time between two requests. */
 #define DEMAND_TIME_S 4.0
@@ -38,6 +42,7 @@
 	double rate;
 	double burst;
 	double level;
+	double reserve; /* for small requests while level is below zero */
 	sr_usec_t filled;
 	double share; /* of the rate, moving towards what demand makes it */
 	sr_usec_t share_at;
@@ -196,6 +201,8 @@
 		bucket->rate * share * seconds_since(bucket->filled, now);
 
 	bucket->level = MIN(bucket->level + earned, bucket->burst * share);
+	bucket->reserve = MIN(bucket->reserve + RESERVE_PART * earned,
+			      RESERVE_PART * bucket->burst * share);
 	bucket->filled = now;
 }
 
@@ -225,7 +232,9 @@
 		return 0;
 	share = share_of(allowance, bucket, now);
 	fill(bucket, now, share);
-	if (bucket->level < 0)
+	if (bucket->level < 0 && bucket->reserve >= amount)
+		bucket->reserve -= amount;
+	else if (bucket->level < 0)
 		return (sr_usec_t)(-bucket->level / (bucket->rate * share) *
 				   SR_SEC) +
 		       1;
--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -130,14 +130,30 @@
 	return rank;
 }
 
-/* All instances that stay: a few, and what the others lack. */
+/* Reclaimable ones that are left when the domain with most of them is taken
+ * away. */
+static unsigned left_after_reclaim(const sr_fleet_facts_t *facts)
+{
+	GHashTableIter iter;
+	gpointer domain;
+	unsigned most = 0;
+
+	g_hash_table_iter_init(&iter, facts->service->scaling->domain_prices);
+	while (g_hash_table_iter_next(&iter, &domain, NULL))
+		most = MAX(most, count(facts, domain, TRUE));
+	return count(facts, NULL, TRUE) - most;
+}
+
+/* All instances that stay: a few, and what the others lack, now or after one
+ * more reclaim; a new one takes longer to come than a reclaim's notice. */
 static unsigned staying_total(const sr_fleet_facts_t *facts)
 {
 	double need = need_of(facts);
 	double few = MAX(need * STAYING_PART, STAYING_MIN);
 	double lack = need * SERVING_FACTOR - count(facts, NULL, TRUE);
+	double lack_next = need - left_after_reclaim(facts);
 
-	return (unsigned)ceil(MAX(few, lack));
+	return (unsigned)ceil(MAX(few, MAX(lack, lack_next)));
 }
 
 /* Dealt to the domains from the cheapest on. */
@@ -199,13 +215,14 @@
 
 	if (subject->in_flight || now < subject->not_before)
 		return FALSE;
+	if (!subject->is_known && wanted >= present)
+		return TRUE;
+	/* What was ordered has been taken away, or never came. */
+	if (serving < wanted && now - subject->at > REPEAT_AFTER)
+		return TRUE;
 	if (wanted >= present) {
 		subject->fewer_since = 0;
-		if (!subject->is_known)
-			return TRUE;
-		if (wanted > present)
-			return TRUE;
-		return serving < wanted && now - subject->at > REPEAT_AFTER;
+		return wanted > present;
 	}
 	if (subject->fewer_since == 0)
 		subject->fewer_since = now;
--- a/src/core/gossip_send.c
+++ b/src/core/gossip_send.c
@@ -106,9 +106,8 @@
 	return record->kind == SR_RUMOUR_EVIDENCE ||
 	       record->kind == SR_RUMOUR_USAGE ||
 	       record->kind == SR_RUMOUR_STATUS ||
-	       record->kind == SR_RUMOUR_DEMAND ||
 	       record->kind == SR_RUMOUR_LOAD ||
-	       record->kind == SR_RUMOUR_WINDOW;
+	       record->kind == SR_RUMOUR_DEMAND;
 }
 
 void sr_gossip_enqueue(sr_gossip_t *g, sr_record_t *record)
--- a/src/core/instances.c
+++ b/src/core/instances.c
@@ -116,6 +116,7 @@
 	instance->failure_domain = g_strdup(entry->failure_domain);
 	instance->version = g_strdup(entry->version);
 	instance->born_ms = entry->born_ms;
+	instance->added_at = now;
 	update(instance, entry, now);
 	return instance;
 }
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -44,6 +44,7 @@
 	gboolean draining;
 	gboolean reclaimable;
 	gboolean is_gone; /* no longer registered */
+	sr_usec_t added_at;
 	sr_usec_t cold_until;
 	sr_usec_t leaves_at; /* 0 if not known */
 	sr_ejection_t ejection;
@@ -55,6 +56,9 @@
 	double others_in_flight;
 	double others_unread_tokens;
 	sr_usec_t others_at;
+	/* by how much the last first event was later than expected */
+	double excess_s;
+	sr_usec_t excess_at;
 } sr_instance_t;
 
 typedef struct sr_instances sr_instances_t;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1,5 +1,7 @@
 #include "core/placement.h"
 
+#include <math.h>
+
 #include "base/rendezvous.h"
 
 /** What other hosts told of their work is void after this. */
@@ -9,6 +11,12 @@
  * this host has not sent it there; other hosts may have. */
 #define HOME_CACHED 0.7
 
+/** An instance has had its part of the shared prefixes after this time. */
+#define CACHE_FILL (15 * SR_SEC)
+
+/** Work that was not known of is done after about this time, in s. */
+#define EXCESS_TIME_S 1.0
+
 /** What an instance in another failure domain has to be faster by, in s;
  * about the round trip to it. */
 #define FAR_COST_S 0.003
@@ -132,6 +140,12 @@
 	return home;
 }
 
+/* How far a new instance has filled its cache, 0 to 1. */
+static double fill_of(const sr_instance_t *instance, sr_usec_t now)
+{
+	return MIN((double)(now - instance->added_at) / CACHE_FILL, 1);
+}
+
 static double uncached_tokens(const sr_placement_t *placement,
 			      const sr_prompt_t *prompt,
 			      const sr_instance_t *instance, gboolean is_home,
@@ -147,7 +161,7 @@
 				       prompt->blocks, shared);
 	rest = tokens_of(prompt, cached, shared);
 	if (is_home)
-		rest *= 1 - HOME_CACHED;
+		rest *= 1 - HOME_CACHED * fill_of(instance, now);
 	return rest + tokens_of(prompt, shared, prompt->n_blocks);
 }
 
@@ -161,6 +175,21 @@
 	return excess > 0 ? excess / slots * speed->duration_s : 0;
 }
 
+/* What is left of a delay that this host could not explain. */
+static double excess_s(const sr_instance_t *instance, sr_usec_t now)
+{
+	double age = (double)(now - instance->excess_at) / SR_SEC;
+
+	return instance->excess_s * exp(-age / EXCESS_TIME_S);
+}
+
+void sr_placement_observe(sr_instance_t *instance, double expected_s,
+			  sr_usec_t took, sr_usec_t now)
+{
+	instance->excess_s = MAX((double)took / SR_SEC - expected_s, 0);
+	instance->excess_at = now;
+}
+
 /* Expected time behind the requests that are there already. */
 static double wait_s(const sr_placement_request_t *request,
 		     const sr_instance_t *instance, sr_usec_t now)
@@ -169,7 +198,9 @@
 	double seconds = slot_wait(instance, speed, now);
 
 	if (request->is_engine)
-		seconds += unread_tokens(instance, now) / speed->tokens_per_s;
+		seconds += MAX(unread_tokens(instance, now) /
+				       speed->tokens_per_s,
+			       excess_s(instance, now));
 	return seconds;
 }
 
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -76,6 +76,11 @@
 					  const sr_placement_request_t *request,
 					  sr_usec_t now);
 
+/** sr_placement_observe - a first event came; expected is what the choice
+ * said, in s. What it took longer is work that this host doesn't know of. */
+void sr_placement_observe(sr_instance_t *instance, double expected_s,
+			  sr_usec_t took, sr_usec_t now);
+
 /** sr_placement_in_flight - requests at the instance from all entry hosts. */
 double sr_placement_in_flight(const sr_instance_t *instance, sr_usec_t now);
 
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -11,6 +11,11 @@
 /** Period of what this host tells of itself. */
 #define TELL_PERIOD SR_SEC
 
+/** Period in which it tells its work at instances, which ages fastest: at
+ * least the first, and the second for each live host. */
+#define LOAD_PERIOD_MIN (250 * SR_MSEC)
+#define LOAD_PERIOD_PER_HOST (25 * SR_MSEC)
+
 /** Time that the platform has to tell a newer table before it is asked for
  * at a peer, and between two such questions. */
 #define FETCH_DELAY (150 * SR_MSEC)
@@ -317,6 +322,13 @@
 	if (now >= beliefs->next_tell) {
 		beliefs->next_tell = now + TELL_PERIOD;
 		sr_tellings_tell(beliefs);
+	}
+	if (now >= beliefs->next_load) {
+		beliefs->next_load =
+			now + MAX(LOAD_PERIOD_MIN,
+				  sr_beliefs_hosts(beliefs) *
+					  LOAD_PERIOD_PER_HOST);
+		sr_tellings_tell_load(beliefs);
 		sr_tellings_apply(beliefs);
 	}
 	sr_gossip_tick(beliefs->gossip, now);
--- a/src/fleet/beliefs_internal.h
+++ b/src/fleet/beliefs_internal.h
@@ -19,6 +19,7 @@
 	sr_usage_windows_t *usage;
 	sr_timer_t *timer;
 	sr_usec_t next_tell;
+	sr_usec_t next_load;
 	/* the table in force and the newest that was heard of */
 	GBytes *text;
 	guint64 version;
@@ -51,7 +52,10 @@
 void sr_tellings_init(sr_beliefs_t *beliefs);
 void sr_tellings_clear(sr_beliefs_t *beliefs);
 
-/** sr_tellings_tell - tell the others; call once a second. */
+/** sr_tellings_tell_load - tell the others what runs at instances. */
+void sr_tellings_tell_load(sr_beliefs_t *beliefs);
+
+/** sr_tellings_tell - tell the others the rest; call once a second. */
 void sr_tellings_tell(sr_beliefs_t *beliefs);
 void sr_tellings_heard_demand(sr_beliefs_t *beliefs, const sr_rumour_t *rumour);
 void sr_tellings_heard_load(sr_beliefs_t *beliefs, const sr_rumour_t *rumour);
--- a/src/fleet/tellings.c
+++ b/src/fleet/tellings.c
@@ -161,7 +161,7 @@
 			       service, work_s);
 }
 
-static void tell_load(sr_beliefs_t *beliefs)
+void sr_tellings_tell_load(sr_beliefs_t *beliefs)
 {
 	const GPtrArray *all = sr_instances_all(
 		sr_gateway_instances(beliefs->options.gateway));
@@ -215,7 +215,6 @@
 void sr_tellings_tell(sr_beliefs_t *beliefs)
 {
 	tell_demand(beliefs);
-	tell_load(beliefs);
 	if (beliefs->usage) {
 		guint64 window = window_now(beliefs);
 
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -280,6 +280,11 @@
 		sr_engine_speed_first(&state->speed, transaction->unread_before,
 				      now_of(transaction) -
 					      transaction->sent_at);
+	if (transaction->unread_before >= 0 && transaction->attempt)
+		sr_placement_observe(sr_attempt_instance(transaction->attempt),
+				     transaction->expected_s,
+				     now_of(transaction) - transaction->sent_at,
+				     now_of(transaction));
 	transaction->unread_before = -1;
 	release_unread(transaction);
 	note_run(transaction);
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -260,6 +260,23 @@
 	free_fleet(fleet);
 }
 
+/* Pattern: small requests of an account among its large ones. */
+static void test_small_request_is_not_held_up_by_a_large_one(void **state)
+{
+	sr_allowance_t *host = new_host(SR_SEC);
+	sr_usec_t now = SR_SEC;
+	unsigned refused = 0;
+
+	(void)state;
+	for (int i = 0; i < 100; i++) {
+		now += 250 * SR_MSEC;
+		sr_allowance_take(host, now, "a", 4 * REQUEST);
+		refused += sr_allowance_take(host, now, "a", 100) > 0;
+	}
+	assert_true(refused <= 5);
+	sr_allowance_free(host);
+}
+
 static void test_wait_is_told(void **state)
 {
 	sr_allowance_t *host = new_host(SR_SEC);
@@ -284,6 +301,8 @@
 		cmocka_unit_test(test_usual_load_is_not_refused),
 		cmocka_unit_test(test_shifted_load_is_not_refused_for_long),
 		cmocka_unit_test(test_lowered_limit_is_used_up),
+		cmocka_unit_test(
+			test_small_request_is_not_held_up_by_a_large_one),
 		cmocka_unit_test(test_wait_is_told),
 	};
 
