--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -226,9 +226,9 @@
 	}
 	if (subject->fewer_since == 0)
 		subject->fewer_since = now;
-	return now - subject->fewer_since >
-		       (reclaimable ? SHRINK_RECLAIMABLE_AFTER :
-				      SHRINK_AFTER) &&
+	return now - subject->fewer_since > (reclaimable ?
+						     SHRINK_RECLAIMABLE_AFTER :
+						     SHRINK_AFTER) &&
 	       may_shrink(facts, present - wanted);
 }
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -198,9 +198,9 @@
 	double seconds = slot_wait(instance, speed, now);
 
 	if (request->is_engine)
-		seconds += MAX(unread_tokens(instance, now) /
-				       speed->tokens_per_s,
-			       excess_s(instance, now));
+		seconds +=
+			MAX(unread_tokens(instance, now) / speed->tokens_per_s,
+			    excess_s(instance, now));
 	return seconds;
 }
 
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -324,10 +324,9 @@
 		sr_tellings_tell(beliefs);
 	}
 	if (now >= beliefs->next_load) {
-		beliefs->next_load =
-			now + MAX(LOAD_PERIOD_MIN,
-				  sr_beliefs_hosts(beliefs) *
-					  LOAD_PERIOD_PER_HOST);
+		beliefs->next_load = now + MAX(LOAD_PERIOD_MIN,
+					       sr_beliefs_hosts(beliefs) *
+						       LOAD_PERIOD_PER_HOST);
 		sr_tellings_tell_load(beliefs);
 		sr_tellings_apply(beliefs);
 	}
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -37,8 +37,8 @@
 	sr_usec_t sent_at;
 	double expected_s;	  /* to its first event, as it was placed */
 	sr_usec_t first_event_at; /* 0 if there was none */
-	double unread;	      /* prompt tokens counted at the instance */
-	double unread_before; /* all that were to be read there */
+	double unread;		  /* prompt tokens counted at the instance */
+	double unread_before;	  /* all that were to be read there */
 	/* all attempts */
 	GArray *tried; /* guint32, ids of instances */
 	unsigned n_sent;
@@ -132,8 +132,8 @@
 		     "account",
 		     transaction->account ? transaction->account->name : "",
 		     "status", code, "cause", cause, "instance",
-		     instance ? instance->name : "", "sent", sent, "ms", took, "first_ms", first,
-		     "table", table, NULL);
+		     instance ? instance->name : "", "sent", sent, "ms", took,
+		     "first_ms", first, "table", table, NULL);
 }
 
 static void count_end(const sr_transaction_t *transaction, unsigned status)
--- /dev/null
+++ b/test/gateway_rig.h
@@ -0,0 +1,430 @@
+#ifndef SR_TEST_GATEWAY_RIG_H
+#define SR_TEST_GATEWAY_RIG_H
+
+/* A gateway on loopback between raw callers and stand-in instances, all on
+ * one loop. The stand-ins speak names of their own, so that nothing in the
+ * gateway can depend on a deployment's. */
+
+#include <arpa/inet.h>
+#include <glib-unix.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "gateway/gateway.h"
+#include "http/channel.h"
+#include "http/parser.h"
+
+#define RIG_INSTANCES 2
+
+typedef struct rig rig_t;
+
+/* One stand-in instance. */
+typedef struct {
+	rig_t *rig;
+	char name[8];
+	char address[32];
+	int listener;
+	guint source;
+	unsigned n_requests;
+	unsigned n_closed; /* connections that the gateway closed */
+	GString *seen;	   /* heads of all requests */
+	GString *bodies;
+	GPtrArray *channels;
+} instance_t;
+
+/* One connection to a stand-in. */
+typedef struct {
+	instance_t *instance;
+	sr_channel_t *channel;
+	sr_parser_t *parser;
+} link_t;
+
+typedef struct {
+	sr_channel_t *channel;
+	GString *in;
+	gboolean ended;
+	sr_channel_end_t how;
+} caller_t;
+
+struct rig {
+	sr_clock_t *clock;
+	sr_metrics_t *metrics;
+	sr_gateway_t *gateway;
+	char caller_address[32];
+	char ready_address[32];
+	instance_t instances[RIG_INSTANCES];
+	guint64 next_revision;
+	gboolean stopped;
+	unsigned n_began;
+	/* what a stand-in does with a request */
+	void (*serve)(link_t *link, const sr_message_t *request);
+};
+
+static void rig_free_address(char address[32])
+{
+	struct sockaddr_in in = { .sin_family = AF_INET };
+	socklen_t size = sizeof(in);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert(fd >= 0 && !bind(fd, (struct sockaddr *)&in, sizeof(in)));
+	getsockname(fd, (struct sockaddr *)&in, &size);
+	g_snprintf(address, 32, "127.0.0.1:%u", ntohs(in.sin_port));
+	close(fd);
+}
+
+static void rig_read_prompt(const sr_headers_t *headers, sr_prompt_t *prompt)
+{
+	(void)headers;
+	(void)prompt;
+}
+
+static const char *const rig_reserved[] = { "X-Hold", NULL };
+static const char *const rig_carried[] = { "X-Request", "X-Model", NULL };
+
+static const sr_dialect_t rig_dialect = {
+	.request_id = "X-Request",
+	.deadline_ms = "X-Left-Ms",
+	.last_event_id = "Last-Event-ID",
+	.account = "X-Account",
+	.expect_instance = "X-Expect",
+	.signature = "X-Signature",
+	.not_run = "X-Not-Run",
+	.reserved = rig_reserved,
+	.carried = rig_carried,
+	.ready_path = "/ready",
+	.metrics_path = "/metrics",
+	.read_prompt = rig_read_prompt,
+};
+
+static void rig_write(link_t *link, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+
+static void rig_write(link_t *link, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	sr_channel_write(link->channel, text, strlen(text));
+	g_free(text);
+}
+
+/* A whole answer, as a sound instance sends it. */
+static void rig_answer(link_t *link, const sr_message_t *request,
+		       unsigned status, const char *fields, const char *body)
+{
+	rig_write(link,
+		  "HTTP/1.1 %u Status\r\nX-Request: %s\r\nX-Signature: %s\r\n"
+		  "%sContent-Length: %zu\r\n\r\n%s",
+		  status, sr_headers_get(request->headers, "X-Request"),
+		  link->instance->name, fields, strlen(body), body);
+}
+
+static void rig_link_received(void *user, const guint8 *data, gsize size)
+{
+	link_t *link = user;
+	instance_t *instance = link->instance;
+
+	while (size > 0) {
+		const sr_message_t *request = sr_parser_message(link->parser);
+		gsize used = 0;
+
+		g_assert(!sr_parser_feed(link->parser, data, size, &used));
+		data += used;
+		size -= used;
+		if (!request->is_complete)
+			continue;
+		instance->n_requests++;
+		g_string_append_printf(instance->seen, "%s %s\n",
+				       request->method, request->target);
+		for (unsigned i = 0; i < sr_headers_size(request->headers);
+		     i++) {
+			sr_header_t field = sr_headers_at(request->headers, i);
+
+			g_string_append_printf(instance->seen, "%s: %s\n",
+					       field.name, field.value);
+		}
+		g_string_append_len(instance->bodies,
+				    (const char *)request->body->data,
+				    request->body->len);
+		instance->rig->serve(link, request);
+		sr_parser_next(link->parser);
+	}
+}
+
+static void rig_link_ended(void *user, sr_channel_end_t how)
+{
+	link_t *link = user;
+
+	(void)how;
+	link->instance->n_closed++;
+	g_ptr_array_remove(link->instance->channels, link);
+}
+
+static const sr_channel_events_t rig_link_events = {
+	.received = rig_link_received,
+	.ended = rig_link_ended,
+};
+
+static void rig_free_link(gpointer data)
+{
+	link_t *link = data;
+
+	sr_channel_free(link->channel);
+	sr_parser_free(link->parser);
+	g_free(link);
+}
+
+static gboolean rig_on_accept(gint fd, GIOCondition ready, gpointer user)
+{
+	const sr_parser_options_t options = {
+		.kind = SR_MESSAGE_REQUEST,
+		.max_head = 65536,
+		.max_body = 1 << 20,
+	};
+	instance_t *instance = user;
+	link_t *link = g_new0(link_t, 1);
+
+	(void)ready;
+	link->instance = instance;
+	link->parser = sr_parser_new(&options);
+	link->channel =
+		sr_channel_accepted(sr_accept(fd), &rig_link_events, link);
+	g_ptr_array_add(instance->channels, link);
+	return G_SOURCE_CONTINUE;
+}
+
+static void rig_register(rig_t *rig, unsigned i, gboolean draining)
+{
+	const instance_t *instance = &rig->instances[i];
+	const sr_registration_t entry = {
+		.name = instance->name,
+		.service = "s",
+		.address = instance->address,
+		.failure_domain = "d",
+		.version = "v",
+		.slots = 8,
+		.draining = draining,
+		.born_ms = 1,
+		.revision = ++rig->next_revision,
+	};
+
+	sr_instances_register(sr_gateway_instances(rig->gateway), &entry,
+			      sr_clock_now(rig->clock));
+}
+
+static void rig_add_route(sr_route_table_t *table, const char *prefix,
+			  sr_route_kind_t kind, gboolean resumable)
+{
+	sr_gateway_route_t *route = sr_route_table_add_route(table);
+
+	route->name = g_strdup(prefix);
+	route->authority = g_strdup("h.example");
+	route->prefix = g_strdup(prefix);
+	route->kind = kind;
+	route->resumable = resumable;
+	route->max_attempts = 2;
+	route->timeout = 2 * SR_SEC;
+	sr_gateway_route_add_service(route, "s", 1);
+}
+
+static void rig_set_table(rig_t *rig, guint64 version)
+{
+	sr_route_table_t *table = sr_route_table_new(version);
+	sr_gateway_account_t *account = sr_route_table_add_account(table);
+	sr_gateway_service_t *service = sr_route_table_add_service(table);
+
+	service->name = g_strdup("s");
+	account->name = g_strdup("acme");
+	g_ptr_array_add(account->keys, g_strdup("secret"));
+	table->asks_for_keys = TRUE;
+	table->limits.header_bytes = 4096;
+	table->limits.body_bytes = 4096;
+	table->limits.header_timeout = 500 * SR_MSEC;
+	rig_add_route(table, "/safe/", SR_ROUTE_IDEMPOTENT, FALSE);
+	rig_add_route(table, "/once/", SR_ROUTE_ONCE, FALSE);
+	rig_add_route(table, "/stream/", SR_ROUTE_STREAM, FALSE);
+	rig_add_route(table, "/resume/", SR_ROUTE_STREAM, TRUE);
+	sr_route_table_seal(table);
+	sr_gateway_set_table(rig->gateway, table);
+	sr_route_table_unref(table);
+}
+
+static void rig_on_stopped(void *user)
+{
+	((rig_t *)user)->stopped = TRUE;
+}
+
+static void rig_on_began(void *user, const char *account)
+{
+	(void)account;
+	((rig_t *)user)->n_began++;
+}
+
+static rig_t *rig_new(void (*serve)(link_t *link, const sr_message_t *request))
+{
+	rig_t *rig = g_new0(rig_t, 1);
+	char *detail = NULL;
+	sr_gateway_options_t options = {
+		.node = "n",
+		.failure_domain = "d",
+		.stop_accepting = 300 * SR_MSEC,
+		.stop_limit = 3 * SR_SEC,
+		.dialect = &rig_dialect,
+		.seed = 1,
+		.began = rig_on_began,
+		.stopped = rig_on_stopped,
+		.user = rig,
+	};
+
+	rig->serve = serve;
+	rig->clock = sr_clock_new_real();
+	rig->metrics = sr_metrics_new();
+	rig_free_address(rig->caller_address);
+	rig_free_address(rig->ready_address);
+	options.caller_address = rig->caller_address;
+	options.ready_address = rig->ready_address;
+	options.clock = rig->clock;
+	options.metrics = rig->metrics;
+	rig->gateway = sr_gateway_new(&options);
+	g_assert(!sr_gateway_start(rig->gateway, &detail));
+	for (unsigned i = 0; i < RIG_INSTANCES; i++) {
+		instance_t *instance = &rig->instances[i];
+
+		instance->rig = rig;
+		g_snprintf(instance->name, sizeof(instance->name), "i%u", i);
+		rig_free_address(instance->address);
+		instance->listener = sr_listen(instance->address);
+		instance->source = g_unix_fd_add(instance->listener, G_IO_IN,
+						 rig_on_accept, instance);
+		instance->seen = g_string_new(NULL);
+		instance->bodies = g_string_new(NULL);
+		instance->channels =
+			g_ptr_array_new_with_free_func(rig_free_link);
+		rig_register(rig, i, FALSE);
+	}
+	rig_set_table(rig, 1);
+	sr_gateway_set_ready(rig->gateway, TRUE);
+	return rig;
+}
+
+static void rig_free(rig_t *rig)
+{
+	sr_gateway_free(rig->gateway);
+	for (unsigned i = 0; i < RIG_INSTANCES; i++) {
+		instance_t *instance = &rig->instances[i];
+
+		g_source_remove(instance->source);
+		close(instance->listener);
+		g_ptr_array_unref(instance->channels);
+		g_string_free(instance->seen, TRUE);
+		g_string_free(instance->bodies, TRUE);
+	}
+	sr_metrics_free(rig->metrics);
+	sr_clock_free(rig->clock);
+	g_free(rig);
+}
+
+static unsigned rig_requests(const rig_t *rig)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < RIG_INSTANCES; i++)
+		n += rig->instances[i].n_requests;
+	return n;
+}
+
+static void rig_caller_received(void *user, const guint8 *data, gsize size)
+{
+	g_string_append_len(((caller_t *)user)->in, (const char *)data,
+			    (gssize)size);
+}
+
+static void rig_caller_ended(void *user, sr_channel_end_t how)
+{
+	caller_t *caller = user;
+
+	caller->ended = TRUE;
+	caller->how = how;
+	sr_channel_free(caller->channel);
+	caller->channel = NULL;
+}
+
+static const sr_channel_events_t rig_caller_events = {
+	.received = rig_caller_received,
+	.ended = rig_caller_ended,
+};
+
+static caller_t *caller_new(const char *address)
+{
+	caller_t *caller = g_new0(caller_t, 1);
+
+	caller->in = g_string_new(NULL);
+	caller->channel =
+		sr_channel_connect(address, &rig_caller_events, caller);
+	return caller;
+}
+
+static void caller_free(caller_t *caller)
+{
+	sr_channel_free(caller->channel);
+	g_string_free(caller->in, TRUE);
+	g_free(caller);
+}
+
+static void caller_send(caller_t *caller, const char *text)
+{
+	sr_channel_write(caller->channel, text, strlen(text));
+}
+
+/* A proper request with more fields and a body. */
+static void caller_request(caller_t *caller, const char *method,
+			   const char *path, const char *id, const char *fields,
+			   const char *body)
+{
+	char *text =
+		g_strdup_printf("%s %s HTTP/1.1\r\nHost: h.example\r\n"
+				"X-Request: %s\r\nX-Left-Ms: 1500\r\n"
+				"Authorization: Bearer secret\r\n%s"
+				"Content-Length: %zu\r\n\r\n%s",
+				method, path, id, fields, strlen(body), body);
+
+	caller_send(caller, text);
+	g_free(text);
+}
+
+static gboolean rig_on_time(gpointer data)
+{
+	*(gboolean *)data = TRUE;
+	return G_SOURCE_REMOVE;
+}
+
+/* Runs the loop until the text has come, the connection has ended or the time
+ * is over; TRUE if the text is there. */
+static gboolean caller_wait(caller_t *caller, const char *text, unsigned ms)
+{
+	gboolean over = FALSE;
+	guint timer = g_timeout_add(ms, rig_on_time, &over);
+
+	while (!over && !caller->ended &&
+	       !(text && strstr(caller->in->str, text)))
+		g_main_context_iteration(NULL, TRUE);
+	if (!over)
+		g_source_remove(timer);
+	return text && strstr(caller->in->str, text) != NULL;
+}
+
+static void rig_run(unsigned ms)
+{
+	gboolean over = FALSE;
+
+	g_timeout_add(ms, rig_on_time, &over);
+	while (!over)
+		g_main_context_iteration(NULL, TRUE);
+}
+
+#endif
--- /dev/null
+++ b/test/site_test.c
@@ -0,0 +1,417 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <libsoup/soup.h>
+
+#include "base/fields.h"
+#include "dialect.h"
+#include "feed.h"
+#include "json.h"
+#include "manifest.h"
+#include "registry.h"
+#include "settings.h"
+#include "store.h"
+
+static GBytes *bytes_of(const char *text)
+{
+	return g_bytes_new(text, strlen(text));
+}
+
+/* The configuration. */
+
+static void test_manifest(void **state)
+{
+	GBytes *text = bytes_of(
+		"{\"version\":7,\"route_table\":[{\"name\":\"r\",\"host\":"
+		"\"A.example\",\"path_prefix\":\"/x/\",\"kind\":\"streaming\","
+		"\"timeout_ms\":8000,\"target_latency_ms\":800,\"priority\":1,"
+		"\"weighted_services\":[{\"service\":\"a\",\"weight\":90},"
+		"{\"service\":\"b\",\"weight\":10}],\"max_attempts\":2,"
+		"\"public\":false,\"resumable\":true,\"gap_target_ms\":600},"
+		"{\"host\":\"b\",\"path_prefix\":\"/\",\"kind\":\"novel\"}],"
+		"\"services\":[{\"name\":\"a\",\"engine\":{\"slots\":128,"
+		"\"kv_capacity_tokens\":857000},\"scaling\":{\"min\":1,\"max\":"
+		"6,\"boot_s\":4.0,\"spot_price\":0.15,\"zone_prices\":{\"z\":"
+		"0.8}}}],\"limits\":{\"max_header_bytes\":16384,"
+		"\"header_timeout_ms\":3000},\"tenants\":[{\"name\":\"t\","
+		"\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,\"unit\":"
+		"\"tokens\",\"uncached_tokens\":200,\"rate_per_s\":306603,"
+		"\"burst\":1000}],\"novel\":[1]}");
+	sr_route_table_t *table = sr_site_manifest_decode(text);
+	const sr_gateway_route_t *route;
+	const sr_gateway_account_t *account;
+	const sr_gateway_service_t *service;
+
+	(void)state;
+	assert_non_null(table);
+	assert_int_equal(table->version, 7);
+	assert_int_equal(table->routes->len, 1);
+	route = sr_route_table_find(table, "a.EXAMPLE", "/x/y");
+	assert_non_null(route);
+	assert_int_equal(route->kind, SR_ROUTE_STREAM);
+	assert_true(route->resumable);
+	assert_int_equal(route->timeout, 8 * SR_SEC);
+	assert_int_equal(route->gap_target, 600 * SR_MSEC);
+	assert_string_equal(sr_gateway_route_pick(route, 0.95), "b");
+	account = sr_route_table_account_of_key(table, "k2");
+	assert_string_equal(account->name, "t");
+	assert_true(account->counts_tokens);
+	assert_true(account->rate_per_s == 306603);
+	service = sr_route_table_service(table, "a");
+	assert_true(service->is_engine);
+	assert_int_equal(service->scaling->max, 6);
+	assert_true(*(double *)g_hash_table_lookup(
+			    service->scaling->domain_prices, "z") == 0.8);
+	assert_int_equal(table->limits.header_timeout, 3 * SR_SEC);
+	assert_true(table->asks_for_keys);
+	sr_route_table_unref(table);
+	g_bytes_unref(text);
+}
+
+static void test_unreadable_manifests(void **state)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"version\":\"7\"}",
+		"{\"version\":7",
+		"{\"version\":-1}",
+	};
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+		GBytes *text = bytes_of(texts[i]);
+
+		assert_null(sr_site_manifest_decode(text));
+		g_bytes_unref(text);
+	}
+}
+
+/* Entries of the registry, also such as other writers leave. */
+
+#define ENTRY(fields) "{\"spec\":{" fields "}}"
+#define SOUND                                                           \
+	"\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\"," \
+	"\"version\":\"v1\""
+
+static gboolean decode(const char *text, sr_registration_t *entry)
+{
+	GBytes *bytes = bytes_of(text);
+	json_object *object = sr_site_json_read(bytes);
+	gboolean ok = sr_site_registration_decode("i", object, 5, entry);
+
+	g_bytes_unref(bytes);
+	json_object_put(object);
+	return ok;
+}
+
+static void test_registry_entries(void **state)
+{
+	static const char *const unusable[] = {
+		"{}",
+		ENTRY(SOUND),
+		ENTRY(SOUND ",\"slots\":0,\"state\":\"ready\""),
+		ENTRY(SOUND ",\"slots\":\"4\",\"state\":\"ready\""),
+		ENTRY(SOUND ",\"slots\":4,\"state\":\"odd\""),
+		ENTRY(SOUND ",\"slots\":4,\"state\":1"),
+		ENTRY("\"service\":\"a\",\"address\":\"x\",\"zone\":\"z\","
+		      "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\""),
+		ENTRY("\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		      "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\""),
+	};
+	sr_registration_t entry;
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(unusable); i++)
+		assert_false(decode(unusable[i], &entry));
+	assert_true(decode(ENTRY(SOUND ",\"slots\":4,\"state\":\"draining\","
+				       "\"spot\":true,\"leaves_ms\":2500,"
+				       "\"born\":1700000000123"),
+			   &entry));
+	assert_true(entry.draining);
+	assert_true(entry.reclaimable);
+	assert_int_equal(entry.leaves_in, 2500 * SR_MSEC);
+	assert_int_equal(entry.born_ms, 1700000000123);
+	assert_int_equal(entry.revision, 5);
+}
+
+static void test_prompt_is_read_from_its_headers(void **state)
+{
+	sr_headers_t *a = sr_headers_new();
+	sr_headers_t *b = sr_headers_new();
+	sr_prompt_t first = { 0 };
+	sr_prompt_t second = { 0 };
+
+	(void)state;
+	sr_headers_add(a, "token-usage", "1460,80");
+	sr_headers_add(a, "Prefix-Hash", "5c1e:800,91bd:410,e440:250");
+	sr_headers_add(b, "Prefix-Hash", "5c1e:800,91bd:410,ffff:9,bad");
+	sr_site_dialect()->read_prompt(a, &first);
+	sr_site_dialect()->read_prompt(b, &second);
+	assert_true(first.prompt_tokens == 1460 && first.output_tokens == 80);
+	assert_int_equal(first.n_blocks, 3);
+	assert_int_equal(first.tokens[1], 410);
+	assert_int_equal(second.n_blocks, 3);
+	assert_true(first.blocks[1] == second.blocks[1]);
+	assert_true(first.blocks[2] != second.blocks[2]);
+	assert_false(second.is_stated);
+	g_free(first.blocks);
+	g_free(first.tokens);
+	g_free(second.blocks);
+	g_free(second.tokens);
+	sr_headers_free(a);
+	sr_headers_free(b);
+}
+
+/* Settings. */
+
+static const char sound_settings[] =
+	"// comment\n{\"node\":\"n\",\"failure_domain\":\"z\","
+	"\"caller_address\":\"10.0.0.1:80\",\"ready_address\":\"10.0.0.1:81\","
+	"\"metrics_address\":\"10.0.0.1:82\",\"peer_address\":"
+	"\"10.0.0.1:7600\",\"peer_seeds\":[\"10.0.0.2:8229\"],"
+	"\"store\":{\"address\":\"10.0.0.9:1\",\"writes_per_s\":400,"
+	"\"reads_per_s\":2000},\"duties\":{\"address\":\"10.0.0.9:2\","
+	"\"names\":[\"usage_report\",\"novel\"],\"calls_per_s\":50},"
+	"\"limits\":{\"descriptors\":4100,\"memory_mb\":260},"
+	"\"bounds\":{\"stop_ms\":8000,\"retry_ratio\":0.2,\"retry_slack\":58,"
+	"\"allowance_window_s\":8,\"allowance_overage\":0.1,"
+	"\"allowance_slack\":190000,\"usage_window_s\":5,\"usage_due_s\":10,"
+	"\"lease_ms\":3000}}";
+
+static void test_settings(void **state)
+{
+	GPtrArray *findings = sr_findings_new();
+	sr_site_settings_t *settings = sr_site_settings_parse(
+		sound_settings, strlen(sound_settings), findings);
+
+	(void)state;
+	assert_non_null(settings);
+	assert_int_equal(findings->len, 0);
+	/* seeds are named by another port of theirs */
+	assert_string_equal(settings->peer_seeds->pdata[0], "10.0.0.2:7600");
+	assert_true(settings->reports_usage);
+	assert_false(settings->orders_instances);
+	sr_site_settings_free(settings);
+	settings = sr_site_settings_parse("{\"node\":3}", 10, findings);
+	assert_null(settings);
+	assert_true(findings->len > 3);
+	g_ptr_array_unref(findings);
+}
+
+/* A stand-in of the store: answers what the test has laid out. */
+typedef struct {
+	SoupServer *server;
+	sr_clock_t *clock;
+	sr_platform_t *client;
+	sr_site_feed_t *feed;
+	GString *events;       /* what the feed told */
+	const char *list;      /* the body of a list */
+	const char *watch;     /* the next body of a watch, taken once */
+	unsigned watch_status; /* of a watch; 200 by default */
+	gboolean is_down;
+	unsigned n_lists;
+} store_t;
+
+static void on_request(SoupServer *server, SoupServerMessage *message,
+		       const char *path, GHashTable *query, gpointer user)
+{
+	store_t *store = user;
+	const char *body;
+
+	(void)server;
+	(void)path;
+	if (store->is_down) {
+		soup_server_message_set_status(message, 503, NULL);
+		return;
+	}
+	if (query && g_hash_table_lookup(query, "watch")) {
+		unsigned status = store->watch_status;
+
+		store->watch_status = 200;
+		body = store->watch ? store->watch :
+				      "{\"events\":[],\"current_rev\":10}";
+		store->watch = NULL;
+		soup_server_message_set_status(message, status, NULL);
+	} else {
+		store->n_lists++;
+		body = store->list;
+		soup_server_message_set_status(message, 200, NULL);
+	}
+	soup_server_message_set_response(message, "application/json",
+					 SOUP_MEMORY_COPY, body, strlen(body));
+}
+
+static void on_seen(void *user, const char *name, json_object *object,
+		    guint64 revision)
+{
+	(void)object;
+	g_string_append_printf(((store_t *)user)->events, "+%s@%u ", name,
+			       (unsigned)revision);
+}
+
+static void on_removed(void *user, const char *name, guint64 revision)
+{
+	(void)revision;
+	g_string_append_printf(((store_t *)user)->events, "-%s ", name);
+}
+
+static void on_listed(void *user)
+{
+	(void)user;
+}
+
+static store_t *new_store(void)
+{
+	store_t *store = g_new0(store_t, 1);
+	sr_platform_options_t client = { .calls_per_s = 1000,
+					 .backoff_max = 100 * SR_MSEC };
+	sr_site_feed_options_t feed = {
+		.kind = "servers",
+		.wait = 50 * SR_MSEC,
+		.seen = on_seen,
+		.removed = on_removed,
+		.listed = on_listed,
+		.user = store,
+	};
+	GSList *uris;
+	char *url;
+
+	store->list = "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":"
+		      "3}},{\"metadata\":{\"name\":\"b\",\"revision\":4}}],"
+		      "\"truncated\":false,\"current_rev\":9}";
+	store->watch_status = 200;
+	store->events = g_string_new(NULL);
+	store->clock = sr_clock_new_real();
+	store->server = soup_server_new(NULL, NULL);
+	soup_server_add_handler(store->server, NULL, on_request, store, NULL);
+	assert_true(soup_server_listen_local(store->server, 0, 0, NULL));
+	uris = soup_server_get_uris(store->server);
+	url = g_strdup_printf("http://127.0.0.1:%d",
+			      g_uri_get_port(uris->data));
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	client.url = url;
+	client.clock = store->clock;
+	store->client = sr_platform_new(&client);
+	feed.client = store->client;
+	feed.clock = store->clock;
+	store->feed = sr_site_feed_new(&feed);
+	g_free(url);
+	return store;
+}
+
+static void free_store(store_t *store)
+{
+	sr_site_feed_free(store->feed);
+	sr_platform_free(store->client);
+	soup_server_disconnect(store->server);
+	g_object_unref(store->server);
+	g_string_free(store->events, TRUE);
+	sr_clock_free(store->clock);
+	g_free(store);
+}
+
+static gboolean on_over(gpointer data)
+{
+	*(gboolean *)data = TRUE;
+	return G_SOURCE_REMOVE;
+}
+
+/* Runs until the feed has told the text, or the time is over. */
+static gboolean tells(store_t *store, const char *text, unsigned ms)
+{
+	gboolean over = FALSE;
+	guint timer = g_timeout_add(ms, on_over, &over);
+
+	while (!over && !strstr(store->events->str, text))
+		g_main_context_iteration(NULL, TRUE);
+	if (!over)
+		g_source_remove(timer);
+	return strstr(store->events->str, text) != NULL;
+}
+
+static void test_feed_follows_changes(void **state)
+{
+	store_t *store = new_store();
+
+	(void)state;
+	assert_true(tells(store, "+a@3 +b@4 ", 1000));
+	store->watch = "{\"events\":[{\"removed\":false,\"object\":{"
+		       "\"metadata\":{\"name\":\"a\",\"revision\":11}}},"
+		       "{\"removed\":true,\"object\":{\"metadata\":{\"name\":"
+		       "\"b\",\"revision\":12}}}],\"current_rev\":12}";
+	assert_true(tells(store, "+a@11 -b ", 1000));
+	free_store(store);
+}
+
+static void test_feed_lists_again_when_history_is_gone(void **state)
+{
+	store_t *store = new_store();
+
+	(void)state;
+	assert_true(tells(store, "+b@4 ", 1000));
+	store->list = "{\"items\":[{\"metadata\":{\"name\":\"c\","
+		      "\"revision\":20}}],\"truncated\":false,"
+		      "\"current_rev\":21}";
+	store->watch_status = 410;
+	assert_true(tells(store, "+c@20 ", 1000));
+	assert_true(tells(store, "-a ", 1000));
+	assert_true(tells(store, "-b ", 1000));
+	free_store(store);
+}
+
+/* Entries that lapsed while the store was away come back soon after. */
+static void test_feed_holds_removals_after_an_outage(void **state)
+{
+	store_t *store = new_store();
+
+	(void)state;
+	assert_true(tells(store, "+b@4 ", 1000));
+	store->is_down = TRUE;
+	assert_false(tells(store, "-", 700));
+	store->list = "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":"
+		      "30}}],\"truncated\":false,\"current_rev\":30}";
+	store->watch = "{\"events\":[{\"removed\":true,\"object\":{"
+		       "\"metadata\":{\"name\":\"b\",\"revision\":28}}}],"
+		       "\"current_rev\":30}";
+	store->is_down = FALSE;
+	assert_false(tells(store, "-", 1500));
+	assert_true(tells(store, "-b ", 2500));
+	assert_null(strstr(store->events->str, "-a"));
+	free_store(store);
+}
+
+static void test_feed_outlives_garbage(void **state)
+{
+	store_t *store = new_store();
+
+	(void)state;
+	assert_true(tells(store, "+b@4 ", 1000));
+	store->watch = "not json";
+	assert_false(tells(store, "-", 300));
+	store->watch = "{\"events\":[{\"object\":3},{}],\"current_rev\":12}";
+	assert_false(tells(store, "-", 300));
+	free_store(store);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_manifest),
+		cmocka_unit_test(test_unreadable_manifests),
+		cmocka_unit_test(test_registry_entries),
+		cmocka_unit_test(test_prompt_is_read_from_its_headers),
+		cmocka_unit_test(test_settings),
+		cmocka_unit_test(test_feed_follows_changes),
+		cmocka_unit_test(test_feed_lists_again_when_history_is_gone),
+		cmocka_unit_test(test_feed_holds_removals_after_an_outage),
+		cmocka_unit_test(test_feed_outlives_garbage),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
