--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -511,13 +511,22 @@
 static void log_retry(const sr_transaction_t *transaction,
 		      const sr_instance_t *instance, const char *cause)
 {
+	unsigned status =
+		transaction->attempt ?
+			sr_attempt_message(transaction->attempt)->status :
+			0;
 	char sent[16];
+	char code[16];
+	char last[24];
 
 	g_snprintf(sent, sizeof(sent), "%u", transaction->n_sent);
+	g_snprintf(code, sizeof(code), "%u", status);
+	g_snprintf(last, sizeof(last), "%" G_GUINT64_FORMAT,
+		   transaction->last_event);
 	sr_log_event(transaction->gateway->options.log, SR_LOG_INFO, "retried",
 		     "request", transaction->id, "instance",
-		     instance ? instance->name : "", "cause", cause, "sent",
-		     sent, NULL);
+		     instance ? instance->name : "", "cause", cause, "status",
+		     code, "sent", sent, "last_event", last, NULL);
 }
 
 static sr_next_t next_of(sr_transaction_t *transaction,
@@ -741,24 +750,56 @@
 		transaction->due - now_of(transaction), on_due, transaction);
 }
 
-/* Returns 0, or how long the account has to wait. */
-static sr_usec_t take_allowance(sr_transaction_t *transaction)
+/* What the request takes from its account's allowance. */
+static double amount_of(const sr_transaction_t *transaction)
 {
 	const sr_gateway_account_t *account = transaction->account;
 	const sr_prompt_t *prompt = &transaction->prompt;
-	double amount = 1;
+
+	if (!account->counts_tokens)
+		return 1;
+	return prompt->is_stated ?
+		       prompt->prompt_tokens + prompt->output_tokens :
+		       account->uncounted_tokens;
+}
+
+static void log_allowance(const sr_transaction_t *transaction, double amount,
+			  sr_usec_t wait)
+{
+	const sr_gateway_account_t *account = transaction->account;
+	char needs[24];
+	char rate[24];
+	char share[24];
+	char seconds[24];
+
+	g_snprintf(needs, sizeof(needs), "%.0f", amount);
+	g_snprintf(rate, sizeof(rate), "%.0f", account->rate_per_s);
+	g_snprintf(share, sizeof(share), "%.3f",
+		   sr_allowance_share(transaction->gateway->allowance,
+				      now_of(transaction), account->name));
+	g_snprintf(seconds, sizeof(seconds), "%.2f", (double)wait / SR_SEC);
+	sr_log_event(transaction->gateway->options.log, SR_LOG_INFO, "limited",
+		     "request", transaction->id, "account", account->name,
+		     "amount", needs, "rate_per_s", rate, "share", share,
+		     "wait_s", seconds, NULL);
+}
+
+/* Returns 0, or how long the account has to wait. */
+static sr_usec_t take_allowance(sr_transaction_t *transaction)
+{
+	double amount;
 	sr_usec_t wait;
 
-	if (!account)
+	if (!transaction->account)
 		return 0;
-	if (account->counts_tokens)
-		amount = prompt->is_stated ?
-				 prompt->prompt_tokens + prompt->output_tokens :
-				 account->uncounted_tokens;
+	amount = amount_of(transaction);
 	wait = sr_allowance_take(transaction->gateway->allowance,
-				 now_of(transaction), account->name, amount);
+				 now_of(transaction),
+				 transaction->account->name, amount);
 	if (wait == 0)
 		transaction->charged = amount;
+	else
+		log_allowance(transaction, amount, wait);
 	return wait;
 }
 
