--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -6,6 +6,17 @@
  * steps of running requests and for uneven arrivals. */
 #define BUSY_MAX 0.35
 
+/** Until there has been work for this long, the load is not known, and the
+ * instances that are there count as wanted for it by this part. */
+#define LEARNING (5 * SR_SEC)
+#define UNKNOWN_NEED_PART 0.6
+
+/** A peak of work counts for about this long, in s. */
+#define PEAK_TIME_S 15.0
+
+/** Less work than this says nothing. */
+#define WORK_MIN 0.05
+
 /** Instances that are kept however little there is to do. */
 #define NEED_MIN 3.0
 
@@ -41,8 +52,25 @@
 	sr_usec_t fewer_since; /* fewer were enough since; 0 if not */
 } subject_t;
 
+/** load_t - what is known of the work of a service. */
+typedef struct {
+	sr_usec_t since; /* there has been work; 0 if not yet */
+	double peak;
+	sr_usec_t peak_at;
+} load_t;
+
+/** view_t - what an order is made from. */
+typedef struct {
+	const sr_gateway_service_t *service;
+	const sr_instances_t *instances;
+	double work;
+	double need; /* instances */
+	gboolean is_load_known;
+} view_t;
+
 struct sr_fleet_plan {
 	GHashTable *subjects; /* "service/domain/kind" -> subject_t */
+	GHashTable *loads;    /* service -> load_t */
 };
 
 sr_fleet_plan_t *sr_fleet_plan_new(void)
@@ -51,6 +79,8 @@
 
 	plan->subjects =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	plan->loads =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return plan;
 }
 
@@ -59,6 +89,7 @@
 	if (!plan)
 		return;
 	g_hash_table_unref(plan->subjects);
+	g_hash_table_unref(plan->loads);
 	g_free(plan);
 }
 
@@ -79,11 +110,11 @@
 }
 
 /* Instances of a kind that serve and stay; a NULL domain counts all. */
-static unsigned count(const sr_fleet_facts_t *facts, const char *domain,
+static unsigned count(const view_t *view, const char *domain,
 		      gboolean reclaimable)
 {
 	const GPtrArray *list =
-		sr_instances_of_service(facts->instances, facts->service->name);
+		sr_instances_of_service(view->instances, view->service->name);
 	unsigned n = 0;
 
 	for (guint i = 0; list && i < list->len; i++) {
@@ -97,9 +128,38 @@
 	return n;
 }
 
-static double need_of(const sr_fleet_facts_t *facts)
+/* What the load asks for, in instances. */
+static double measure_need(sr_fleet_plan_t *plan, sr_usec_t now,
+			   const view_t *view)
 {
-	return MAX(facts->work / BUSY_MAX, NEED_MIN);
+	load_t *load = g_hash_table_lookup(plan->loads, view->service->name);
+	double need;
+
+	if (!load) {
+		load = g_new0(load_t, 1);
+		g_hash_table_insert(plan->loads, g_strdup(view->service->name),
+				    load);
+	}
+	load->peak *=
+		exp(-(double)(now - load->peak_at) / SR_SEC / PEAK_TIME_S);
+	load->peak = MAX(load->peak, view->work);
+	load->peak_at = now;
+	if (load->since == 0 && view->work > WORK_MIN)
+		load->since = now;
+	need = MAX(load->peak / BUSY_MAX, NEED_MIN);
+	if (load->since > 0 && now - load->since > LEARNING)
+		return need;
+	return MAX(need, UNKNOWN_NEED_PART * (count(view, NULL, FALSE) +
+					      count(view, NULL, TRUE)));
+}
+
+static gboolean is_load_known(const sr_fleet_plan_t *plan, sr_usec_t now,
+			      const view_t *view)
+{
+	const load_t *load =
+		g_hash_table_lookup(plan->loads, view->service->name);
+
+	return load && load->since > 0 && now - load->since > LEARNING;
 }
 
 static double price_of(const sr_scaling_t *scaling, const char *domain)
@@ -132,63 +192,62 @@
 
 /* Reclaimable ones that are left when the domain with most of them is taken
  * away. */
-static unsigned left_after_reclaim(const sr_fleet_facts_t *facts)
+static unsigned left_after_reclaim(const view_t *view)
 {
 	GHashTableIter iter;
 	gpointer domain;
 	unsigned most = 0;
 
-	g_hash_table_iter_init(&iter, facts->service->scaling->domain_prices);
+	g_hash_table_iter_init(&iter, view->service->scaling->domain_prices);
 	while (g_hash_table_iter_next(&iter, &domain, NULL))
-		most = MAX(most, count(facts, domain, TRUE));
-	return count(facts, NULL, TRUE) - most;
+		most = MAX(most, count(view, domain, TRUE));
+	return count(view, NULL, TRUE) - most;
 }
 
 /* All instances that stay: a few, and what the others lack, now or after one
  * more reclaim; a new one takes longer to come than a reclaim's notice. */
-static unsigned staying_total(const sr_fleet_facts_t *facts)
+static unsigned staying_total(const view_t *view)
 {
-	double need = need_of(facts);
+	double need = view->need;
 	double few = MAX(need * STAYING_PART, STAYING_MIN);
-	double lack = need * SERVING_FACTOR - count(facts, NULL, TRUE);
-	double lack_next = need - left_after_reclaim(facts);
+	double lack = need * SERVING_FACTOR - count(view, NULL, TRUE);
+	double lack_next = need - left_after_reclaim(view);
 
 	return (unsigned)ceil(MAX(few, MAX(lack, lack_next)));
 }
 
 /* Dealt to the domains from the cheapest on. */
-static unsigned staying_in(const sr_fleet_facts_t *facts, const char *domain)
+static unsigned staying_in(const view_t *view, const char *domain)
 {
-	const sr_scaling_t *scaling = facts->service->scaling;
+	const sr_scaling_t *scaling = view->service->scaling;
 	unsigned n = g_hash_table_size(scaling->domain_prices);
-	unsigned total = staying_total(facts);
+	unsigned total = staying_total(view);
 	unsigned rank = rank_of(scaling, domain);
 
 	return MIN(total / n + (rank < total % n ? 1 : 0), scaling->max);
 }
 
 /* Evenly; they leave room for one that must stay. */
-static unsigned reclaimable_in(const sr_fleet_facts_t *facts,
-			       const char *domain)
+static unsigned reclaimable_in(const view_t *view, const char *domain)
 {
-	const sr_scaling_t *scaling = facts->service->scaling;
+	const sr_scaling_t *scaling = view->service->scaling;
 	unsigned n = g_hash_table_size(scaling->domain_prices);
 	unsigned others = n > 1 ? n - 1 : 1;
 	unsigned wanted =
-		(unsigned)ceil(need_of(facts) * RECLAIMABLE_FACTOR / others);
+		(unsigned)ceil(view->need * RECLAIMABLE_FACTOR / others);
 
 	if (scaling->reclaimable_price <= 0)
 		return 0;
 	return MIN(wanted, scaling->max > 1 ? scaling->max - 1 : 0);
 }
 
-static unsigned wanted_in(const sr_fleet_facts_t *facts, const char *domain,
+static unsigned wanted_in(const view_t *view, const char *domain,
 			  gboolean reclaimable)
 {
-	const sr_scaling_t *scaling = facts->service->scaling;
-	unsigned staying = staying_in(facts, domain);
-	unsigned spare = reclaimable_in(facts, domain);
-	unsigned present = MIN(spare, count(facts, domain, TRUE));
+	const sr_scaling_t *scaling = view->service->scaling;
+	unsigned staying = staying_in(view, domain);
+	unsigned spare = reclaimable_in(view, domain);
+	unsigned present = MIN(spare, count(view, domain, TRUE));
 
 	if (reclaimable)
 		return spare;
@@ -198,19 +257,19 @@
 }
 
 /* Is there enough without the instances that would be given back? */
-static gboolean may_shrink(const sr_fleet_facts_t *facts, unsigned given_back)
+static gboolean may_shrink(const view_t *view, unsigned given_back)
 {
-	unsigned serving = count(facts, NULL, FALSE) + count(facts, NULL, TRUE);
+	unsigned serving = count(view, NULL, FALSE) + count(view, NULL, TRUE);
 
-	return (double)serving - given_back >=
-	       need_of(facts) * (1 + STAYING_PART);
+	return view->is_load_known &&
+	       (double)serving - given_back >= view->need * (1 + STAYING_PART);
 }
 
-static gboolean is_due(subject_t *subject, const sr_fleet_facts_t *facts,
+static gboolean is_due(subject_t *subject, const view_t *view,
 		       const char *domain, gboolean reclaimable,
 		       unsigned wanted, sr_usec_t now)
 {
-	unsigned serving = count(facts, domain, reclaimable);
+	unsigned serving = count(view, domain, reclaimable);
 	unsigned present = subject->is_known ? subject->ordered : serving;
 
 	if (subject->in_flight || now < subject->not_before)
@@ -229,24 +288,24 @@
 	return now - subject->fewer_since > (reclaimable ?
 						     SHRINK_RECLAIMABLE_AFTER :
 						     SHRINK_AFTER) &&
-	       may_shrink(facts, present - wanted);
+	       may_shrink(view, present - wanted);
 }
 
 static gboolean try_subject(sr_fleet_plan_t *plan, sr_usec_t now,
-			    const sr_fleet_facts_t *facts, const char *domain,
+			    const view_t *view, const char *domain,
 			    gboolean reclaimable, sr_fleet_order_t *order)
 {
-	unsigned wanted = wanted_in(facts, domain, reclaimable);
+	unsigned wanted = wanted_in(view, domain, reclaimable);
 	subject_t *subject =
-		subject_of(plan, facts->service->name, domain, reclaimable);
+		subject_of(plan, view->service->name, domain, reclaimable);
 
-	if (!is_due(subject, facts, domain, reclaimable, wanted, now))
+	if (!is_due(subject, view, domain, reclaimable, wanted, now))
 		return FALSE;
 	subject->ordered = wanted;
 	subject->in_flight = TRUE;
 	subject->at = now;
 	*order = (sr_fleet_order_t){
-		.service = facts->service->name,
+		.service = view->service->name,
 		.failure_domain = domain,
 		.reclaimable = reclaimable,
 		.desired = wanted,
@@ -258,13 +317,20 @@
 			    const sr_fleet_facts_t *facts,
 			    sr_fleet_order_t *order)
 {
+	view_t view = {
+		.service = facts->service,
+		.instances = facts->instances,
+		.work = facts->work,
+	};
 	GHashTableIter iter;
 	gpointer domain;
 
+	view.need = measure_need(plan, now, &view);
+	view.is_load_known = is_load_known(plan, now, &view);
 	g_hash_table_iter_init(&iter, facts->service->scaling->domain_prices);
 	while (g_hash_table_iter_next(&iter, &domain, NULL)) {
-		if (try_subject(plan, now, facts, domain, TRUE, order) ||
-		    try_subject(plan, now, facts, domain, FALSE, order))
+		if (try_subject(plan, now, &view, domain, TRUE, order) ||
+		    try_subject(plan, now, &view, domain, FALSE, order))
 			return TRUE;
 	}
 	return FALSE;
