--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -149,8 +149,8 @@
 	need = MAX(load->peak / BUSY_MAX, NEED_MIN);
 	if (load->since > 0 && now - load->since > LEARNING)
 		return need;
-	return MAX(need, UNKNOWN_NEED_PART * (count(view, NULL, FALSE) +
-					      count(view, NULL, TRUE)));
+	/* those that were there before any order */
+	return MAX(need, UNKNOWN_NEED_PART * count(view, NULL, FALSE));
 }
 
 static gboolean is_load_known(const sr_fleet_plan_t *plan, sr_usec_t now,
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -28,7 +28,8 @@
 	SR_RUMOUR_CONFIG,  /* key "", version = generation, value = digest */
 	SR_RUMOUR_LEAVING, /* key = upstream or host that is leaving */
 	SR_RUMOUR_RECALL,  /* key = "service/version"; grow-only */
-	SR_RUMOUR_SHARD_OWNER, /* key = shard; version = epoch; value = node */
+	SR_RUMOUR_SHARD_OWNER, /* key = shard, or the duties of entry hosts;
+				* version = epoch; value = node */
 	SR_RUMOUR_EVIDENCE,    /* key = node/service/version/route; counters */
 	SR_RUMOUR_USAGE,       /* key = node/account; requests in flight */
 	SR_RUMOUR_STATUS,      /* key = node; generation in force, draining */
@@ -38,7 +39,6 @@
 			     * its entry, and 1 more for its removal */
 	SR_RUMOUR_DEMAND,   /* key = node; what accounts asked it for */
 	SR_RUMOUR_LOAD,	    /* key = node; its work at instances */
-	SR_RUMOUR_WINDOW,   /* key = node/window; requests that began to run */
 	SR_RUMOUR_N_KINDS,
 } sr_rumour_kind_t;
 
--- a/src/core/gossip_send.c
+++ b/src/core/gossip_send.c
@@ -7,6 +7,8 @@
 #define FAR_FANOUT 2
 /* A record is sent this often times the logarithm of the receivers. */
 #define TRANSMIT_FACTOR 3
+/** The same for bulk, which is replaced soon and may miss some members. */
+#define TRANSMIT_FACTOR_BULK 1
 /* Datagrams that answer one message at most. */
 #define ANSWER_DATAGRAMS 8
 
@@ -114,12 +116,14 @@
 {
 	const GPtrArray *near = sr_table_of_domain(&g->table, g->table.domain);
 	unsigned domains = g_hash_table_size(g->table.members);
+	unsigned factor =
+		is_bulk(record) ? TRANSMIT_FACTOR_BULK : TRANSMIT_FACTOR;
 
 	sr_list_remove(&record->queued);
-	record->near_left = TRANSMIT_FACTOR * log2_ceil(near->len + 1);
+	record->near_left = factor * log2_ceil(near->len + 1);
 	record->far_left = 0;
 	if (sr_table_is_delegate(&g->table, g->self))
-		record->far_left = TRANSMIT_FACTOR * log2_ceil(domains + 1);
+		record->far_left = factor * log2_ceil(domains + 1);
 	sr_list_append(is_bulk(record) ? &g->bulk : &g->urgent,
 		       &record->queued);
 }
--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -153,7 +153,8 @@
 	return owner;
 }
 
-unsigned sr_members_rank(const sr_members_t *members, const char *thing)
+unsigned sr_members_rank(const sr_members_t *members,
+			 const char *failure_domain, const char *thing)
 {
 	guint64 own = sr_rendezvous_score(members->node, thing);
 	GHashTableIter iter;
@@ -164,12 +165,55 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const live_t *live = value;
 
+		if (failure_domain &&
+		    strcmp(live->failure_domain, failure_domain) != 0)
+			continue;
 		if (sr_rendezvous_score(live->name, thing) > own)
 			rank++;
 	}
 	return rank;
 }
 
+/* The live node with the highest score below a bound, or NULL. */
+static const live_t *next_owner(const sr_members_t *members, const char *thing,
+				guint64 bound)
+{
+	const live_t *owner = NULL;
+	GHashTableIter iter;
+	gpointer value;
+	guint64 best = 0;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const live_t *live = value;
+		guint64 score = sr_rendezvous_score(live->name, thing);
+
+		if (score < bound && (!owner || score > best)) {
+			owner = live;
+			best = score;
+		}
+	}
+	return owner;
+}
+
+GPtrArray *sr_members_owners(const sr_members_t *members, const char *thing,
+			     unsigned n)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+	guint64 bound = G_MAXUINT64;
+
+	for (unsigned i = 0; i < n; i++) {
+		const live_t *owner = next_owner(members, thing, bound);
+
+		if (!owner)
+			break;
+		bound = sr_rendezvous_score(owner->name, thing);
+		if (strcmp(owner->name, members->node) != 0)
+			g_ptr_array_add(addresses, owner->address);
+	}
+	return addresses;
+}
+
 const char *sr_members_pick(sr_members_t *members)
 {
 	guint n = g_hash_table_size(members->live) - 1;
--- a/src/daemon/members.h
+++ b/src/daemon/members.h
@@ -52,8 +52,20 @@
 const char *sr_members_owner(const sr_members_t *members,
 			     const char *failure_domain, const char *thing);
 
-/** sr_members_rank - how many live nodes should rather own a thing. */
-unsigned sr_members_rank(const sr_members_t *members, const char *thing);
+/**
+ * sr_members_rank - how many live nodes should rather own a thing
+ *
+ * Those of a failure domain, or of all for NULL.
+ */
+unsigned sr_members_rank(const sr_members_t *members,
+			 const char *failure_domain, const char *thing);
+
+/**
+ * sr_members_owners - addresses of the other live nodes that should rather
+ * own a thing than the rest, at most n; borrowed, caller unrefs the array
+ */
+GPtrArray *sr_members_owners(const sr_members_t *members, const char *thing,
+			     unsigned n);
 
 /** sr_members_pick - address of a random other live node; NULL if alone. */
 const char *sr_members_pick(sr_members_t *members);
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -8,13 +8,15 @@
 /** Period of the gossip and of what depends on it. */
 #define TICK (100 * SR_MSEC)
 
-/** Period of what this host tells of itself. */
+/** Periods of what this host tells of itself; of its work at instances, which
+ * ages fastest, more often. Both grow with the live hosts, so that what a
+ * host hears of all others stays about the same. */
 #define TELL_PERIOD SR_SEC
+#define LOAD_PERIOD (250 * SR_MSEC)
+#define PERIOD_PER_HOST (30 * SR_MSEC)
 
-/** Period in which it tells its work at instances, which ages fastest: at
- * least the first, and the second for each live host. */
-#define LOAD_PERIOD_MIN (250 * SR_MSEC)
-#define LOAD_PERIOD_PER_HOST (25 * SR_MSEC)
+/** Period in which the counts of usage are sent. */
+#define USAGE_PERIOD SR_SEC
 
 /** Time that the platform has to tell a newer table before it is asked for
  * at a peer, and between two such questions. */
@@ -217,6 +219,14 @@
 	g_strfreev(fields);
 }
 
+static void heard_holder(sr_beliefs_t *beliefs, const sr_rumour_t *rumour)
+{
+	if (strcmp(rumour->key, SR_BELIEFS_DUTIES))
+		return;
+	g_free(beliefs->holder);
+	beliefs->holder = g_strndup((const char *)rumour->value, rumour->size);
+}
+
 static void on_heard(void *user, const sr_rumour_t *rumour)
 {
 	sr_beliefs_t *beliefs = user;
@@ -236,8 +246,8 @@
 		if (strcmp(rumour->key, beliefs->options.node))
 			sr_tellings_heard_load(beliefs, rumour);
 		break;
-	case SR_RUMOUR_WINDOW:
-		sr_tellings_heard_window(beliefs, rumour);
+	case SR_RUMOUR_SHARD_OWNER:
+		heard_holder(beliefs, rumour);
 		break;
 	default: /* of the daemon with its own configuration */
 		break;
@@ -267,6 +277,8 @@
 {
 	sr_beliefs_t *beliefs = user;
 
+	if (sr_usage_tellings_receive(beliefs, data, size))
+		return;
 	sr_gossip_receive(beliefs->gossip, sr_beliefs_now(beliefs), data, size);
 }
 
@@ -316,20 +328,23 @@
 {
 	sr_beliefs_t *beliefs = user;
 	sr_usec_t now = sr_beliefs_now(beliefs);
+	sr_usec_t spacing = sr_beliefs_hosts(beliefs) * PERIOD_PER_HOST;
 
 	beliefs->timer =
 		sr_timer_start(beliefs->options.clock, TICK, on_tick, beliefs);
 	if (now >= beliefs->next_tell) {
-		beliefs->next_tell = now + TELL_PERIOD;
+		beliefs->next_tell = now + MAX(TELL_PERIOD, spacing);
 		sr_tellings_tell(beliefs);
 	}
 	if (now >= beliefs->next_load) {
-		beliefs->next_load = now + MAX(LOAD_PERIOD_MIN,
-					       sr_beliefs_hosts(beliefs) *
-						       LOAD_PERIOD_PER_HOST);
+		beliefs->next_load = now + MAX(LOAD_PERIOD, spacing);
 		sr_tellings_tell_load(beliefs);
 		sr_tellings_apply(beliefs);
 	}
+	if (now >= beliefs->next_usage) {
+		beliefs->next_usage = now + USAGE_PERIOD;
+		sr_usage_tellings_send(beliefs);
+	}
 	sr_gossip_tick(beliefs->gossip, now);
 	check_behind(beliefs, now);
 }
@@ -417,6 +432,7 @@
 	sr_members_free(beliefs->members);
 	sr_tellings_clear(beliefs);
 	g_clear_pointer(&beliefs->text, g_bytes_unref);
+	g_free(beliefs->holder);
 	g_free(beliefs->owner);
 	g_free(beliefs);
 }
@@ -444,9 +460,20 @@
 	return sr_members_count(beliefs->members);
 }
 
-unsigned sr_beliefs_rank(const sr_beliefs_t *beliefs, const char *thing)
+unsigned sr_beliefs_rank(const sr_beliefs_t *beliefs, gboolean near,
+			 const char *thing)
+{
+	return sr_members_rank(beliefs->members,
+			       near ? beliefs->options.failure_domain : NULL,
+			       thing);
+}
+
+void sr_beliefs_announce_holder(sr_beliefs_t *beliefs, guint64 epoch)
 {
-	return sr_members_rank(beliefs->members, thing);
+	g_free(beliefs->holder);
+	beliefs->holder = g_strdup(beliefs->options.node);
+	put(beliefs, SR_RUMOUR_SHARD_OWNER, SR_BELIEFS_DUTIES, epoch,
+	    beliefs->options.node, 0);
 }
 
 void sr_beliefs_leave(sr_beliefs_t *beliefs)
--- a/src/fleet/beliefs_internal.h
+++ b/src/fleet/beliefs_internal.h
@@ -33,7 +33,8 @@
 	/* what other hosts run: node -> load of tellings.c */
 	GHashTable *loads;
 	GHashTable *works; /* "node/service" -> work of tellings.c */
-	guint64 told_windows[SR_USAGE_WINDOWS_KEPT]; /* sums, by window */
+	char *holder;	   /* of the duties, as far as it is known; or NULL */
+	sr_usec_t next_usage;
 	/* accounts that are being told, for the callback of tellings.c */
 	GString *demand;
 };
@@ -59,9 +60,16 @@
 void sr_tellings_tell(sr_beliefs_t *beliefs);
 void sr_tellings_heard_demand(sr_beliefs_t *beliefs, const sr_rumour_t *rumour);
 void sr_tellings_heard_load(sr_beliefs_t *beliefs, const sr_rumour_t *rumour);
-void sr_tellings_heard_window(sr_beliefs_t *beliefs, const sr_rumour_t *rumour);
 
 /** sr_tellings_apply - put others' work into the table of instances. */
 void sr_tellings_apply(sr_beliefs_t *beliefs);
 
+/* usage_tellings.c: counts of usage, sent to those who report them */
+
+void sr_usage_tellings_send(sr_beliefs_t *beliefs);
+
+/** sr_usage_tellings_receive - FALSE if the datagram is not of this kind. */
+gboolean sr_usage_tellings_receive(sr_beliefs_t *beliefs, const guint8 *data,
+				   gsize size);
+
 #endif
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -60,6 +60,7 @@
 	sr_duties_t *duties = user;
 
 	log_duty(duties, "duties-taken", epoch, "");
+	sr_beliefs_announce_holder(duties->options.beliefs, epoch);
 	sr_usage_reports_load(duties->reports, payload);
 	sr_fleet_plan_forget(duties->plan);
 }
@@ -163,8 +164,8 @@
 	if (sr_lease_is_held(duties->lease, now_of(duties), 0))
 		return TRUE;
 	return now_of(duties) >= duties->claims_from &&
-	       sr_beliefs_rank(duties->options.beliefs, duties->options.key) <
-		       CLAIMANTS;
+	       sr_beliefs_rank(duties->options.beliefs, FALSE,
+			       SR_BELIEFS_DUTIES) < CLAIMANTS;
 }
 
 static void on_tick(void *user)
--- a/src/fleet/tellings.c
+++ b/src/fleet/tellings.c
@@ -5,13 +5,6 @@
 /** What hosts tell of their work and demand is void after this. */
 #define TELLING_TTL (5 * SR_SEC)
 
-/** Counts of usage are kept this long by the others, longer than any window
- * waits for its report. */
-#define WINDOW_TTL (40 * SR_SEC)
-
-/** Windows that may lie ahead of this host's clock. */
-#define WINDOWS_AHEAD 1
-
 typedef struct {
 	char *instance;
 	double in_flight;
@@ -31,6 +24,9 @@
 	sr_usec_t at;
 } work_t;
 
+/** What was heard of a host's work counts for this long. */
+#define WORK_LIFE (10 * SR_SEC)
+
 /** Time over which work is averaged, in s. */
 #define WORK_TIME_S 4.0
 
@@ -89,6 +85,8 @@
 double sr_beliefs_work(const sr_beliefs_t *beliefs, const char *service)
 {
 	sr_usec_t now = sr_beliefs_now(beliefs);
+	unsigned n_hosts = sr_beliefs_hosts(beliefs);
+	unsigned n_heard = 0;
 	GHashTableIter iter;
 	gpointer value;
 	double sum = 0;
@@ -97,11 +95,15 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const work_t *work = value;
 
-		if (!strcmp(work->service, service) &&
-		    now - work->at < TELLING_TTL)
-			sum += work->rate;
+		if (strcmp(work->service, service) != 0 ||
+		    now - work->at >= WORK_LIFE)
+			continue;
+		sum += work->rate;
+		n_heard++;
 	}
-	return sum;
+	/* The balancer spreads callers over the hosts, so that those that were
+	 * not heard of work like the others. */
+	return n_heard > 0 ? sum * MAX(n_hosts, n_heard) / n_heard : 0;
 }
 
 void sr_tellings_init(sr_beliefs_t *beliefs)
@@ -185,42 +187,9 @@
 	g_string_free(text, TRUE);
 }
 
-static void tell_window(sr_beliefs_t *beliefs, guint64 window)
-{
-	guint64 *told = &beliefs->told_windows[window % SR_USAGE_WINDOWS_KEPT];
-	guint64 mark;
-	char *text;
-	char *key;
-	guint64 sum = sr_usage_windows_text(beliefs->usage, window, &text);
-
-	/* The sum and the window, so that another window is news as well. */
-	mark = window * G_MAXUINT16 + sum;
-	if (sum > 0 && mark != *told && strlen(text) <= SR_USAGE_TEXT_MAX) {
-		*told = mark;
-		key = g_strdup_printf("%s/%" G_GUINT64_FORMAT, beliefs->owner,
-				      window);
-		sr_beliefs_put_own(beliefs, SR_RUMOUR_WINDOW, key, text,
-				   WINDOW_TTL);
-		g_free(key);
-	}
-	g_free(text);
-}
-
-static guint64 window_now(const sr_beliefs_t *beliefs)
-{
-	return sr_usage_windows_at(beliefs->usage,
-				   sr_clock_unix_ms(beliefs->options.clock));
-}
-
 void sr_tellings_tell(sr_beliefs_t *beliefs)
 {
 	tell_demand(beliefs);
-	if (beliefs->usage) {
-		guint64 window = window_now(beliefs);
-
-		tell_window(beliefs, window - 1);
-		tell_window(beliefs, window);
-	}
 }
 
 void sr_tellings_heard_demand(sr_beliefs_t *beliefs, const sr_rumour_t *rumour)
@@ -274,23 +243,6 @@
 	g_free(text);
 }
 
-void sr_tellings_heard_window(sr_beliefs_t *beliefs, const sr_rumour_t *rumour)
-{
-	const char *mark = strrchr(rumour->key, '/');
-	char *node;
-	guint64 window;
-
-	if (!beliefs->usage || !mark ||
-	    !g_ascii_string_to_unsigned(mark + 1, 10, 0, G_MAXUINT64, &window,
-					NULL) ||
-	    window > window_now(beliefs) + WINDOWS_AHEAD)
-		return;
-	node = g_strndup(rumour->key, (gsize)(mark - rumour->key));
-	sr_usage_windows_heard(beliefs->usage, node, window,
-			       (const char *)rumour->value, rumour->size);
-	g_free(node);
-}
-
 void sr_tellings_apply(sr_beliefs_t *beliefs)
 {
 	sr_instances_t *instances =
