--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -153,8 +153,7 @@
 	return owner;
 }
 
-unsigned sr_members_rank(const sr_members_t *members,
-			 const char *failure_domain, const char *thing)
+unsigned sr_members_rank(const sr_members_t *members, const char *thing)
 {
 	guint64 own = sr_rendezvous_score(members->node, thing);
 	GHashTableIter iter;
@@ -165,9 +164,6 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const live_t *live = value;
 
-		if (failure_domain &&
-		    strcmp(live->failure_domain, failure_domain) != 0)
-			continue;
 		if (sr_rendezvous_score(live->name, thing) > own)
 			rank++;
 	}
--- a/src/daemon/members.h
+++ b/src/daemon/members.h
@@ -52,13 +52,8 @@
 const char *sr_members_owner(const sr_members_t *members,
 			     const char *failure_domain, const char *thing);
 
-/**
- * sr_members_rank - how many live nodes should rather own a thing
- *
- * Those of a failure domain, or of all for NULL.
- */
-unsigned sr_members_rank(const sr_members_t *members,
-			 const char *failure_domain, const char *thing);
+/** sr_members_rank - how many live nodes should rather own a thing. */
+unsigned sr_members_rank(const sr_members_t *members, const char *thing);
 
 /**
  * sr_members_owners - addresses of the other live nodes that should rather
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -20,11 +20,11 @@
 
 /** Time that the platform has to tell a newer table before it is asked for
  * at a peer, and between two such questions. */
-#define FETCH_DELAY (150 * SR_MSEC)
+#define FETCH_DELAY (300 * SR_MSEC)
 #define FETCH_TIMEOUT (400 * SR_MSEC)
 
 /** Peers may know more for this long before the platform's word is missed. */
-#define BEHIND_MAX (400 * SR_MSEC)
+#define BEHIND_MAX (1500 * SR_MSEC)
 
 /** Bytes that a host sends for gossip per second at most: what ten hosts tell
  * of themselves once a second, passed on by each some three times. */
@@ -460,12 +460,9 @@
 	return sr_members_count(beliefs->members);
 }
 
-unsigned sr_beliefs_rank(const sr_beliefs_t *beliefs, gboolean near,
-			 const char *thing)
+unsigned sr_beliefs_rank(const sr_beliefs_t *beliefs, const char *thing)
 {
-	return sr_members_rank(beliefs->members,
-			       near ? beliefs->options.failure_domain : NULL,
-			       thing);
+	return sr_members_rank(beliefs->members, thing);
 }
 
 void sr_beliefs_announce_holder(sr_beliefs_t *beliefs, guint64 epoch)
--- a/src/fleet/beliefs.h
+++ b/src/fleet/beliefs.h
@@ -70,10 +70,8 @@
 /** sr_beliefs_announce_holder - this host has the duties under an epoch. */
 void sr_beliefs_announce_holder(sr_beliefs_t *beliefs, guint64 epoch);
 
-/** sr_beliefs_rank - how many live hosts should rather own a thing; near
- * counts those of this failure domain only. */
-unsigned sr_beliefs_rank(const sr_beliefs_t *beliefs, gboolean near,
-			 const char *thing);
+/** sr_beliefs_rank - how many live hosts should rather own a thing. */
+unsigned sr_beliefs_rank(const sr_beliefs_t *beliefs, const char *thing);
 
 /** sr_beliefs_work - of a service's engines for the prompts of all hosts, in
  * busy instances. */
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -164,8 +164,8 @@
 	if (sr_lease_is_held(duties->lease, now_of(duties), 0))
 		return TRUE;
 	return now_of(duties) >= duties->claims_from &&
-	       sr_beliefs_rank(duties->options.beliefs, FALSE,
-			       SR_BELIEFS_DUTIES) < CLAIMANTS;
+	       sr_beliefs_rank(duties->options.beliefs, SR_BELIEFS_DUTIES) <
+		       CLAIMANTS;
 }
 
 static void on_tick(void *user)
