--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -2,8 +2,8 @@
 #include <glib-unix.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <sys/resource.h>
 
+#include "base/process.h"
 #include "daemon/daemon.h"
 
 #define EXIT_USAGE 2
@@ -53,22 +53,6 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/* A request needs two connections, more than most soft limits allow for. */
-static void raise_file_limit(void)
-{
-	struct rlimit limit;
-
-	if (!getrlimit(RLIMIT_NOFILE, &limit)) {
-		limit.rlim_cur = limit.rlim_max;
-		setrlimit(RLIMIT_NOFILE, &limit);
-	}
-}
-
-static guint64 draw_seed(void)
-{
-	return (guint64)g_random_int() << 32 | g_random_int();
-}
-
 static int run(const sr_settings_t *settings, const char *settings_path)
 {
 	sr_clock_t *clock = sr_clock_new_real();
@@ -80,14 +64,14 @@
 		.settings = settings,
 		.clock = clock,
 		.log_file = stderr,
-		.seed = draw_seed(),
+		.seed = sr_process_draw_seed(),
 		.drained = on_drained,
 		.user = &program,
 	};
 	char *detail = NULL;
 	sr_err_t err;
 
-	raise_file_limit();
+	sr_process_raise_file_limit();
 	program.daemon = sr_daemon_new(&options);
 	err = sr_daemon_start(program.daemon, &detail);
 	if (err) {
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -370,6 +370,12 @@
 	return beliefs->peer != NULL;
 }
 
+void sr_beliefs_seed(sr_beliefs_t *beliefs, const char *address)
+{
+	if (strcmp(address, beliefs->options.peer_address) != 0)
+		sr_gossip_seed(beliefs->gossip, address);
+}
+
 static void create_gossip(sr_beliefs_t *beliefs)
 {
 	const sr_beliefs_options_t *options = &beliefs->options;
@@ -394,11 +400,8 @@
 
 	beliefs->members = sr_members_new(&members);
 	beliefs->gossip = sr_gossip_new(&gossip, sr_beliefs_now(beliefs));
-	for (guint i = 0; i < options->seeds->len; i++) {
-		if (strcmp(options->seeds->pdata[i], options->peer_address))
-			sr_gossip_seed(beliefs->gossip,
-				       options->seeds->pdata[i]);
-	}
+	for (guint i = 0; i < options->seeds->len; i++)
+		sr_beliefs_seed(beliefs, options->seeds->pdata[i]);
 }
 
 sr_beliefs_t *sr_beliefs_new(const sr_beliefs_options_t *options,
--- a/src/fleet/beliefs.h
+++ b/src/fleet/beliefs.h
@@ -77,6 +77,9 @@
  * busy instances. */
 double sr_beliefs_work(const sr_beliefs_t *beliefs, const char *service);
 
+/** sr_beliefs_seed - an address to contact until its host is known. */
+void sr_beliefs_seed(sr_beliefs_t *beliefs, const char *address);
+
 /** sr_beliefs_leave - tell the others of a planned stop. */
 void sr_beliefs_leave(sr_beliefs_t *beliefs);
 
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -1,276 +1,16 @@
-#include <stdlib.h>
 #include <string.h>
 
-#include "base/problem.h"
-#include "base/token.h"
 #include "core/gateway_admission.h"
-#include "gateway/internal.h"
+#include "gateway/transaction.h"
 
 /** Longest time for an answer where neither side states one. */
 #define TIMEOUT_DEFAULT (60 * SR_SEC)
 
-/** When to come back after a refusal that has no better figure. */
-#define RETRY_SOON (300 * SR_MSEC)
-
 /** Weight of a failure in the ejection of an instance: one that can't be
  * reached is out at once, others after a row of failures. */
 #define EJECT_AT_ONCE 4
 #define EJECT_AFTER_ROW 1
 
-struct sr_transaction {
-	sr_list_t link;
-	sr_gateway_t *gateway;
-	sr_session_t *session;
-	const sr_message_t *request; /* borrowed from the session */
-	sr_route_table_t *table;
-	const sr_gateway_route_t *route;
-	const sr_gateway_account_t *account;
-	const char *service;
-	const char *id;
-	sr_usec_t began;
-	sr_usec_t due; /* of the final answer */
-	sr_timer_t *due_timer;
-	sr_prompt_t prompt;
-	double charged; /* of the account's allowance */
-	/* the attempt under way */
-	sr_attempt_t *attempt;
-	sr_usec_t sent_at;
-	double expected_s;	  /* to its first event, as it was placed */
-	sr_usec_t first_event_at; /* 0 if there was none */
-	double unread;		  /* prompt tokens counted at the instance */
-	double unread_before;	  /* all that were to be read there */
-	/* all attempts */
-	GArray *tried; /* guint32, ids of instances */
-	unsigned n_sent;
-	unsigned n_unsent;
-	gboolean may_have_run;
-	gboolean has_begun_run; /* told of by began() */
-	/* a stream */
-	sr_events_t *events;
-	gboolean is_streaming; /* its head went to the caller */
-	gboolean has_last_event;
-	guint64 last_event;
-};
-
-static sr_usec_t now_of(const sr_transaction_t *transaction)
-{
-	return sr_gateway_now(transaction->gateway);
-}
-
-static void clear_prompt(sr_prompt_t *prompt)
-{
-	g_free(prompt->blocks);
-	g_free(prompt->tokens);
-}
-
-/* The prompt is read, or never will be: it is no load any more. */
-static void release_unread(sr_transaction_t *transaction)
-{
-	if (!transaction->attempt)
-		return;
-	sr_attempt_instance(transaction->attempt)->unread_tokens -=
-		transaction->unread;
-	transaction->unread = 0;
-}
-
-static void drop_attempt(sr_transaction_t *transaction)
-{
-	if (!transaction->attempt)
-		return;
-	release_unread(transaction);
-	sr_attempt_instance(transaction->attempt)->in_flight--;
-	sr_attempt_free(transaction->attempt);
-	transaction->attempt = NULL;
-}
-
-static void free_transaction(sr_transaction_t *transaction)
-{
-	drop_attempt(transaction);
-	sr_timer_cancel(transaction->due_timer);
-	sr_list_remove(&transaction->link);
-	transaction->gateway->n_transactions--;
-	sr_gauge_add(transaction->gateway->meters.transactions, -1);
-	clear_prompt(&transaction->prompt);
-	sr_events_free(transaction->events);
-	g_array_free(transaction->tried, TRUE);
-	sr_route_table_unref(transaction->table);
-	g_free(transaction);
-}
-
-static void log_end(const sr_transaction_t *transaction, const char *event,
-		    unsigned status, const char *cause)
-{
-	const sr_gateway_t *gateway = transaction->gateway;
-	const sr_instance_t *instance =
-		transaction->attempt ?
-			sr_attempt_instance(transaction->attempt) :
-			NULL;
-	char code[16];
-	char sent[32];
-	char took[24];
-	char table[24];
-	char first[40];
-
-	g_snprintf(first, sizeof(first), "%.1f/%.1f",
-		   transaction->first_event_at > 0 ?
-			   (double)(transaction->first_event_at -
-				    transaction->sent_at) /
-				   SR_MSEC :
-			   0,
-		   transaction->expected_s * 1000);
-	g_snprintf(code, sizeof(code), "%u", status);
-	g_snprintf(sent, sizeof(sent), "%u+%u", transaction->n_sent,
-		   transaction->n_unsent);
-	g_snprintf(took, sizeof(took), "%.1f",
-		   (double)(now_of(transaction) - transaction->began) /
-			   SR_MSEC);
-	g_snprintf(table, sizeof(table), "%" G_GUINT64_FORMAT,
-		   transaction->table ? transaction->table->version : 0);
-	sr_log_event(gateway->options.log, SR_LOG_INFO, event, "request",
-		     transaction->id ? transaction->id : "", "route",
-		     transaction->route ? transaction->route->name : "",
-		     "account",
-		     transaction->account ? transaction->account->name : "",
-		     "status", code, "cause", cause, "instance",
-		     instance ? instance->name : "", "sent", sent, "ms", took,
-		     "first_ms", first, "table", table, NULL);
-}
-
-static void count_end(const sr_transaction_t *transaction, unsigned status)
-{
-	const sr_gateway_meters_t *meters = &transaction->gateway->meters;
-
-	sr_counter_add(meters->answered[MIN(status / 100, 5)], 1);
-	sr_histogram_observe(
-		meters->duration,
-		(double)(now_of(transaction) - transaction->began) / SR_SEC);
-}
-
-typedef struct {
-	sr_err_t err;
-	const char *cause;
-	sr_usec_t retry_after;
-} failure_t;
-
-/* Answers with a failure of our own and ends the transaction. */
-static void fail(sr_transaction_t *transaction, const failure_t *failure)
-{
-	const sr_problem_t problem = {
-		.err = failure->err,
-		.detail = failure->cause,
-		.maybe_executed = transaction->may_have_run,
-		.retry_after = failure->retry_after,
-		.request_id = transaction->id,
-	};
-	char *body = sr_problem_json(&problem);
-	const sr_answer_t answer = {
-		.status = sr_err_http_status(failure->err),
-		.content_type = SR_PROBLEM_TYPE,
-		.retry_after = failure->retry_after,
-		.request_id = transaction->id,
-		.body = (const guint8 *)body,
-		.size = strlen(body),
-	};
-	sr_session_t *session = transaction->session;
-
-	if (transaction->account && transaction->charged > 0 &&
-	    transaction->n_sent == 0)
-		sr_allowance_give_back(transaction->gateway->allowance,
-				       transaction->account->name,
-				       transaction->charged);
-	count_end(transaction, answer.status);
-	log_end(transaction, "failed", answer.status, failure->cause);
-	free_transaction(transaction);
-	sr_session_answer(session, &answer);
-	g_free(body);
-}
-
-/* A refusal says that the request has not run; it must be true. */
-static void refuse(sr_transaction_t *transaction, sr_err_t err,
-		   const char *cause, sr_usec_t retry_after)
-{
-	const failure_t failure = {
-		.err = transaction->may_have_run ? SR_ERR_OUTCOME_UNKNOWN : err,
-		.cause = cause,
-		.retry_after = transaction->may_have_run ? 0 : retry_after,
-	};
-
-	fail(transaction, &failure);
-}
-
-static void break_off(sr_transaction_t *transaction, const char *cause)
-{
-	sr_session_t *session = transaction->session;
-
-	sr_counter_add(transaction->gateway->meters.cut, 1);
-	log_end(transaction, "broken-off", 0, cause);
-	free_transaction(transaction);
-	sr_session_break_off(session);
-}
-
-static void note_run(sr_transaction_t *transaction)
-{
-	const sr_gateway_options_t *options = &transaction->gateway->options;
-
-	if (transaction->has_begun_run)
-		return;
-	transaction->has_begun_run = TRUE;
-	if (options->began && transaction->account)
-		options->began(options->user, transaction->account->name);
-}
-
-/* Passes on an instance's whole answer. */
-static void pass_on(sr_transaction_t *transaction)
-{
-	const sr_message_t *message = sr_attempt_message(transaction->attempt);
-	const sr_answer_t answer = {
-		.status = message->status,
-		.reason = message->reason,
-		.headers = message->headers,
-		.body = message->body->data,
-		.size = message->body->len,
-	};
-	sr_session_t *session = transaction->session;
-	sr_attempt_t *attempt = transaction->attempt;
-
-	count_end(transaction, answer.status);
-	log_end(transaction, "answered", answer.status, "instance's answer");
-	/* The answer is the attempt's, which must outlive the transaction. */
-	release_unread(transaction);
-	sr_attempt_instance(attempt)->in_flight--;
-	transaction->attempt = NULL;
-	free_transaction(transaction);
-	sr_session_answer(session, &answer);
-	sr_attempt_free(attempt);
-}
-
-static void end_stream(sr_transaction_t *transaction)
-{
-	sr_session_t *session = transaction->session;
-
-	count_end(transaction, 200);
-	log_end(transaction, "answered", 200, "stream");
-	free_transaction(transaction);
-	sr_session_end(session);
-}
-
-static void begin_stream(sr_transaction_t *transaction)
-{
-	const sr_message_t *message = sr_attempt_message(transaction->attempt);
-	const sr_answer_t head = {
-		.status = message->status,
-		.reason = message->reason,
-		.headers = message->headers,
-	};
-
-	transaction->is_streaming = TRUE;
-	transaction->first_event_at = now_of(transaction);
-	sr_histogram_observe(
-		transaction->gateway->meters.first_event,
-		(double)(now_of(transaction) - transaction->began) / SR_SEC);
-	sr_session_begin(transaction->session, &head);
-}
-
 static void on_first_event(sr_transaction_t *transaction)
 {
 	sr_gateway_service_state_t *state = sr_gateway_service_state(
@@ -278,16 +18,17 @@
 
 	if (transaction->unread_before >= 0)
 		sr_engine_speed_first(&state->speed, transaction->unread_before,
-				      now_of(transaction) -
+				      sr_transaction_now(transaction) -
 					      transaction->sent_at);
 	if (transaction->unread_before >= 0 && transaction->attempt)
 		sr_placement_observe(sr_attempt_instance(transaction->attempt),
 				     transaction->expected_s,
-				     now_of(transaction) - transaction->sent_at,
-				     now_of(transaction));
+				     sr_transaction_now(transaction) -
+					     transaction->sent_at,
+				     sr_transaction_now(transaction));
 	transaction->unread_before = -1;
-	release_unread(transaction);
-	note_run(transaction);
+	sr_transaction_release_unread(transaction);
+	sr_transaction_note_run(transaction);
 }
 
 void sr_transaction_on_stream(sr_transaction_t *transaction, const guint8 *data,
@@ -298,7 +39,7 @@
 	if (!transaction->events)
 		transaction->events = sr_events_new();
 	if (!sr_events_feed(transaction->events, data, size)) {
-		break_off(transaction, "event too large");
+		sr_transaction_break_off(transaction, "event too large");
 		return;
 	}
 	while (sr_events_next(transaction->events, &event)) {
@@ -307,7 +48,7 @@
 		    event.id <= transaction->last_event)
 			continue;
 		if (!transaction->is_streaming)
-			begin_stream(transaction);
+			sr_transaction_begin_stream(transaction);
 		sr_session_part(transaction->session, event.data, event.size);
 		if (event.has_id) {
 			transaction->has_last_event = TRUE;
@@ -345,7 +86,8 @@
 		.jitter = g_rand_double(gateway->random),
 	};
 
-	return sr_placement_choose(&placement, &request, now_of(transaction));
+	return sr_placement_choose(&placement, &request,
+				   sr_transaction_now(transaction));
 }
 
 /* FALSE if the request was refused. */
@@ -356,7 +98,7 @@
 		.wait_s = choice->wait_s,
 		.first_s = choice->first_s,
 		.target = transaction->route->target,
-		.time_left = transaction->due - now_of(transaction),
+		.time_left = transaction->due - sr_transaction_now(transaction),
 		.priority = transaction->route->priority,
 		.jitter = g_rand_double(transaction->gateway->random),
 	};
@@ -372,8 +114,9 @@
 		     "request", transaction->id, "service",
 		     transaction->service, "expected_s", first, "occupancy",
 		     occupancy, NULL);
-	refuse(transaction, SR_ERR_OVERLOADED, "the answer would come too late",
-	       verdict.retry_after);
+	sr_transaction_refuse(transaction, SR_ERR_OVERLOADED,
+			      "the answer would come too late",
+			      verdict.retry_after);
 	return FALSE;
 }
 
@@ -397,7 +140,7 @@
 		.account = transaction->account ? transaction->account->name :
 						  NULL,
 		.instance = instance->name,
-		.time_left = transaction->due - now_of(transaction),
+		.time_left = transaction->due - sr_transaction_now(transaction),
 		.urgency = urgency_of(transaction),
 		.resumes = transaction->is_streaming &&
 			   transaction->has_last_event,
@@ -422,7 +165,7 @@
 	sr_gateway_service_state_t *state = sr_gateway_service_state(
 		transaction->gateway, transaction->service);
 	sr_instance_t *instance = choice->instance;
-	sr_usec_t now = now_of(transaction);
+	sr_usec_t now = sr_transaction_now(transaction);
 
 	instance->in_flight++;
 	sr_ejection_begin(&instance->ejection, now);
@@ -470,10 +213,12 @@
 
 	if (!choice.instance) {
 		if (transaction->is_streaming)
-			break_off(transaction, "no instance to go on at");
+			sr_transaction_break_off(transaction,
+						 "no instance to go on at");
 		else
-			refuse(transaction, SR_ERR_NO_UPSTREAM,
-			       "no instance is usable", RETRY_SOON);
+			sr_transaction_refuse(transaction, SR_ERR_NO_UPSTREAM,
+					      "no instance is usable",
+					      SR_TRANSACTION_RETRY_SOON);
 		return;
 	}
 	if (transaction->n_sent + transaction->n_unsent == 0 &&
@@ -488,7 +233,7 @@
 			   sr_attempt_outcome_t outcome)
 {
 	sr_ejection_t *ejection = &instance->ejection;
-	sr_usec_t now = now_of(transaction);
+	sr_usec_t now = sr_transaction_now(transaction);
 
 	switch (outcome) {
 	case SR_ATTEMPT_NOT_SENT:
@@ -508,27 +253,6 @@
 	}
 }
 
-static void log_retry(const sr_transaction_t *transaction,
-		      const sr_instance_t *instance, const char *cause)
-{
-	unsigned status =
-		transaction->attempt ?
-			sr_attempt_message(transaction->attempt)->status :
-			0;
-	char sent[16];
-	char code[16];
-	char last[24];
-
-	g_snprintf(sent, sizeof(sent), "%u", transaction->n_sent);
-	g_snprintf(code, sizeof(code), "%u", status);
-	g_snprintf(last, sizeof(last), "%" G_GUINT64_FORMAT,
-		   transaction->last_event);
-	sr_log_event(transaction->gateway->options.log, SR_LOG_INFO, "retried",
-		     "request", transaction->id, "instance",
-		     instance ? instance->name : "", "cause", cause, "status",
-		     code, "sent", sent, "last_event", last, NULL);
-}
-
 static sr_next_t next_of(sr_transaction_t *transaction,
 			 sr_attempt_outcome_t outcome,
 			 const sr_instance_t *instance)
@@ -543,7 +267,7 @@
 		.n_sent = transaction->n_sent,
 		.n_unsent = transaction->n_unsent,
 		.max_attempts = transaction->route->max_attempts,
-		.time_left = transaction->due - now_of(transaction),
+		.time_left = transaction->due - sr_transaction_now(transaction),
 		.instance_ended = instance && instance->is_gone,
 		.in_budget = state->retries.tokens >= 1,
 	};
@@ -566,7 +290,8 @@
 			NULL;
 	sr_gateway_service_state_t *state = sr_gateway_service_state(
 		transaction->gateway, transaction->service);
-	failure_t failure = { .err = SR_ERR_UPSTREAM_FAILED, .cause = cause };
+	sr_transaction_failure_t failure = { .err = SR_ERR_UPSTREAM_FAILED,
+					     .cause = cause };
 
 	switch (next_of(transaction, outcome, instance)) {
 	case SR_NEXT_PASS_ON:
@@ -574,25 +299,26 @@
 		if (outcome == SR_ATTEMPT_FAILED &&
 		    is_promise(
 			    sr_attempt_message(transaction->attempt)->status))
-			fail(transaction, &failure);
+			sr_transaction_fail(transaction, &failure);
 		else
-			pass_on(transaction);
+			sr_transaction_pass_on(transaction);
 		break;
 	case SR_NEXT_TRY_AGAIN:
-		log_retry(transaction, instance, cause);
+		sr_transaction_log_retry(transaction, instance, cause);
 		if (outcome != SR_ATTEMPT_NOT_SENT)
 			sr_retry_budget_take(&state->retries, 1);
-		drop_attempt(transaction);
+		sr_transaction_drop_attempt(transaction);
 		start_attempt(transaction);
 		break;
 	case SR_NEXT_REFUSE:
-		refuse(transaction, SR_ERR_OVERLOADED, cause, RETRY_SOON);
+		sr_transaction_refuse(transaction, SR_ERR_OVERLOADED, cause,
+				      SR_TRANSACTION_RETRY_SOON);
 		break;
 	case SR_NEXT_FAIL:
-		fail(transaction, &failure);
+		sr_transaction_fail(transaction, &failure);
 		break;
 	case SR_NEXT_BREAK_OFF:
-		break_off(transaction, cause);
+		sr_transaction_break_off(transaction, cause);
 		break;
 	}
 }
@@ -614,8 +340,8 @@
 static void finish_stream(sr_transaction_t *transaction)
 {
 	if (!transaction->is_streaming)
-		begin_stream(transaction);
-	end_stream(transaction);
+		sr_transaction_begin_stream(transaction);
+	sr_transaction_end_stream(transaction);
 }
 
 static gboolean is_whole_stream(const sr_transaction_t *transaction)
@@ -631,8 +357,8 @@
 	sr_gateway_service_state_t *state = sr_gateway_service_state(
 		transaction->gateway, transaction->service);
 
-	sr_engine_speed_whole(&state->speed,
-			      now_of(transaction) - transaction->sent_at);
+	sr_engine_speed_whole(&state->speed, sr_transaction_now(transaction) -
+						     transaction->sent_at);
 }
 
 void sr_transaction_on_ended(sr_transaction_t *transaction,
@@ -653,7 +379,7 @@
 	if (outcome != SR_ATTEMPT_NOT_SENT && outcome != SR_ATTEMPT_REJECTED) {
 		transaction->may_have_run = TRUE;
 		if (transaction->route->kind != SR_ROUTE_STREAM)
-			note_run(transaction);
+			sr_transaction_note_run(transaction);
 	}
 	if (outcome == SR_ATTEMPT_ANSWERED)
 		note_duration(transaction);
@@ -667,9 +393,9 @@
 void sr_transaction_caller_left(sr_transaction_t *transaction)
 {
 	sr_counter_add(transaction->gateway->meters.left, 1);
-	log_end(transaction, "caller-left", 0,
-		"connection closed by the caller");
-	free_transaction(transaction);
+	sr_transaction_log_end(transaction, "caller-left", 0,
+			       "connection closed by the caller");
+	sr_transaction_free(transaction);
 }
 
 static void on_due(void *user)
@@ -680,55 +406,20 @@
 
 	transaction->due_timer = NULL;
 	if (transaction->is_streaming) {
-		break_off(transaction, "time limit");
+		sr_transaction_break_off(transaction, "time limit");
 	} else if (sent || transaction->may_have_run) {
-		const failure_t failure = { .err = SR_ERR_DEADLINE,
-					    .cause = "time limit" };
+		const sr_transaction_failure_t failure = {
+			.err = SR_ERR_DEADLINE, .cause = "time limit"
+		};
 
 		transaction->may_have_run = TRUE;
-		fail(transaction, &failure);
+		sr_transaction_fail(transaction, &failure);
 	} else {
-		refuse(transaction, SR_ERR_OVERLOADED, "time limit",
-		       RETRY_SOON);
+		sr_transaction_refuse(transaction, SR_ERR_OVERLOADED,
+				      "time limit", SR_TRANSACTION_RETRY_SOON);
 	}
 }
 
-static gboolean find_route(sr_transaction_t *transaction)
-{
-	const sr_headers_t *headers = transaction->request->headers;
-	const char *host = sr_headers_get(headers, "Host");
-	char *authority = g_strndup(host, strcspn(host, ":"));
-	char *path = g_strndup(transaction->request->target,
-			       strcspn(transaction->request->target, "?"));
-
-	transaction->route =
-		sr_route_table_find(transaction->table, authority, path);
-	g_free(authority);
-	g_free(path);
-	if (!transaction->route)
-		return FALSE;
-	transaction->service = sr_gateway_route_pick(
-		transaction->route,
-		g_rand_double(transaction->gateway->random));
-	return transaction->service != NULL;
-}
-
-static gboolean find_account(sr_transaction_t *transaction)
-{
-	const sr_headers_t *headers = transaction->request->headers;
-	const char *key;
-
-	if (transaction->route->is_public || !transaction->table->asks_for_keys)
-		return TRUE;
-	if (sr_headers_count(headers, "Authorization") != 1)
-		return FALSE;
-	key = sr_token_of_header(sr_headers_get(headers, "Authorization"));
-	if (key)
-		transaction->account =
-			sr_route_table_account_of_key(transaction->table, key);
-	return transaction->account != NULL;
-}
-
 static void set_due(sr_transaction_t *transaction)
 {
 	const sr_dialect_t *dialect = transaction->gateway->options.dialect;
@@ -747,104 +438,21 @@
 	transaction->due = transaction->began + limit;
 	transaction->due_timer = sr_timer_start(
 		transaction->gateway->options.clock,
-		transaction->due - now_of(transaction), on_due, transaction);
-}
-
-/* What the request takes from its account's allowance. */
-static double amount_of(const sr_transaction_t *transaction)
-{
-	const sr_gateway_account_t *account = transaction->account;
-	const sr_prompt_t *prompt = &transaction->prompt;
-
-	if (!account->counts_tokens)
-		return 1;
-	return prompt->is_stated ?
-		       prompt->prompt_tokens + prompt->output_tokens :
-		       account->uncounted_tokens;
-}
-
-static void log_allowance(const sr_transaction_t *transaction, double amount,
-			  sr_usec_t wait)
-{
-	const sr_gateway_account_t *account = transaction->account;
-	char needs[24];
-	char rate[24];
-	char share[24];
-	char seconds[24];
-
-	g_snprintf(needs, sizeof(needs), "%.0f", amount);
-	g_snprintf(rate, sizeof(rate), "%.0f", account->rate_per_s);
-	g_snprintf(share, sizeof(share), "%.3f",
-		   sr_allowance_share(transaction->gateway->allowance,
-				      now_of(transaction), account->name));
-	g_snprintf(seconds, sizeof(seconds), "%.2f", (double)wait / SR_SEC);
-	sr_log_event(transaction->gateway->options.log, SR_LOG_INFO, "limited",
-		     "request", transaction->id, "account", account->name,
-		     "amount", needs, "rate_per_s", rate, "share", share,
-		     "wait_s", seconds, NULL);
-}
-
-/* Returns 0, or how long the account has to wait. */
-static sr_usec_t take_allowance(sr_transaction_t *transaction)
-{
-	double amount;
-	sr_usec_t wait;
-
-	if (!transaction->account)
-		return 0;
-	amount = amount_of(transaction);
-	wait = sr_allowance_take(transaction->gateway->allowance,
-				 now_of(transaction),
-				 transaction->account->name, amount);
-	if (wait == 0)
-		transaction->charged = amount;
-	else
-		log_allowance(transaction, amount, wait);
-	return wait;
-}
-
-/* Reads who asks for what; an error is the final answer. */
-static sr_err_t classify(sr_transaction_t *transaction)
-{
-	const sr_headers_t *headers = transaction->request->headers;
-	const sr_dialect_t *dialect = transaction->gateway->options.dialect;
-
-	transaction->id = sr_headers_get(headers, dialect->request_id);
-	if (sr_headers_count(headers, dialect->request_id) != 1 ||
-	    sr_headers_count(headers, "Host") != 1 ||
-	    transaction->request->target[0] != '/')
-		return SR_ERR_INVALID;
-	if (!transaction->table)
-		return SR_ERR_NO_UPSTREAM;
-	if (!find_route(transaction))
-		return SR_ERR_NOT_FOUND;
-	if (!find_account(transaction))
-		return SR_ERR_UNAUTHENTICATED;
-	return SR_OK;
-}
-
-/* A caller that resumes a stream by itself has its events up to here. */
-static void read_last_event(sr_transaction_t *transaction)
-{
-	const char *name = transaction->gateway->options.dialect->last_event_id;
-	const char *text =
-		name ? sr_headers_get(transaction->request->headers, name) :
-		       NULL;
-
-	if (text && g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64,
-					       &transaction->last_event, NULL))
-		transaction->has_last_event = TRUE;
+		transaction->due - sr_transaction_now(transaction), on_due,
+		transaction);
 }
 
 static void run(sr_transaction_t *transaction)
 {
 	sr_gateway_t *gateway = transaction->gateway;
-	sr_err_t err = classify(transaction);
+	sr_err_t err = sr_transaction_classify(transaction);
 	sr_usec_t wait;
 
 	if (err) {
-		refuse(transaction, err, sr_err_message(err),
-		       err == SR_ERR_NO_UPSTREAM ? RETRY_SOON : 0);
+		sr_transaction_refuse(transaction, err, sr_err_message(err),
+				      err == SR_ERR_NO_UPSTREAM ?
+					      SR_TRANSACTION_RETRY_SOON :
+					      0);
 		return;
 	}
 	gateway->options.dialect->read_prompt(transaction->request->headers,
@@ -852,12 +460,13 @@
 	sr_retry_budget_earn(
 		&sr_gateway_service_state(gateway, transaction->service)
 			 ->retries);
-	read_last_event(transaction);
+	sr_transaction_read_last_event(transaction);
 	set_due(transaction);
-	wait = take_allowance(transaction);
+	wait = sr_transaction_take_allowance(transaction);
 	if (wait > 0)
-		refuse(transaction, SR_ERR_ACCOUNT_LIMIT,
-		       "the account's allowance is used up", wait);
+		sr_transaction_refuse(transaction, SR_ERR_ACCOUNT_LIMIT,
+				      "the account's allowance is used up",
+				      wait);
 	else
 		start_attempt(transaction);
 }
--- /dev/null
+++ b/src/gateway/transaction_answer.c
@@ -0,0 +1,167 @@
+#include <string.h>
+
+#include "base/problem.h"
+#include "gateway/transaction.h"
+
+static void clear_prompt(sr_prompt_t *prompt)
+{
+	g_free(prompt->blocks);
+	g_free(prompt->tokens);
+}
+
+/* The prompt is read, or never will be: it is no load any more. */
+void sr_transaction_release_unread(sr_transaction_t *transaction)
+{
+	if (!transaction->attempt)
+		return;
+	sr_attempt_instance(transaction->attempt)->unread_tokens -=
+		transaction->unread;
+	transaction->unread = 0;
+}
+
+void sr_transaction_drop_attempt(sr_transaction_t *transaction)
+{
+	if (!transaction->attempt)
+		return;
+	sr_transaction_release_unread(transaction);
+	sr_attempt_instance(transaction->attempt)->in_flight--;
+	sr_attempt_free(transaction->attempt);
+	transaction->attempt = NULL;
+}
+
+void sr_transaction_free(sr_transaction_t *transaction)
+{
+	sr_transaction_drop_attempt(transaction);
+	sr_timer_cancel(transaction->due_timer);
+	sr_list_remove(&transaction->link);
+	transaction->gateway->n_transactions--;
+	sr_gauge_add(transaction->gateway->meters.transactions, -1);
+	clear_prompt(&transaction->prompt);
+	sr_events_free(transaction->events);
+	g_array_free(transaction->tried, TRUE);
+	sr_route_table_unref(transaction->table);
+	g_free(transaction);
+}
+
+/* Answers with a failure of our own and ends the transaction. */
+void sr_transaction_fail(sr_transaction_t *transaction,
+			 const sr_transaction_failure_t *failure)
+{
+	const sr_problem_t problem = {
+		.err = failure->err,
+		.detail = failure->cause,
+		.maybe_executed = transaction->may_have_run,
+		.retry_after = failure->retry_after,
+		.request_id = transaction->id,
+	};
+	char *body = sr_problem_json(&problem);
+	const sr_answer_t answer = {
+		.status = sr_err_http_status(failure->err),
+		.content_type = SR_PROBLEM_TYPE,
+		.retry_after = failure->retry_after,
+		.request_id = transaction->id,
+		.body = (const guint8 *)body,
+		.size = strlen(body),
+	};
+	sr_session_t *session = transaction->session;
+
+	if (transaction->account && transaction->charged > 0 &&
+	    transaction->n_sent == 0)
+		sr_allowance_give_back(transaction->gateway->allowance,
+				       transaction->account->name,
+				       transaction->charged);
+	sr_transaction_count_end(transaction, answer.status);
+	sr_transaction_log_end(transaction, "failed", answer.status,
+			       failure->cause);
+	sr_transaction_free(transaction);
+	sr_session_answer(session, &answer);
+	g_free(body);
+}
+
+/* A refusal says that the request has not run; it must be true. */
+void sr_transaction_refuse(sr_transaction_t *transaction, sr_err_t err,
+			   const char *cause, sr_usec_t retry_after)
+{
+	const sr_transaction_failure_t failure = {
+		.err = transaction->may_have_run ? SR_ERR_OUTCOME_UNKNOWN : err,
+		.cause = cause,
+		.retry_after = transaction->may_have_run ? 0 : retry_after,
+	};
+
+	sr_transaction_fail(transaction, &failure);
+}
+
+void sr_transaction_break_off(sr_transaction_t *transaction, const char *cause)
+{
+	sr_session_t *session = transaction->session;
+
+	sr_counter_add(transaction->gateway->meters.cut, 1);
+	sr_transaction_log_end(transaction, "broken-off", 0, cause);
+	sr_transaction_free(transaction);
+	sr_session_break_off(session);
+}
+
+void sr_transaction_note_run(sr_transaction_t *transaction)
+{
+	const sr_gateway_options_t *options = &transaction->gateway->options;
+
+	if (transaction->has_begun_run)
+		return;
+	transaction->has_begun_run = TRUE;
+	if (options->began && transaction->account)
+		options->began(options->user, transaction->account->name);
+}
+
+/* Passes on an instance's whole answer. */
+void sr_transaction_pass_on(sr_transaction_t *transaction)
+{
+	const sr_message_t *message = sr_attempt_message(transaction->attempt);
+	const sr_answer_t answer = {
+		.status = message->status,
+		.reason = message->reason,
+		.headers = message->headers,
+		.body = message->body->data,
+		.size = message->body->len,
+	};
+	sr_session_t *session = transaction->session;
+	sr_attempt_t *attempt = transaction->attempt;
+
+	sr_transaction_count_end(transaction, answer.status);
+	sr_transaction_log_end(transaction, "answered", answer.status,
+			       "instance's answer");
+	/* The answer is the attempt's, which must outlive the transaction. */
+	sr_transaction_release_unread(transaction);
+	sr_attempt_instance(attempt)->in_flight--;
+	transaction->attempt = NULL;
+	sr_transaction_free(transaction);
+	sr_session_answer(session, &answer);
+	sr_attempt_free(attempt);
+}
+
+void sr_transaction_end_stream(sr_transaction_t *transaction)
+{
+	sr_session_t *session = transaction->session;
+
+	sr_transaction_count_end(transaction, 200);
+	sr_transaction_log_end(transaction, "answered", 200, "stream");
+	sr_transaction_free(transaction);
+	sr_session_end(session);
+}
+
+void sr_transaction_begin_stream(sr_transaction_t *transaction)
+{
+	const sr_message_t *message = sr_attempt_message(transaction->attempt);
+	const sr_answer_t head = {
+		.status = message->status,
+		.reason = message->reason,
+		.headers = message->headers,
+	};
+
+	transaction->is_streaming = TRUE;
+	transaction->first_event_at = sr_transaction_now(transaction);
+	sr_histogram_observe(
+		transaction->gateway->meters.first_event,
+		(double)(sr_transaction_now(transaction) - transaction->began) /
+			SR_SEC);
+	sr_session_begin(transaction->session, &head);
+}
--- a/test/config_sync_test.c
+++ b/test/config_sync_test.c
@@ -312,12 +312,30 @@
 	g_bytes_unref(bad);
 }
 
+/* An answer of the platform that was slow comes after a newer one. */
+static void test_slow_answer_of_the_platform_changes_nothing(void **state)
+{
+	node_t node;
+
+	start(&node, "a");
+	take(&node, 5, "newer\n");
+	assert_int_equal(node.generation, 5);
+	take(&node, 3, "older\n");
+	assert_int_equal(node.generation, 5);
+	assert_string_equal(node.text, "newer\n");
+	take(&node, 6, "newest\n");
+	assert_int_equal(node.generation, 6);
+	stop(&node);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_fresh_node_takes_what_peers_hold),
 		cmocka_unit_test(test_forged_manifest_is_not_taken),
 		cmocka_unit_test(test_older_rumours_and_copies_change_nothing),
+		cmocka_unit_test(
+			test_slow_answer_of_the_platform_changes_nothing),
 		cmocka_unit_test(test_a_change_moves_few_bytes),
 		cmocka_unit_test(test_nodes_agree_on_the_watchers),
 		cmocka_unit_test(test_object_remembers_who_wrote),
--- /dev/null
+++ b/test/recall_test.c
@@ -0,0 +1,119 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "core/recall.h"
+
+/* A node whose store never answers; what it spreads goes to its peer. */
+typedef struct node {
+	sr_store_t store;
+	sr_recall_t *recall;
+	struct node *peer; /* NULL while they are cut off from each other */
+	unsigned n_recalled;
+	unsigned n_writes;
+	char *version;
+} node_t;
+
+static void on_submit(sr_store_t *store, const sr_store_call_t *call)
+{
+	(void)call;
+	((node_t *)store)->n_writes++;
+}
+
+static void on_cancel(sr_store_t *store, void *user)
+{
+	(void)store;
+	(void)user;
+}
+
+static void on_recalled(void *user, const char *service, const char *version,
+			const char *reason)
+{
+	node_t *node = user;
+
+	(void)service;
+	(void)reason;
+	node->n_recalled++;
+	g_free(node->version);
+	node->version = g_strdup(version);
+}
+
+static void on_spread(void *user, const char *key, guint64 version,
+		      const char *reason)
+{
+	const node_t *node = user;
+
+	if (node->peer)
+		sr_recall_heard(node->peer->recall, SR_SEC, key, version,
+				(const guint8 *)reason, strlen(reason));
+}
+
+static void start(node_t *node)
+{
+	const sr_recall_options_t options = {
+		.store = &node->store,
+		.seed = 1,
+		.recalled = on_recalled,
+		.spread = on_spread,
+		.user = node,
+	};
+
+	memset(node, 0, sizeof(*node));
+	node->store.submit = on_submit;
+	node->store.cancel_all = on_cancel;
+	node->recall = sr_recall_new(&options);
+}
+
+static void stop(node_t *node)
+{
+	sr_recall_free(node->recall);
+	g_free(node->version);
+}
+
+/* Both are cut off from the store, so that only the peer can tell. */
+static void test_recall_reaches_a_node_without_the_store(void **state)
+{
+	node_t a;
+	node_t b;
+
+	(void)state;
+	start(&a);
+	start(&b);
+	a.peer = &b;
+	sr_recall_add(a.recall, SR_SEC, "s", "v2", "fails");
+	assert_int_equal(a.n_recalled, 1);
+	assert_int_equal(b.n_recalled, 1);
+	assert_string_equal(b.version, "v2");
+	sr_recall_add(a.recall, 2 * SR_SEC, "s", "v2", "fails");
+	assert_int_equal(b.n_recalled, 1);
+	stop(&a);
+	stop(&b);
+}
+
+/* Who heard of a recall writes it as well, in case its author has died. */
+static void test_listener_writes_what_is_not_kept(void **state)
+{
+	node_t a;
+
+	(void)state;
+	start(&a);
+	sr_recall_heard(a.recall, SR_SEC, "s/v2", 1, (const guint8 *)"x", 1);
+	for (int i = 2; i < 60; i++)
+		sr_recall_tick(a.recall, i * SR_SEC);
+	assert_true(a.n_writes > 0);
+	assert_false(sr_recall_is_kept(a.recall, "s", "v2"));
+	stop(&a);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_recall_reaches_a_node_without_the_store),
+		cmocka_unit_test(test_listener_writes_what_is_not_kept),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
