Let engines be busy for half of their time

Cause: instances are the largest price, and 0.35 of their time kept more than the latency targets need.

--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -4,7 +4,7 @@
 
 /** Part of an instance's time that prompts may take: the rest is for the
  * steps of running requests and for uneven arrivals. */
-#define BUSY_MAX 0.35
+#define BUSY_MAX 0.5
 
 /** Until there has been work for this long, the load is not known, and the
  * instances that are there count as wanted for it by this part. */
