--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -18,6 +18,9 @@
  * them have used up the rest. It counts as overage. */
 #define RESERVE_PART 0.08
 
+/** Part of a limit that lies in the pool. */
+#define POOL_PART 0.5
+
 /** Time over which demand is averaged, in s: short enough to follow callers
  * that move, long against the time between two requests. */
 #define DEMAND_TIME_S 4.0
@@ -48,11 +51,16 @@
 	sr_usec_t share_at;
 	demand_t own;
 	GHashTable *others; /* node -> demand_t */
+	/* the pool, if it lies here */
+	double pool_level;
+	sr_usec_t pool_filled; /* 0 before the first use */
 } bucket_t;
 
 struct sr_allowance {
 	GHashTable *buckets; /* account -> bucket_t */
 	unsigned n_hosts;
+	gboolean has_pool;
+	double pool_part;
 	sr_allowance_tolerance_t tolerance;
 };
 
@@ -192,7 +200,8 @@
 	bucket->share +=
 		(1 - exp(-passed / SHARE_TIME_S)) * (target - bucket->share);
 	bucket->share_at = now;
-	return bucket->share;
+	return allowance->has_pool ? bucket->share * (1 - POOL_PART) :
+				     bucket->share;
 }
 
 static void fill(bucket_t *bucket, sr_usec_t now, double share)
@@ -242,6 +251,46 @@
 	return 0;
 }
 
+void sr_allowance_use_pool(sr_allowance_t *allowance)
+{
+	allowance->has_pool = TRUE;
+}
+
+void sr_allowance_set_pool_part(sr_allowance_t *allowance, double part)
+{
+	allowance->pool_part = part;
+}
+
+static void fill_pool(bucket_t *bucket, sr_usec_t now, double part)
+{
+	double burst = bucket->burst * part;
+
+	if (bucket->pool_filled == 0)
+		bucket->pool_level = START_PART * burst;
+	else
+		bucket->pool_level += bucket->rate * part *
+				      seconds_since(bucket->pool_filled, now);
+	bucket->pool_level = MIN(bucket->pool_level, burst);
+	bucket->pool_filled = now;
+}
+
+sr_usec_t sr_allowance_take_pooled(sr_allowance_t *allowance, sr_usec_t now,
+				   const char *account, double amount)
+{
+	bucket_t *bucket = bucket_of(allowance, now, account);
+	double part = POOL_PART * allowance->pool_part;
+
+	if (bucket->rate <= 0 || part <= 0)
+		return SR_SEC; /* its limit is not known here yet */
+	fill_pool(bucket, now, part);
+	if (bucket->pool_level < 0)
+		return (sr_usec_t)(-bucket->pool_level / (bucket->rate * part) *
+				   SR_SEC) +
+		       1;
+	bucket->pool_level -= amount;
+	return 0;
+}
+
 void sr_allowance_give_back(sr_allowance_t *allowance, const char *account,
 			    double amount)
 {
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -18,6 +18,13 @@
  */
 typedef struct sr_allowance sr_allowance_t;
 
+/**
+ * With a pool, each host keeps a part of its share and the rest lies at one
+ * host for each account, which is asked by those whose share is used up. It
+ * gives out as much of the pool as it hears of the hosts, so that parts of
+ * the fleet that are cut off from each other have no more than one pool.
+ */
+
 /** A host that was not heard of for this long counts as silent. */
 #define SR_ALLOWANCE_SILENCE (3 * SR_SEC)
 
@@ -63,6 +70,17 @@
 void sr_allowance_give_back(sr_allowance_t *allowance, const char *account,
 			    double amount);
 
+/** sr_allowance_use_pool - leave a part of every limit to its pool. */
+void sr_allowance_use_pool(sr_allowance_t *allowance);
+
+/** sr_allowance_set_pool_part - of the hosts this one hears of, 0 to 1. */
+void sr_allowance_set_pool_part(sr_allowance_t *allowance, double part);
+
+/** sr_allowance_take_pooled - like sr_allowance_take(), from the pool that
+ * lies here. */
+sr_usec_t sr_allowance_take_pooled(sr_allowance_t *allowance, sr_usec_t now,
+				   const char *account, double amount);
+
 /** sr_allowance_share - this host's part of the account's rate, 0 to 1. */
 double sr_allowance_share(sr_allowance_t *allowance, sr_usec_t now,
 			  const char *account);
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -277,7 +277,8 @@
 {
 	sr_beliefs_t *beliefs = user;
 
-	if (sr_usage_tellings_receive(beliefs, data, size))
+	if (sr_usage_tellings_receive(beliefs, data, size) ||
+	    sr_pool_asks_receive(beliefs, data, size))
 		return;
 	sr_gossip_receive(beliefs->gossip, sr_beliefs_now(beliefs), data, size);
 }
@@ -344,6 +345,7 @@
 	if (now >= beliefs->next_usage) {
 		beliefs->next_usage = now + USAGE_PERIOD;
 		sr_usage_tellings_send(beliefs);
+		sr_pool_asks_tick(beliefs);
 	}
 	sr_gossip_tick(beliefs->gossip, now);
 	check_behind(beliefs, now);
@@ -419,6 +421,7 @@
 		return NULL;
 	}
 	sr_tellings_init(beliefs);
+	sr_pool_asks_init(beliefs);
 	create_gossip(beliefs);
 	on_tick(beliefs);
 	return beliefs;
@@ -430,6 +433,7 @@
 		return;
 	sr_timer_cancel(beliefs->timer);
 	sr_timer_cancel(beliefs->fetch_timer);
+	sr_pool_asks_clear(beliefs);
 	sr_peer_free(beliefs->peer);
 	sr_gossip_free(beliefs->gossip);
 	sr_members_free(beliefs->members);
--- a/src/fleet/beliefs.h
+++ b/src/fleet/beliefs.h
@@ -55,6 +55,11 @@
 /** sr_beliefs_began - a request of the account began to run here. */
 void sr_beliefs_began(sr_beliefs_t *beliefs, const char *account);
 
+/** sr_beliefs_ask_pool, sr_beliefs_cancel_ask - as the gateway's options. */
+void sr_beliefs_ask_pool(sr_beliefs_t *beliefs, const char *account,
+			 double amount, sr_pool_answer_fn done, void *user);
+void sr_beliefs_cancel_ask(sr_beliefs_t *beliefs, void *user);
+
 /** sr_beliefs_usage - NULL if usage is not counted; borrowed. */
 const sr_usage_windows_t *sr_beliefs_usage(const sr_beliefs_t *beliefs);
 
--- a/src/fleet/beliefs_internal.h
+++ b/src/fleet/beliefs_internal.h
@@ -1,6 +1,7 @@
 #ifndef SR_FLEET_BELIEFS_INTERNAL_H
 #define SR_FLEET_BELIEFS_INTERNAL_H
 
+#include "base/list.h"
 #include "core/gossip.h"
 #include "daemon/members.h"
 #include "fleet/beliefs.h"
@@ -33,6 +34,9 @@
 	/* what other hosts run: node -> load of tellings.c */
 	GHashTable *loads;
 	GHashTable *works; /* "node/service" -> work of tellings.c */
+	sr_list_t asks;	   /* of pool_asks.c */
+	guint64 n_asks;
+	double most_hosts; /* that were live of late; fades slowly */
 	char *holder;	   /* of the duties, as far as it is known; or NULL */
 	sr_usec_t next_usage;
 	/* accounts that are being told, for the callback of tellings.c */
@@ -64,6 +68,19 @@
 /** sr_tellings_apply - put others' work into the table of instances. */
 void sr_tellings_apply(sr_beliefs_t *beliefs);
 
+/* pool_asks.c: questions to the hosts that keep pools of allowances */
+
+void sr_pool_asks_init(sr_beliefs_t *beliefs);
+void sr_pool_asks_clear(sr_beliefs_t *beliefs);
+
+/** sr_pool_asks_tick - settle what part of pools this host may give out; call
+ * once a second. */
+void sr_pool_asks_tick(sr_beliefs_t *beliefs);
+
+/** sr_pool_asks_receive - FALSE if the datagram is not of this kind. */
+gboolean sr_pool_asks_receive(sr_beliefs_t *beliefs, const guint8 *data,
+			      gsize size);
+
 /* usage_tellings.c: counts of usage, sent to those who report them */
 
 void sr_usage_tellings_send(sr_beliefs_t *beliefs);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -91,6 +91,8 @@
 	gateway->prefixes = sr_prefix_index_new(PREFIX_BLOCKS);
 	gateway->allowance = sr_allowance_new();
 	sr_allowance_set_tolerance(gateway->allowance, &options->allowance);
+	if (options->ask_pool)
+		sr_allowance_use_pool(gateway->allowance);
 	gateway->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->pool = sr_pool_new(gateway);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,6 +21,9 @@
  */
 typedef struct sr_gateway sr_gateway_t;
 
+/** The answer of an account's pool: 0, or how long it has to wait. */
+typedef void (*sr_pool_answer_fn)(void *user, sr_usec_t wait);
+
 typedef struct {
 	const char *node;
 	const char *failure_domain;
@@ -41,6 +44,12 @@
 	guint64 seed;
 	/* a request of the account began to run */
 	void (*began)(void *user, const char *account);
+	/* ask the pool of an account for an amount; done is called once, maybe
+	 * from inside this call. NULL if there are no pools */
+	void (*ask_pool)(void *user, const char *account, double amount,
+			 sr_pool_answer_fn done, void *done_user);
+	/* drop the questions of a done_user */
+	void (*cancel_ask)(void *user, void *done_user);
 	/* a planned stop is over */
 	void (*stopped)(void *user);
 	void *user;
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -442,11 +442,58 @@
 		transaction);
 }
 
+static void limit(sr_transaction_t *transaction, sr_usec_t wait)
+{
+	sr_transaction_log_limited(transaction,
+				   sr_transaction_amount(transaction), wait);
+	sr_transaction_refuse(transaction, SR_ERR_ACCOUNT_LIMIT,
+			      "the account's allowance is used up", wait);
+}
+
+static void on_pool_answer(void *user, sr_usec_t wait)
+{
+	sr_transaction_t *transaction = user;
+
+	transaction->asks_pool = FALSE;
+	if (wait > 0)
+		limit(transaction, wait);
+	else
+		start_attempt(transaction);
+}
+
+/* Goes on once the account's allowance has room for the request. */
+static void take_allowance(sr_transaction_t *transaction)
+{
+	const sr_gateway_options_t *options = &transaction->gateway->options;
+	const char *account;
+	double amount;
+	sr_usec_t wait;
+
+	if (!transaction->account) {
+		start_attempt(transaction);
+		return;
+	}
+	account = transaction->account->name;
+	amount = sr_transaction_amount(transaction);
+	wait = sr_allowance_take(transaction->gateway->allowance,
+				 sr_transaction_now(transaction), account,
+				 amount);
+	if (wait == 0) {
+		transaction->charged = amount;
+		start_attempt(transaction);
+	} else if (options->ask_pool) {
+		transaction->asks_pool = TRUE;
+		options->ask_pool(options->user, account, amount,
+				  on_pool_answer, transaction);
+	} else {
+		limit(transaction, wait);
+	}
+}
+
 static void run(sr_transaction_t *transaction)
 {
 	sr_gateway_t *gateway = transaction->gateway;
 	sr_err_t err = sr_transaction_classify(transaction);
-	sr_usec_t wait;
 
 	if (err) {
 		sr_transaction_refuse(transaction, err, sr_err_message(err),
@@ -462,13 +509,7 @@
 			 ->retries);
 	sr_transaction_read_last_event(transaction);
 	set_due(transaction);
-	wait = sr_transaction_take_allowance(transaction);
-	if (wait > 0)
-		sr_transaction_refuse(transaction, SR_ERR_ACCOUNT_LIMIT,
-				      "the account's allowance is used up",
-				      wait);
-	else
-		start_attempt(transaction);
+	take_allowance(transaction);
 }
 
 void sr_transaction_begin(sr_session_t *session, sr_gateway_t *gateway,
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -23,7 +23,8 @@
 	sr_usec_t due; /* of the final answer */
 	sr_timer_t *due_timer;
 	sr_prompt_t prompt;
-	double charged; /* of the account's allowance */
+	double charged;	    /* of the account's allowance */
+	gboolean asks_pool; /* its answer is waited for */
 	/* the attempt under way */
 	sr_attempt_t *attempt;
 	sr_usec_t sent_at;
@@ -57,8 +58,8 @@
 /** sr_transaction_read_last_event - where a caller resumes a stream. */
 void sr_transaction_read_last_event(sr_transaction_t *transaction);
 
-/** sr_transaction_take_allowance - 0, or how long the account has to wait. */
-sr_usec_t sr_transaction_take_allowance(sr_transaction_t *transaction);
+/** sr_transaction_amount - what it takes from its account's allowance. */
+double sr_transaction_amount(const sr_transaction_t *transaction);
 
 /* transaction_answer.c: what the caller gets. Those that end the transaction
  * free it. */
--- a/src/gateway/transaction_answer.c
+++ b/src/gateway/transaction_answer.c
@@ -31,6 +31,10 @@
 
 void sr_transaction_free(sr_transaction_t *transaction)
 {
+	const sr_gateway_options_t *options = &transaction->gateway->options;
+
+	if (transaction->asks_pool)
+		options->cancel_ask(options->user, transaction);
 	sr_transaction_drop_attempt(transaction);
 	sr_timer_cancel(transaction->due_timer);
 	sr_list_remove(&transaction->link);
--- a/src/gateway/transaction_request.c
+++ b/src/gateway/transaction_request.c
@@ -39,8 +39,7 @@
 	return transaction->account != NULL;
 }
 
-/* What the request takes from its account's allowance. */
-static double amount_of(const sr_transaction_t *transaction)
+double sr_transaction_amount(const sr_transaction_t *transaction)
 {
 	const sr_gateway_account_t *account = transaction->account;
 	const sr_prompt_t *prompt = &transaction->prompt;
@@ -52,25 +51,6 @@
 		       account->uncounted_tokens;
 }
 
-/* Returns 0, or how long the account has to wait. */
-sr_usec_t sr_transaction_take_allowance(sr_transaction_t *transaction)
-{
-	double amount;
-	sr_usec_t wait;
-
-	if (!transaction->account)
-		return 0;
-	amount = amount_of(transaction);
-	wait = sr_allowance_take(transaction->gateway->allowance,
-				 sr_transaction_now(transaction),
-				 transaction->account->name, amount);
-	if (wait == 0)
-		transaction->charged = amount;
-	else
-		sr_transaction_log_limited(transaction, amount, wait);
-	return wait;
-}
-
 /* Reads who asks for what; an error is the final answer. */
 sr_err_t sr_transaction_classify(sr_transaction_t *transaction)
 {
