--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -53,7 +53,7 @@
 	GHashTable *others; /* node -> demand_t */
 	/* the pool, if it lies here */
 	double pool_level;
-	sr_usec_t pool_filled; /* 0 before the first use */
+	sr_usec_t pool_filled;
 } bucket_t;
 
 struct sr_allowance {
@@ -225,8 +225,12 @@
 
 	fill(bucket, now, share);
 	spread_over_window(allowance, bucket, rate_per_s, burst);
-	if (is_first)
+	if (is_first) {
 		bucket->level = START_PART * bucket->burst * share;
+		bucket->pool_level = START_PART * bucket->burst * POOL_PART *
+				     allowance->pool_part;
+		bucket->pool_filled = now;
+	}
 	bucket->level = MIN(bucket->level, bucket->burst * share);
 }
 
@@ -263,14 +267,11 @@
 
 static void fill_pool(bucket_t *bucket, sr_usec_t now, double part)
 {
-	double burst = bucket->burst * part;
-
-	if (bucket->pool_filled == 0)
-		bucket->pool_level = START_PART * burst;
-	else
-		bucket->pool_level += bucket->rate * part *
-				      seconds_since(bucket->pool_filled, now);
-	bucket->pool_level = MIN(bucket->pool_level, burst);
+	double earned =
+		bucket->rate * part * seconds_since(bucket->pool_filled, now);
+
+	bucket->pool_level =
+		MIN(bucket->pool_level + earned, bucket->burst * part);
 	bucket->pool_filled = now;
 }
 
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -34,25 +34,32 @@
 	double wanted[4000];
 	unsigned n_steps;
 	sr_usec_t now;
+	gboolean pooled;
 } fleet_t;
 
-static sr_allowance_t *new_host(sr_usec_t now)
+static sr_allowance_t *new_host(sr_usec_t now, gboolean pooled)
 {
 	sr_allowance_t *host = sr_allowance_new();
 
+	if (pooled)
+		sr_allowance_use_pool(host);
+	sr_allowance_set_pool_part(host, 1);
+
 	sr_allowance_set_tolerance(host, &tolerance);
 	sr_allowance_set_hosts(host, N_HOSTS);
 	sr_allowance_set_limit(host, now, "a", RATE, BURST);
 	return host;
 }
 
-static fleet_t *new_fleet(void)
+static fleet_t *new_fleet(gboolean pooled)
 {
 	fleet_t *fleet = g_new0(fleet_t, 1);
 
+	fleet->pooled = pooled;
+
 	fleet->now = SR_SEC;
 	for (int i = 0; i < N_HOSTS; i++)
-		fleet->hosts[i] = new_host(fleet->now);
+		fleet->hosts[i] = new_host(fleet->now, pooled);
 	return fleet;
 }
 
@@ -87,6 +94,36 @@
 				     &fleet->asked[i]);
 }
 
+/* The pool lies at the first host; those that are cut off have their own. */
+static gboolean take(fleet_t *fleet, int i)
+{
+	int keeper = 0;
+
+	if (!sr_allowance_take(fleet->hosts[i], fleet->now, "a", REQUEST))
+		return TRUE;
+	if (!fleet->pooled)
+		return FALSE;
+	while (fleet->cut[keeper] != fleet->cut[i])
+		keeper++;
+	return !sr_allowance_take_pooled(fleet->hosts[keeper], fleet->now, "a",
+					 REQUEST);
+}
+
+/* Each side gives out as much of the pool as it has hosts. */
+static void cut_off(fleet_t *fleet, int i)
+{
+	unsigned n_cut = 0;
+
+	fleet->cut[i] = TRUE;
+	for (int k = 0; k < N_HOSTS; k++)
+		n_cut += fleet->cut[k];
+	for (int k = 0; k < N_HOSTS; k++)
+		sr_allowance_set_pool_part(
+			fleet->hosts[k],
+			(double)(fleet->cut[k] ? n_cut : N_HOSTS - n_cut) /
+				N_HOSTS);
+}
+
 static void step(fleet_t *fleet)
 {
 	unsigned n = fleet->n_steps++;
@@ -98,8 +135,7 @@
 		while (fleet->owed[i] >= REQUEST) {
 			fleet->owed[i] -= REQUEST;
 			fleet->wanted[n] += REQUEST;
-			if (!sr_allowance_take(fleet->hosts[i], fleet->now, "a",
-					       REQUEST))
+			if (take(fleet, i))
 				fleet->admitted[n] += REQUEST;
 		}
 	}
@@ -153,22 +189,27 @@
 
 /* Pattern: one account sends many times its usual (a hot tenant), from the
  * first second on. */
-static void test_hot_account_at_the_start(void **state)
+static void run_hot_account_at_the_start(gboolean pooled)
 {
-	fleet_t *fleet = new_fleet();
+	fleet_t *fleet = new_fleet(pooled);
 
-	(void)state;
 	set_demand(fleet, 8 * RATE);
 	run(fleet, 30);
 	assert_true(worst_window(fleet) <= allowed());
 	free_fleet(fleet);
 }
 
-static void test_account_turns_hot(void **state)
+static void test_hot_account_at_the_start(void **state)
 {
-	fleet_t *fleet = new_fleet();
-
 	(void)state;
+	run_hot_account_at_the_start(FALSE);
+	run_hot_account_at_the_start(TRUE);
+}
+
+static void run_account_turns_hot(gboolean pooled)
+{
+	fleet_t *fleet = new_fleet(pooled);
+
 	set_demand(fleet, 0.55 * RATE);
 	run(fleet, 20);
 	set_demand(fleet, 7.5 * RATE);
@@ -177,33 +218,47 @@
 	free_fleet(fleet);
 }
 
+static void test_account_turns_hot(void **state)
+{
+	(void)state;
+	run_account_turns_hot(FALSE);
+	run_account_turns_hot(TRUE);
+}
+
 /* Pattern: single hosts are cut off right after the traffic began. */
-static void test_hot_account_while_hosts_are_cut_off(void **state)
+static void run_hot_account_while_hosts_are_cut_off(gboolean pooled)
 {
-	fleet_t *fleet = new_fleet();
+	fleet_t *fleet = new_fleet(pooled);
 
-	(void)state;
 	run(fleet, 3);
 	set_demand(fleet, 0.5 * RATE);
 	run(fleet, 1);
-	fleet->cut[2] = fleet->cut[5] = fleet->cut[7] = TRUE;
+	cut_off(fleet, 2);
+	cut_off(fleet, 5);
+	cut_off(fleet, 7);
 	set_demand(fleet, 6 * RATE);
 	run(fleet, 20);
 	assert_true(worst_window(fleet) <= allowed());
 	free_fleet(fleet);
 }
 
+static void test_hot_account_while_hosts_are_cut_off(void **state)
+{
+	(void)state;
+	run_hot_account_while_hosts_are_cut_off(FALSE);
+	run_hot_account_while_hosts_are_cut_off(TRUE);
+}
+
 /* Pattern: all hosts are killed and start anew under a hot account. */
-static void test_hosts_start_anew_under_a_hot_account(void **state)
+static void run_hosts_start_anew_under_a_hot_account(gboolean pooled)
 {
-	fleet_t *fleet = new_fleet();
+	fleet_t *fleet = new_fleet(pooled);
 
-	(void)state;
 	set_demand(fleet, 4 * RATE);
 	run(fleet, 10);
 	for (int i = 0; i < N_HOSTS; i++) {
 		sr_allowance_free(fleet->hosts[i]);
-		fleet->hosts[i] = new_host(fleet->now);
+		fleet->hosts[i] = new_host(fleet->now, fleet->pooled);
 		fleet->asked[i] = 0;
 	}
 	run(fleet, 20);
@@ -211,12 +266,18 @@
 	free_fleet(fleet);
 }
 
+static void test_hosts_start_anew_under_a_hot_account(void **state)
+{
+	(void)state;
+	run_hosts_start_anew_under_a_hot_account(FALSE);
+	run_hosts_start_anew_under_a_hot_account(TRUE);
+}
+
 /* Pattern: the usual load, spread unevenly over the hosts. */
-static void test_usual_load_is_not_refused(void **state)
+static void run_usual_load_is_not_refused(gboolean pooled)
 {
-	fleet_t *fleet = new_fleet();
+	fleet_t *fleet = new_fleet(pooled);
 
-	(void)state;
 	for (int i = 0; i < N_HOSTS; i++)
 		fleet->demand[i] = 0.55 * RATE * (i + 1) / 45;
 	run(fleet, 60);
@@ -224,13 +285,19 @@
 	free_fleet(fleet);
 }
 
+static void test_usual_load_is_not_refused(void **state)
+{
+	(void)state;
+	run_usual_load_is_not_refused(FALSE);
+	run_usual_load_is_not_refused(TRUE);
+}
+
 /* Pattern: the callers of some hosts move to others (a shift). */
-static void test_shifted_load_is_not_refused_for_long(void **state)
+static void run_shifted_load_is_not_refused_for_long(gboolean pooled)
 {
-	fleet_t *fleet = new_fleet();
+	fleet_t *fleet = new_fleet(pooled);
 	unsigned shifted;
 
-	(void)state;
 	set_demand(fleet, 0.55 * RATE);
 	run(fleet, 20);
 	for (int i = 0; i < N_HOSTS; i++)
@@ -241,15 +308,21 @@
 	free_fleet(fleet);
 }
 
+static void test_shifted_load_is_not_refused_for_long(void **state)
+{
+	(void)state;
+	run_shifted_load_is_not_refused_for_long(FALSE);
+	run_shifted_load_is_not_refused_for_long(TRUE);
+}
+
 /* A limit is lowered below what the account asks for; what the window allows
  * is still given. */
-static void test_lowered_limit_is_used_up(void **state)
+static void run_lowered_limit_is_used_up(gboolean pooled)
 {
-	fleet_t *fleet = new_fleet();
+	fleet_t *fleet = new_fleet(pooled);
 	double usable = (RATE * 8 + BURST) / 8;
 	unsigned from;
 
-	(void)state;
 	set_demand(fleet, 2 * usable);
 	run(fleet, 20);
 	from = fleet->n_steps;
@@ -260,10 +333,17 @@
 	free_fleet(fleet);
 }
 
+static void test_lowered_limit_is_used_up(void **state)
+{
+	(void)state;
+	run_lowered_limit_is_used_up(FALSE);
+	run_lowered_limit_is_used_up(TRUE);
+}
+
 /* Pattern: small requests of an account among its large ones. */
 static void test_small_request_is_not_held_up_by_a_large_one(void **state)
 {
-	sr_allowance_t *host = new_host(SR_SEC);
+	sr_allowance_t *host = new_host(SR_SEC, FALSE);
 	sr_usec_t now = SR_SEC;
 	unsigned refused = 0;
 
@@ -277,9 +357,25 @@
 	sr_allowance_free(host);
 }
 
+/* Pattern: one host happens to be asked for most of an account's requests
+ * within a second, and the account is far below its limit. */
+static void test_pool_bears_what_one_share_does_not(void **state)
+{
+	fleet_t *fleet = new_fleet(TRUE);
+	unsigned refused = 0;
+
+	(void)state;
+	set_demand(fleet, 0.3 * RATE);
+	run(fleet, 20);
+	for (int i = 0; i < 4; i++)
+		refused += !take(fleet, 4);
+	assert_int_equal(refused, 0);
+	free_fleet(fleet);
+}
+
 static void test_wait_is_told(void **state)
 {
-	sr_allowance_t *host = new_host(SR_SEC);
+	sr_allowance_t *host = new_host(SR_SEC, FALSE);
 	sr_usec_t wait = 0;
 
 	(void)state;
@@ -303,6 +399,7 @@
 		cmocka_unit_test(test_lowered_limit_is_used_up),
 		cmocka_unit_test(
 			test_small_request_is_not_held_up_by_a_large_one),
+		cmocka_unit_test(test_pool_bears_what_one_share_does_not),
 		cmocka_unit_test(test_wait_is_told),
 	};
 
