--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -52,7 +52,8 @@
 	} else if (!strcmp(what, "twice")) {
 		rig_answer(link, request, 200, "", "first");
 		rig_answer(link, request, 200, "", "again");
-	} else if (!strcmp(what, "events") || !strcmp(what, "cut")) {
+	} else if (!strcmp(what, "events") || !strcmp(what, "cut") ||
+		   !strcmp(what, "overlap")) {
 		const char *last =
 			sr_headers_get(request->headers, "Last-Event-ID");
 
@@ -61,9 +62,10 @@
 			  "X-Signature: %s\r\nTransfer-Encoding: chunked\r\n"
 			  "Content-Type: text/event-stream\r\n\r\n",
 			  id, link->instance->name);
-		if (!last)
+		/* one that goes on may say again what was said before */
+		if (!last || !strcmp(what, "overlap"))
 			rig_write(link, "f\r\nid: 1\ndata: a\n\n\r\n");
-		if (!last && !strcmp(what, "cut")) {
+		if (!last && strcmp(what, "events") != 0) {
 			rig_write(link, "5\r\nid: 2\r\n");
 			sr_channel_shutdown(link->channel);
 		} else {
@@ -317,6 +319,21 @@
 	free_world(&world);
 }
 
+static void test_resumed_stream_repeats_no_event(void **state)
+{
+	world_t world = new_world();
+	const char *first;
+
+	(void)state;
+	caller_request(world.caller, "POST", "/resume/overlap", "r1", "", "");
+	assert_true(caller_wait(world.caller, "0\r\n\r\n", 1200));
+	first = strstr(world.caller->in->str, "id: 1\n");
+	assert_non_null(first);
+	assert_null(strstr(first + 1, "id: 1\n"));
+	assert_non_null(strstr(first, "id: 2\n"));
+	free_world(&world);
+}
+
 static void test_final_answer_at_the_time_limit(void **state)
 {
 	world_t world = new_world();
@@ -418,6 +435,7 @@
 			test_answer_of_another_request_is_never_passed_on),
 		cmocka_unit_test(test_cut_stream_does_not_look_whole),
 		cmocka_unit_test(test_resumed_stream_keeps_its_head),
+		cmocka_unit_test(test_resumed_stream_repeats_no_event),
 		cmocka_unit_test(test_final_answer_at_the_time_limit),
 		cmocka_unit_test(test_caller_that_leaves_ends_the_work),
 		cmocka_unit_test(test_nothing_goes_to_a_leaving_instance),
