--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -228,7 +228,7 @@
 {
 	const GPtrArray *list =
 		sr_instances_of_service(placement->instances, request->service);
-	sr_placement_choice_t choice = { .least_occupancy = G_MAXDOUBLE };
+	sr_placement_choice_t choice = { 0 };
 	const sr_instance_t *home;
 	double best = 0;
 
@@ -254,7 +254,6 @@
 					   instance == home, now);
 		wait = wait_s(request, instance, now);
 		cost = wait + work_s(request, instance, uncached, now);
-		choice.least_occupancy = MIN(choice.least_occupancy, occupancy);
 		if (g_strcmp0(instance->failure_domain,
 			      placement->failure_domain))
 			cost += FAR_COST_S;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -66,10 +66,9 @@
 typedef struct {
 	sr_instance_t *instance; /* borrowed; NULL if none is usable */
 	double uncached_tokens;
-	double wait_s;		/* of it, behind requests that came before */
-	double first_s;		/* expected time to the first event */
-	double occupancy;	/* requests there over its slots */
-	double least_occupancy; /* of all that are usable */
+	double wait_s;	  /* of it, behind requests that came before */
+	double first_s;	  /* expected time to the first event */
+	double occupancy; /* requests there over its slots */
 } sr_placement_choice_t;
 
 sr_placement_choice_t sr_placement_choose(const sr_placement_t *placement,
