--- a/src/daemon/control_status.h
+++ b/src/daemon/control_status.h
@@ -8,7 +8,7 @@
 #include "core/gossip.h"
 #include "daemon/members.h"
 #include "peer/peer.h"
-#include "platform/client.h"
+#include "platform_api/client.h"
 
 /** sr_node_status_t - what a node tells of itself in SR_RUMOUR_STATUS. */
 typedef struct {
--- a/src/platform/budget.c
+++ b/src/platform_api/budget.c
@@ -1,4 +1,4 @@
-#include "platform/budget.h"
+#include "platform_api/budget.h"
 
 #include <math.h>
 
--- a/src/platform/budget.h
+++ b/src/platform_api/budget.h
@@ -1,5 +1,5 @@
-#ifndef SR_PLATFORM_BUDGET_H
-#define SR_PLATFORM_BUDGET_H
+#ifndef SR_PLATFORM_API_BUDGET_H
+#define SR_PLATFORM_API_BUDGET_H
 
 #include <glib.h>
 
--- a/src/platform/client.c
+++ b/src/platform_api/client.c
@@ -1,12 +1,12 @@
-#include "platform/client.h"
+#include "platform_api/client.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
 
 #include "base/list.h"
-#include "platform/budget.h"
-#include "platform/decode.h"
-#include "platform/exchange.h"
+#include "platform_api/budget.h"
+#include "platform_api/decode.h"
+#include "platform_api/exchange.h"
 
 typedef enum {
 	CALL_OBJECT, /* of the object API, through the store */
--- a/src/platform/client.h
+++ b/src/platform_api/client.h
@@ -1,5 +1,5 @@
-#ifndef SR_PLATFORM_CLIENT_H
-#define SR_PLATFORM_CLIENT_H
+#ifndef SR_PLATFORM_API_CLIENT_H
+#define SR_PLATFORM_API_CLIENT_H
 
 #include <glib.h>
 
--- a/src/platform/decode.c
+++ b/src/platform_api/decode.c
@@ -1,4 +1,4 @@
-#include "platform/decode.h"
+#include "platform_api/decode.h"
 
 #include <json.h>
 
--- a/src/platform/decode.h
+++ b/src/platform_api/decode.h
@@ -1,5 +1,5 @@
-#ifndef SR_PLATFORM_DECODE_H
-#define SR_PLATFORM_DECODE_H
+#ifndef SR_PLATFORM_API_DECODE_H
+#define SR_PLATFORM_API_DECODE_H
 
 #include <glib.h>
 
--- a/src/platform/exchange.c
+++ b/src/platform_api/exchange.c
@@ -1,9 +1,9 @@
-#include "platform/exchange.h"
+#include "platform_api/exchange.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/decode.h"
+#include "platform_api/decode.h"
 
 #define READ_CHUNK (64 * 1024)
 
--- a/src/platform/exchange.h
+++ b/src/platform_api/exchange.h
@@ -1,5 +1,5 @@
-#ifndef SR_PLATFORM_EXCHANGE_H
-#define SR_PLATFORM_EXCHANGE_H
+#ifndef SR_PLATFORM_API_EXCHANGE_H
+#define SR_PLATFORM_API_EXCHANGE_H
 
 #include <libsoup/soup.h>
 
--- a/src/platform/hosts.c
+++ b/src/platform_api/hosts.c
@@ -1,4 +1,4 @@
-#include "platform/hosts.h"
+#include "platform_api/hosts.h"
 
 /* How long the pause before the next long poll is after a failure, at most. */
 #define NOTICE_RETRY (2 * SR_SEC)
--- a/src/platform/hosts.h
+++ b/src/platform_api/hosts.h
@@ -1,8 +1,8 @@
-#ifndef SR_PLATFORM_HOSTS_H
-#define SR_PLATFORM_HOSTS_H
+#ifndef SR_PLATFORM_API_HOSTS_H
+#define SR_PLATFORM_API_HOSTS_H
 
-#include "platform/client.h"
-#include "platform/decode.h"
+#include "platform_api/client.h"
+#include "platform_api/decode.h"
 
 /**
  * sr_hosts_t - follows the platform's host list and its reclaim notices
--- a/test/fuzz/platform_fuzz.c
+++ b/test/fuzz/platform_fuzz.c
@@ -2,7 +2,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "platform/decode.h"
+#include "platform_api/decode.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -6,9 +6,9 @@
 #include <cmocka.h>
 #include <libsoup/soup.h>
 
-#include "platform/budget.h"
-#include "platform/client.h"
-#include "platform/hosts.h"
+#include "platform_api/budget.h"
+#include "platform_api/client.h"
+#include "platform_api/hosts.h"
 
 typedef enum {
 	ANSWER_NORMAL,
