--- a/src/core/instances.c
+++ b/src/core/instances.c
@@ -192,9 +192,14 @@
 	return instances->all;
 }
 
+gboolean sr_instance_is_present(const sr_instance_t *instance)
+{
+	return !instance->is_gone && !instance->draining;
+}
+
 gboolean sr_instance_is_usable(const sr_instance_t *instance, sr_usec_t now)
 {
-	return !instance->is_gone && !instance->draining &&
+	return sr_instance_is_present(instance) &&
 	       sr_ejection_state(&instance->ejection, now) !=
 		       SR_EJECTION_EJECTED;
 }
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -97,7 +97,10 @@
 /** sr_instances_all - of sr_instance_t, borrowed, gone ones left out. */
 const GPtrArray *sr_instances_all(const sr_instances_t *instances);
 
-/** sr_instance_is_usable - may new work be sent to it? */
+/** sr_instance_is_present - registered, and not leaving. */
+gboolean sr_instance_is_present(const sr_instance_t *instance);
+
+/** sr_instance_is_usable - present, and not ejected for its failures. */
 gboolean sr_instance_is_usable(const sr_instance_t *instance, sr_usec_t now);
 
 sr_instance_t *sr_instance_ref(sr_instance_t *instance);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -222,6 +222,70 @@
 	return instance->cold_until > now ? seconds * COLD_FACTOR : seconds;
 }
 
+/* Any ejected instance, or only those that are not? */
+typedef enum {
+	CANDIDATES_SOUND,
+	CANDIDATES_ALL,
+} candidates_t;
+
+static gboolean is_candidate(const sr_placement_request_t *request,
+			     const sr_instance_t *instance,
+			     candidates_t candidates, sr_usec_t now)
+{
+	if (is_tried(request, instance->id))
+		return FALSE;
+	return candidates == CANDIDATES_ALL ?
+		       sr_instance_is_present(instance) :
+		       sr_instance_is_usable(instance, now);
+}
+
+static sr_placement_choice_t evaluate(const sr_placement_t *placement,
+				      const sr_placement_request_t *request,
+				      sr_instance_t *instance, gboolean is_home,
+				      sr_usec_t now)
+{
+	double uncached = uncached_tokens(placement, request->prompt, instance,
+					  is_home, now);
+	sr_placement_choice_t choice = {
+		.instance = instance,
+		.uncached_tokens = uncached,
+		.wait_s = wait_s(request, instance, now),
+		.occupancy = sr_placement_in_flight(instance, now) /
+			     MAX(instance->slots, 1),
+	};
+
+	choice.first_s =
+		choice.wait_s + work_s(request, instance, uncached, now);
+	if (g_strcmp0(instance->failure_domain, placement->failure_domain))
+		choice.first_s += FAR_COST_S;
+	return choice;
+}
+
+static sr_placement_choice_t choose_among(const sr_placement_t *placement,
+					  const sr_placement_request_t *request,
+					  const GPtrArray *list,
+					  candidates_t candidates,
+					  sr_usec_t now)
+{
+	const sr_instance_t *home = home_of(list, request->prompt, now);
+	/* Equals are taken in turn, or all hosts would choose the first. */
+	guint first = (guint)(request->jitter * list->len);
+	sr_placement_choice_t best = { 0 };
+
+	for (guint i = 0; i < list->len; i++) {
+		sr_instance_t *instance = list->pdata[(i + first) % list->len];
+		sr_placement_choice_t choice;
+
+		if (!is_candidate(request, instance, candidates, now))
+			continue;
+		choice = evaluate(placement, request, instance,
+				  instance == home, now);
+		if (!best.instance || choice.first_s < best.first_s)
+			best = choice;
+	}
+	return best;
+}
+
 sr_placement_choice_t sr_placement_choose(const sr_placement_t *placement,
 					  const sr_placement_request_t *request,
 					  sr_usec_t now)
@@ -229,42 +293,13 @@
 	const GPtrArray *list =
 		sr_instances_of_service(placement->instances, request->service);
 	sr_placement_choice_t choice = { 0 };
-	const sr_instance_t *home;
-	double best = 0;
 
 	if (!list)
 		return choice;
-	home = home_of(list, request->prompt, now);
-	for (guint i = 0; i < list->len; i++) {
-		/* Equals are taken in turn, or all hosts would choose the
-		 * first one. */
-		sr_instance_t *instance =
-			list->pdata[(i + (guint)(request->jitter * list->len)) %
-				    list->len];
-		double occupancy = sr_placement_in_flight(instance, now) /
-				   MAX(instance->slots, 1);
-		double uncached;
-		double wait;
-		double cost;
-
-		if (!sr_instance_is_usable(instance, now) ||
-		    is_tried(request, instance->id))
-			continue;
-		uncached = uncached_tokens(placement, request->prompt, instance,
-					   instance == home, now);
-		wait = wait_s(request, instance, now);
-		cost = wait + work_s(request, instance, uncached, now);
-		if (g_strcmp0(instance->failure_domain,
-			      placement->failure_domain))
-			cost += FAR_COST_S;
-		if (!choice.instance || cost < best) {
-			best = cost;
-			choice.instance = instance;
-			choice.uncached_tokens = uncached;
-			choice.wait_s = wait;
-			choice.first_s = cost;
-			choice.occupancy = occupancy;
-		}
-	}
+	choice = choose_among(placement, request, list, CANDIDATES_SOUND, now);
+	/* Where all of a service fail, some of what they do still succeeds. */
+	if (!choice.instance)
+		choice = choose_among(placement, request, list, CANDIDATES_ALL,
+				      now);
 	return choice;
 }
--- a/test/gateway_policy_test.c
+++ b/test/gateway_policy_test.c
@@ -360,6 +360,27 @@
 	free_engines(&engines);
 }
 
+/* Pattern: all instances of a service fail part of their requests. */
+static void test_failing_service_is_still_asked(void **state)
+{
+	engines_t engines = new_engines();
+	const GPtrArray *all = sr_instances_all(engines.instances);
+
+	(void)state;
+	for (guint i = 0; i < all->len; i++)
+		sr_ejection_failed(&((sr_instance_t *)all->pdata[i])->ejection,
+				   SR_MINUTE, 4);
+	assert_non_null(choose(&engines, 7, 0).instance);
+	/* but not while one of them is sound, nor those that leave */
+	sr_ejection_succeeded(&((sr_instance_t *)all->pdata[2])->ejection);
+	((sr_instance_t *)all->pdata[2])->ejection.ejected_until = 0;
+	assert_ptr_equal(choose(&engines, 7, 0).instance, all->pdata[2]);
+	for (guint i = 0; i < all->len; i++)
+		((sr_instance_t *)all->pdata[i])->draining = TRUE;
+	assert_null(choose(&engines, 7, 0).instance);
+	free_engines(&engines);
+}
+
 /* Admission. Pattern: a burst of one class. */
 static void test_urgent_requests_find_room_in_a_burst(void **state)
 {
@@ -758,6 +779,7 @@
 		cmocka_unit_test(test_new_home_is_not_taken_to_be_filled),
 		cmocka_unit_test(test_late_first_event_keeps_others_away),
 		cmocka_unit_test(test_leaving_instances_get_nothing),
+		cmocka_unit_test(test_failing_service_is_still_asked),
 		cmocka_unit_test(test_urgent_requests_find_room_in_a_burst),
 		cmocka_unit_test(test_lost_request_is_refused_at_once),
 		cmocka_unit_test(test_window_is_reported_once_it_is_written),
