--- a/src/http/parser.c
+++ b/src/http/parser.c
@@ -317,8 +317,7 @@
 			return err;
 		if (skip_interim(parser))
 			continue;
-		/* the library reports the end only when it sees the next byte
-		 * of an empty body, so a pause may leave nothing used */
+		/* no progress means that the library will read nothing more */
 		if (*used == before && !parser->message.is_complete)
 			return parser->problem = SR_ERR_PROTOCOL;
 	}
--- /dev/null
+++ b/test/fuzz/http_fuzz.c
@@ -0,0 +1,76 @@
+/*
+ * Reads any bytes as requests and as responses, whole and byte by byte. Both
+ * readings must come to the same result, and no message may have two lengths.
+ */
+#include <string.h>
+
+#include "http/events.h"
+#include "http/parser.h"
+
+int LLVMFuzzerTestOneInput(const guint8 *data, size_t size);
+
+typedef struct {
+	sr_err_t err;
+	gboolean complete;
+	guint body;
+	gsize used;
+} result_t;
+
+static result_t read_message(sr_message_kind_t kind, const guint8 *data,
+			     size_t size, size_t piece)
+{
+	const sr_parser_options_t options = {
+		.kind = kind,
+		.max_head = 4096,
+		.max_body = 4096,
+	};
+	sr_parser_t *parser = sr_parser_new(&options);
+	const sr_message_t *message = sr_parser_message(parser);
+	result_t result = { 0 };
+
+	while (result.used < size && !result.err && !message->is_complete) {
+		gsize used = 0;
+
+		result.err =
+			sr_parser_feed(parser, data + result.used,
+				       MIN(piece, size - result.used), &used);
+		result.used += used;
+	}
+	result.complete = message->is_complete;
+	result.body = message->body->len;
+	if (message->has_head)
+		g_assert(sr_headers_count(message->headers, "Content-Length") +
+				 sr_headers_count(message->headers,
+						  "Transfer-Encoding") <=
+			 1);
+	sr_parser_free(parser);
+	return result;
+}
+
+static void check(sr_message_kind_t kind, const guint8 *data, size_t size)
+{
+	result_t whole = read_message(kind, data, size, size);
+	result_t bytes = read_message(kind, data, size, 1);
+
+	g_assert(whole.complete == bytes.complete);
+	g_assert(!whole.err == !bytes.err);
+	if (whole.complete)
+		g_assert(whole.used == bytes.used && whole.body == bytes.body);
+}
+
+int LLVMFuzzerTestOneInput(const guint8 *data, size_t size)
+{
+	sr_events_t *events = sr_events_new();
+	sr_event_t event;
+
+	if (size > 0) {
+		check(SR_MESSAGE_REQUEST, data, size);
+		check(SR_MESSAGE_RESPONSE, data, size);
+	}
+	if (sr_events_feed(events, data, size)) {
+		while (sr_events_next(events, &event))
+			g_assert(event.size > 0);
+	}
+	sr_events_free(events);
+	return 0;
+}
