Keep windows of usage through a kill of all hosts

Now the object is read during the hold-off, renewals carry the counts of the open windows, hosts that heard of a silent host tell its counts on, two older windows are told in turn, and a window is closed by a new reporter once the counts have come in for 3 s, or when its report is nearly due.

Ruled out on the way: waiting 1 s for a round of gossip before the first read (the claim then met the outage); saving every 900 ms (renewals came first and left no room, the payload stayed at its last report).

Claims of the duties are logged: sent, taken, lost to another, reply lost. lease_test and usage_test fail without the changes; the tests of usage moved there from gateway_policy_test as they were.

--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -30,6 +30,8 @@
 	void (*acquired)(void *user, guint64 epoch, GBytes *payload);
 	void (*lost)(void *user);
 	void (*written)(void *user, sr_err_t err);
+	void (*noted)(void *user, sr_lease_note_t note, guint64 epoch,
+		      const char *holder);
 	void *user;
 
 	gboolean wanted;
@@ -37,6 +39,7 @@
 	pending_t pending;
 	sr_usec_t now; /* of the last tick or call; a reply can come later */
 	sr_usec_t next_poll;
+	sr_usec_t claims_from; /* it claims nothing before */
 	GRand *random;
 
 	/* the object as last seen */
@@ -124,6 +127,19 @@
 	return lease->version != 0 && !strcmp(lease->holder, lease->owner);
 }
 
+static void note(const sr_lease_t *lease, sr_lease_note_t what, guint64 epoch)
+{
+	if (lease->noted)
+		lease->noted(lease->user, what, epoch, lease->holder);
+}
+
+/* A claim was sent or ended; other writes are not noted. */
+static void note_claim(const sr_lease_t *lease, sr_lease_note_t what)
+{
+	if (lease->write_kind == PENDING_CLAIM)
+		note(lease, what, lease->write_epoch);
+}
+
 static void step_down(sr_lease_t *lease)
 {
 	gboolean was_held = lease->state == STATE_HELD;
@@ -174,6 +190,7 @@
 	lease->epoch = lease->write_epoch;
 	set_holder(lease, is_release ? "" : lease->owner);
 	set_payload(lease, lease->write_payload);
+	note_claim(lease, SR_LEASE_CLAIM_TAKEN);
 	if (!is_release && lease->wanted)
 		lease->held_until = lease->sent + lease->duration;
 	end_write(lease, SR_OK);
@@ -192,6 +209,7 @@
 	lease->epoch = MAX(lease->epoch, object->epoch);
 	set_holder(lease, object->owner);
 	set_payload(lease, object->payload);
+	note(lease, SR_LEASE_SEEN, lease->epoch);
 	step_down(lease);
 }
 
@@ -284,6 +302,7 @@
 {
 	/* a repeated write can conflict with its own first copy */
 	if (!lease->in_doubt) {
+		note_claim(lease, SR_LEASE_CLAIM_CONFLICT);
 		step_down(lease);
 		end_write(lease, SR_ERR_STALE_FENCE);
 	}
@@ -305,11 +324,13 @@
 		on_conflict(lease);
 		break;
 	case SR_STORE_UNKNOWN:
+		note_claim(lease, SR_LEASE_CLAIM_UNKNOWN);
 		lease->in_doubt = TRUE;
 		read_object(lease);
 		break;
 	case SR_STORE_NOT_DONE:
 	case SR_STORE_NOT_MODIFIED:
+		note_claim(lease, SR_LEASE_CLAIM_NOT_DONE);
 		if (!lease->in_doubt)
 			end_write(lease, SR_ERR_PLATFORM);
 		break;
@@ -331,13 +352,14 @@
 	lease->write_value =
 		encode(owner, epoch, lease->write_id, lease->write_payload);
 	lease->sent = lease->now;
+	note_claim(lease, SR_LEASE_CLAIM_SENT);
 	send_write(lease);
 }
 
-/* True if nobody else can believe to hold the object. */
-static gboolean is_free(const sr_lease_t *lease)
+/* True if nobody else can believe to hold the object, and it may be taken. */
+static gboolean may_claim(const sr_lease_t *lease)
 {
-	if (!lease->known)
+	if (!lease->known || lease->now < lease->claims_from)
 		return FALSE;
 	if (lease->version == 0 || !*lease->holder || is_own(lease))
 		return TRUE;
@@ -354,13 +376,25 @@
 	else if (!lease->wanted && is_own(lease))
 		start_write(lease, PENDING_RELEASE, lease->epoch,
 			    lease->payload);
-	else if (lease->wanted && is_free(lease))
+	else if (lease->wanted && may_claim(lease))
 		start_write(lease, PENDING_CLAIM, lease->epoch + 1,
 			    lease->payload);
 	else if (lease->wanted)
 		read_object(lease);
 }
 
+static sr_usec_t next_poll(const sr_lease_t *lease)
+{
+	sr_usec_t regular = lease->now + lease->duration / POLLS_PER_LEASE;
+	sr_usec_t free_from =
+		MAX(lease->first_seen + lease->duration, lease->claims_from);
+
+	if (lease->state == STATE_FOLLOWING && lease->known &&
+	    lease->first_seen != NOT_YET && free_from > lease->now)
+		return MIN(regular, free_from);
+	return regular;
+}
+
 sr_lease_t *sr_lease_new(const sr_lease_options_t *options)
 {
 	sr_lease_t *lease = g_new0(sr_lease_t, 1);
@@ -373,6 +407,7 @@
 	lease->acquired = options->acquired;
 	lease->lost = options->lost;
 	lease->written = options->written;
+	lease->noted = options->noted;
 	lease->user = options->user;
 	lease->holder = g_strdup("");
 	lease->first_seen = NOT_YET;
@@ -401,6 +436,11 @@
 	lease->wanted = wanted;
 }
 
+void sr_lease_hold_off(sr_lease_t *lease, sr_usec_t until)
+{
+	lease->claims_from = until;
+}
+
 void sr_lease_tick(sr_lease_t *lease, sr_usec_t now)
 {
 	g_assert(now >= lease->now);
@@ -410,7 +450,7 @@
 	update_holding(lease);
 	if (lease->pending != PENDING_NONE || now < lease->next_poll)
 		return;
-	lease->next_poll = now + lease->duration / POLLS_PER_LEASE;
+	lease->next_poll = next_poll(lease);
 	poll(lease);
 }
 
@@ -446,6 +486,7 @@
 		return SR_ERR_CONFLICT;
 	start_write(lease, PENDING_RENEW, lease->epoch, payload);
 	lease->from_caller = TRUE;
+	lease->next_poll = next_poll(lease); /* it renews as well */
 	return SR_OK;
 }
 
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -23,6 +23,15 @@
  */
 typedef struct sr_lease sr_lease_t;
 
+typedef enum {
+	SR_LEASE_SEEN, /* the object has changed, by another's write */
+	SR_LEASE_CLAIM_SENT,
+	SR_LEASE_CLAIM_TAKEN,
+	SR_LEASE_CLAIM_CONFLICT, /* another was faster */
+	SR_LEASE_CLAIM_UNKNOWN,	 /* its reply was lost */
+	SR_LEASE_CLAIM_NOT_DONE, /* the store can't be reached */
+} sr_lease_note_t;
+
 typedef struct {
 	sr_store_t *store; /* borrowed */
 	sr_store_class_t class;
@@ -39,6 +48,9 @@
 	 * SR_ERR_OUTCOME_UNKNOWN (another holder followed; it may or may not
 	 * have read the payload) */
 	void (*written)(void *user, sr_err_t err);
+	/* for the log: another holder was seen, or a claim was sent or ended */
+	void (*noted)(void *user, sr_lease_note_t note, guint64 epoch,
+		      const char *holder);
 	void *user;
 } sr_lease_options_t;
 
@@ -53,6 +65,14 @@
 /** sr_lease_want - claim the object and keep it, or leave it to others. */
 void sr_lease_want(sr_lease_t *lease, gboolean wanted);
 
+/**
+ * sr_lease_hold_off - claim nothing before the given time
+ *
+ * A wanted object is read meanwhile, so that the wait for its holder to lapse
+ * runs at the same time.
+ */
+void sr_lease_hold_off(sr_lease_t *lease, sr_usec_t until);
+
 /** sr_lease_tick - run what is due; call at least every tenth of a lease. */
 void sr_lease_tick(sr_lease_t *lease, sr_usec_t now);
 
@@ -72,7 +92,7 @@
 const char *sr_lease_holder(const sr_lease_t *lease);
 
 /**
- * sr_lease_write - replace the payload; ends in written()
+ * sr_lease_write - replace the payload and renew; ends in written()
  *
  * Returns SR_ERR_NOT_OWNER if the lease is not held, SR_ERR_CONFLICT if a
  * write is under way.
--- a/src/core/usage_reports.c
+++ b/src/core/usage_reports.c
@@ -1,5 +1,7 @@
 #include "core/usage_reports.h"
 
+#include "core/lease.h"
+
 #include <string.h>
 
 /** Windows that the payload remembers; those before them are past due. */
@@ -22,6 +24,7 @@
 	sr_usage_reports_options_t options;
 	GQueue reports; /* report_t, by window */
 	gboolean writing;
+	gint64 told_since_ms; /* the others' counts come in since then */
 };
 
 static void free_report(gpointer data)
@@ -95,7 +98,8 @@
 	g_strfreev(words);
 }
 
-void sr_usage_reports_load(sr_usage_reports_t *reports, GBytes *payload)
+void sr_usage_reports_load(sr_usage_reports_t *reports, GBytes *payload,
+			   sr_usage_windows_t *usage, gint64 told_since_ms)
 {
 	gsize size = 0;
 	const char *data = payload ? g_bytes_get_data(payload, &size) : NULL;
@@ -104,15 +108,34 @@
 
 	g_queue_clear_full(&reports->reports, free_report);
 	reports->writing = FALSE;
-	for (char **line = lines; *line; line++)
-		load_line(reports, *line);
+	reports->told_since_ms = told_since_ms;
+	for (char **line = lines; *line; line++) {
+		if (**line == '+')
+			sr_usage_windows_restore(usage, *line);
+		else
+			load_line(reports, *line);
+	}
 	g_strfreev(lines);
 	g_free(text);
 }
 
-static GBytes *encode(const sr_usage_reports_t *reports)
+static guint64 next_window(const sr_usage_reports_t *reports,
+			   const sr_usage_windows_t *usage, gint64 unix_ms)
+{
+	const sr_usage_reports_options_t *options = &reports->options;
+	const report_t *last = g_queue_peek_tail((GQueue *)&reports->reports);
+	/* What ended before that is past due. */
+	guint64 first = sr_usage_windows_at(
+		usage, unix_ms - (options->window + options->due) / SR_MSEC);
+
+	return last ? MAX(last->window + 1, first) : first;
+}
+
+static GBytes *encode(const sr_usage_reports_t *reports,
+		      const sr_usage_windows_t *usage, gint64 unix_ms)
 {
 	GString *text = g_string_new(NULL);
+	gsize closed;
 
 	for (GList *item = reports->reports.head; item; item = item->next) {
 		const report_t *report = item->data;
@@ -133,42 +156,54 @@
 		}
 		g_string_append_c(text, '\n');
 	}
+	closed = text->len;
+	sr_usage_windows_save(usage, next_window(reports, usage, unix_ms),
+			      text);
+	/* the reports must fit; what is open can be told again */
+	if (text->len > SR_LEASE_PAYLOAD_MAX)
+		g_string_truncate(text, closed);
 	return g_string_free_to_bytes(text);
 }
 
-static guint64 next_window(const sr_usage_reports_t *reports,
-			   const sr_usage_windows_t *usage, gint64 unix_ms)
+/* The counts of the window have come in, or the report can't wait. */
+static gboolean may_close(const sr_usage_reports_t *reports, guint64 window,
+			  gint64 unix_ms)
 {
 	const sr_usage_reports_options_t *options = &reports->options;
-	const report_t *last = g_queue_peek_tail((GQueue *)&reports->reports);
-	/* What ended before that is past due. */
-	guint64 first = sr_usage_windows_at(
-		usage, unix_ms - (options->window + options->due) / SR_MSEC);
-
-	return last ? MAX(last->window + 1, first) : first;
+	sr_usec_t since_end =
+		(unix_ms - (gint64)(window + 1) * (options->window / SR_MSEC)) *
+		SR_MSEC;
+	sr_usec_t since_told = (unix_ms - reports->told_since_ms) * SR_MSEC;
+
+	return since_end >= options->settle &&
+	       (since_told >= options->intake ||
+		since_end >= options->due - options->margin);
 }
 
 GBytes *sr_usage_reports_close(sr_usage_reports_t *reports,
 			       const sr_usage_windows_t *usage, gint64 unix_ms)
 {
-	const sr_usage_reports_options_t *options = &reports->options;
-	guint64 settled;
 	guint64 window;
 
 	if (reports->writing)
 		return NULL;
 	window = next_window(reports, usage, unix_ms);
-	/* the first window that has not settled yet */
-	settled =
-		sr_usage_windows_at(usage, unix_ms - options->settle / SR_MSEC);
-	if (window >= settled)
+	if (!may_close(reports, window, unix_ms))
 		return NULL;
-	for (; window < settled; window++)
+	for (; may_close(reports, window, unix_ms); window++)
 		append_report(reports, window,
 			      sr_usage_windows_total(usage, window),
 			      REPORT_CLOSING);
+	return sr_usage_reports_save(reports, usage, unix_ms);
+}
+
+GBytes *sr_usage_reports_save(sr_usage_reports_t *reports,
+			      const sr_usage_windows_t *usage, gint64 unix_ms)
+{
+	if (reports->writing)
+		return NULL;
 	reports->writing = TRUE;
-	return encode(reports);
+	return encode(reports, usage, unix_ms);
 }
 
 void sr_usage_reports_written(sr_usage_reports_t *reports, gboolean ok)
--- a/src/core/usage_windows.c
+++ b/src/core/usage_windows.c
@@ -101,6 +101,61 @@
 		add(counts_of(slot, usage->node), account, 1);
 }
 
+static void save_line(const window_t *slot, const char *node,
+		      GHashTable *counts, GString *out)
+{
+	GHashTableIter iter;
+	gpointer account;
+	gpointer count;
+
+	g_string_append_printf(out, "+%" G_GUINT64_FORMAT " %s", slot->window,
+			       node);
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &account, &count)) {
+		char *escaped = g_uri_escape_string(account, NULL, FALSE);
+
+		g_string_append_printf(out, " %s=%" G_GUINT64_FORMAT, escaped,
+				       *(guint64 *)count);
+		g_free(escaped);
+	}
+	g_string_append_c(out, '\n');
+}
+
+void sr_usage_windows_save(const sr_usage_windows_t *usage, guint64 first,
+			   GString *out)
+{
+	for (unsigned i = 0; i < SR_USAGE_WINDOWS_KEPT; i++) {
+		const window_t *slot = &usage->windows[i];
+		GHashTableIter hosts;
+		gpointer node;
+		gpointer counts;
+
+		if (!slot->hosts || slot->window < first)
+			continue;
+		g_hash_table_iter_init(&hosts, slot->hosts);
+		while (g_hash_table_iter_next(&hosts, &node, &counts))
+			save_line(slot, node, counts, out);
+	}
+}
+
+static guint64 format_counts(GHashTable *counts, GString *out)
+{
+	GHashTableIter iter;
+	gpointer account;
+	gpointer count;
+	guint64 sum = 0;
+
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &account, &count)) {
+		guint64 n = *(guint64 *)count;
+
+		g_string_append_printf(out, "%s=%" G_GUINT64_FORMAT "\n",
+				       (const char *)account, n);
+		sum += n;
+	}
+	return sum;
+}
+
 guint64 sr_usage_windows_text(const sr_usage_windows_t *usage, guint64 window,
 			      char **text)
 {
@@ -108,26 +163,58 @@
 	GHashTable *counts =
 		slot ? g_hash_table_lookup(slot->hosts, usage->node) : NULL;
 	GString *out = g_string_new(NULL);
-	GHashTableIter iter;
-	gpointer account;
-	gpointer count;
-	guint64 sum = 0;
+	guint64 sum = counts ? format_counts(counts, out) : 0;
 
-	if (counts) {
-		g_hash_table_iter_init(&iter, counts);
-		while (g_hash_table_iter_next(&iter, &account, &count)) {
-			guint64 n = *(guint64 *)count;
-
-			g_string_append_printf(out,
-					       "%s=%" G_GUINT64_FORMAT "\n",
-					       (const char *)account, n);
-			sum += n;
-		}
-	}
 	*text = g_string_free(out, FALSE);
 	return sum;
 }
 
+void sr_usage_windows_each(const sr_usage_windows_t *usage, guint64 window,
+			   void (*fn)(void *user, const char *node,
+				      const char *text),
+			   void *user)
+{
+	const window_t *slot = find_window(usage, window);
+	GHashTableIter hosts;
+	gpointer node;
+	gpointer counts;
+
+	if (!slot)
+		return;
+	g_hash_table_iter_init(&hosts, slot->hosts);
+	while (g_hash_table_iter_next(&hosts, &node, &counts)) {
+		GString *text;
+
+		if (!strcmp(node, usage->node))
+			continue;
+		text = g_string_new(NULL);
+		format_counts(counts, text);
+		fn(user, node, text->str);
+		g_string_free(text, TRUE);
+	}
+}
+
+/* Adds "account=count"; returns the count, 0 if it is malformed. */
+static guint64 parse_count(GHashTable *counts, char *text, gboolean is_escaped)
+{
+	char *mark = strrchr(text, '=');
+	char *account;
+	guint64 n;
+
+	if (!mark || mark == text)
+		return 0;
+	if (!g_ascii_string_to_unsigned(mark + 1, 10, 0, G_MAXUINT32, &n, NULL))
+		return 0;
+	*mark = '\0';
+	account =
+		is_escaped ? g_uri_unescape_string(text, NULL) : g_strdup(text);
+	if (!account)
+		return 0;
+	add(counts, account, n);
+	g_free(account);
+	return n;
+}
+
 static GHashTable *parse_counts(const char *text, gsize size, guint64 *sum)
 {
 	GHashTable *counts = new_counts();
@@ -135,19 +222,8 @@
 	char **lines = g_strsplit(copy, "\n", -1);
 
 	*sum = 0;
-	for (char **line = lines; *line; line++) {
-		char *mark = strrchr(*line, '=');
-		guint64 n;
-
-		if (!mark || mark == *line)
-			continue;
-		if (!g_ascii_string_to_unsigned(mark + 1, 10, 0, G_MAXUINT32,
-						&n, NULL))
-			continue;
-		*mark = '\0';
-		add(counts, *line, n);
-		*sum += n;
-	}
+	for (char **line = lines; *line; line++)
+		*sum += parse_count(counts, *line, FALSE);
 	g_strfreev(lines);
 	g_free(copy);
 	return counts;
@@ -167,25 +243,46 @@
 	return sum;
 }
 
-void sr_usage_windows_heard(sr_usage_windows_t *usage, const char *node,
-			    guint64 window, const char *text, gsize size)
+/* Takes the counts over if they are further than those that are known. */
+static void take_counts(sr_usage_windows_t *usage, const char *node,
+			guint64 window, GHashTable *counts, guint64 sum)
 {
-	window_t *slot;
-	GHashTable *counts;
-	guint64 sum;
+	window_t *slot =
+		strcmp(node, usage->node) ? open_window(usage, window) : NULL;
 
-	if (!strcmp(node, usage->node))
-		return;
-	slot = open_window(usage, window);
-	if (!slot)
-		return;
-	counts = parse_counts(text, size, &sum);
-	if (sum > sum_of(g_hash_table_lookup(slot->hosts, node)))
+	if (slot && sum > sum_of(g_hash_table_lookup(slot->hosts, node)))
 		g_hash_table_insert(slot->hosts, g_strdup(node), counts);
 	else
 		g_hash_table_unref(counts);
 }
 
+void sr_usage_windows_heard(sr_usage_windows_t *usage, const char *node,
+			    guint64 window, const char *text, gsize size)
+{
+	guint64 sum;
+	GHashTable *counts = parse_counts(text, size, &sum);
+
+	take_counts(usage, node, window, counts, sum);
+}
+
+void sr_usage_windows_restore(sr_usage_windows_t *usage, const char *line)
+{
+	char **words = g_strsplit(line, " ", -1);
+	guint64 window;
+
+	if (g_strv_length(words) > 2 && words[0][0] == '+' && *words[1] &&
+	    g_ascii_string_to_unsigned(words[0] + 1, 10, 0, G_MAXUINT64,
+				       &window, NULL)) {
+		GHashTable *counts = new_counts();
+		guint64 sum = 0;
+
+		for (char **word = words + 2; *word; word++)
+			sum += parse_count(counts, *word, TRUE);
+		take_counts(usage, words[1], window, counts, sum);
+	}
+	g_strfreev(words);
+}
+
 GHashTable *sr_usage_windows_total(const sr_usage_windows_t *usage,
 				   guint64 window)
 {
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -452,7 +452,7 @@
 				       account);
 }
 
-const sr_usage_windows_t *sr_beliefs_usage(const sr_beliefs_t *beliefs)
+sr_usage_windows_t *sr_beliefs_usage(const sr_beliefs_t *beliefs)
 {
 	return beliefs->usage;
 }
@@ -482,5 +482,6 @@
 
 void sr_beliefs_leave(sr_beliefs_t *beliefs)
 {
+	sr_usage_tellings_send(beliefs);
 	sr_gossip_leave(beliefs->gossip, sr_beliefs_now(beliefs));
 }
--- a/src/fleet/beliefs.h
+++ b/src/fleet/beliefs.h
@@ -61,7 +61,11 @@
 void sr_beliefs_cancel_ask(sr_beliefs_t *beliefs, void *user);
 
 /** sr_beliefs_usage - NULL if usage is not counted; borrowed. */
-const sr_usage_windows_t *sr_beliefs_usage(const sr_beliefs_t *beliefs);
+sr_usage_windows_t *sr_beliefs_usage(const sr_beliefs_t *beliefs);
+
+/** sr_beliefs_usage_told_for - how long other hosts have been sending their
+ * counts to this one. */
+sr_usec_t sr_beliefs_usage_told_for(const sr_beliefs_t *beliefs);
 
 /** sr_beliefs_owner_name - node and incarnation, never used before. */
 const char *sr_beliefs_owner_name(const sr_beliefs_t *beliefs);
--- a/src/fleet/beliefs_internal.h
+++ b/src/fleet/beliefs_internal.h
@@ -39,6 +39,11 @@
 	double most_hosts; /* that were live of late; fades slowly */
 	char *holder;	   /* of the duties, as far as it is known; or NULL */
 	sr_usec_t next_usage;
+	guint64 n_usage_sent;
+	GHashTable *usage_told; /* host and incarnation -> sr_usec_t */
+	unsigned n_sent_for_silent;
+	sr_usec_t told_since; /* others have sent counts without a gap; or 0 */
+	sr_usec_t told_last;
 	/* accounts that are being told, for the callback of tellings.c */
 	GString *demand;
 };
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -17,6 +17,15 @@
  * told once a second and spread within another. */
 #define USAGE_SETTLE (3 * SR_SEC)
 
+/** A report takes a write and a call, each at most a call's time, and a tick
+ * between them. */
+#define USAGE_MARGIN (2 * CALL_MARGIN + TICK)
+
+/** Period in which the open windows are written; each write renews the lease.
+ * A tick more is still below the period of renewals, which would come first
+ * and leave no room for it. */
+#define USAGE_SAVE (700 * SR_MSEC)
+
 /** Live hosts that want the lease: the holder and who follows it. */
 #define CLAIMANTS 2
 
@@ -29,8 +38,9 @@
 	sr_usage_reports_t *reports;
 	sr_fleet_plan_t *plan;
 	sr_timer_t *timer;
-	sr_usec_t claims_from; /* it claims nothing before */
+	guint64 seen_epoch; /* of the holder that was seen last */
 	sr_usec_t retry_at;
+	sr_usec_t save_at; /* the open windows are written again */
 	gboolean stopping;
 };
 
@@ -55,13 +65,31 @@
 	return duties->options.lease + LEASE_EXTRA;
 }
 
+/* Since when the counts come in here, by the wall clock. */
+static gint64 told_since_ms(const sr_duties_t *duties)
+{
+	return sr_clock_unix_ms(duties->options.clock) -
+	       sr_beliefs_usage_told_for(duties->options.beliefs) / SR_MSEC;
+}
+
 static void on_acquired(void *user, guint64 epoch, GBytes *payload)
 {
 	sr_duties_t *duties = user;
+	sr_usage_windows_t *usage = sr_beliefs_usage(duties->options.beliefs);
+
+	char text[80];
 
-	log_duty(duties, "duties-taken", epoch, "");
+	g_snprintf(text, sizeof(text),
+		   "payload %" G_GSIZE_FORMAT
+		   " bytes, told for %" G_GINT64_FORMAT " ms",
+		   payload ? g_bytes_get_size(payload) : 0,
+		   sr_beliefs_usage_told_for(duties->options.beliefs) /
+			   SR_MSEC);
+	log_duty(duties, "duties-taken", epoch, text);
 	sr_beliefs_announce_holder(duties->options.beliefs, epoch);
-	sr_usage_reports_load(duties->reports, payload);
+	if (usage)
+		sr_usage_reports_load(duties->reports, payload, usage,
+				      told_since_ms(duties));
 	sr_fleet_plan_forget(duties->plan);
 }
 
@@ -70,7 +98,37 @@
 	sr_duties_t *duties = user;
 
 	log_duty(duties, "duties-lost", 0, sr_lease_holder(duties->lease));
-	duties->claims_from = now_of(duties) + hold_off(duties);
+	sr_lease_hold_off(duties->lease, now_of(duties) + hold_off(duties));
+}
+
+/* Renewals of a holder are seen once a second; only another holder is news. */
+static void on_noted(void *user, sr_lease_note_t note, guint64 epoch,
+		     const char *holder)
+{
+	sr_duties_t *duties = user;
+
+	switch (note) {
+	case SR_LEASE_SEEN:
+		if (epoch != duties->seen_epoch)
+			log_duty(duties, "duties-seen", epoch, holder);
+		duties->seen_epoch = epoch;
+		break;
+	case SR_LEASE_CLAIM_SENT:
+		log_duty(duties, "duties-claim", epoch, "sent");
+		break;
+	case SR_LEASE_CLAIM_TAKEN:
+		log_duty(duties, "duties-claim", epoch, "taken");
+		break;
+	case SR_LEASE_CLAIM_CONFLICT:
+		log_duty(duties, "duties-claim", epoch, "another was faster");
+		break;
+	case SR_LEASE_CLAIM_UNKNOWN:
+		log_duty(duties, "duties-claim", epoch, "reply lost");
+		break;
+	case SR_LEASE_CLAIM_NOT_DONE:
+		log_duty(duties, "duties-claim", epoch, "not written");
+		break;
+	}
 }
 
 static void on_written(void *user, sr_err_t err)
@@ -85,20 +143,24 @@
 	return sr_lease_is_held(duties->lease, now_of(duties), CALL_MARGIN);
 }
 
-static void close_windows(sr_duties_t *duties)
+static void write_windows(sr_duties_t *duties)
 {
 	const sr_usage_windows_t *usage =
 		sr_beliefs_usage(duties->options.beliefs);
+	gint64 unix_ms = sr_clock_unix_ms(duties->options.clock);
 	GBytes *payload;
 
 	if (!usage)
 		return;
-	payload =
-		sr_usage_reports_close(duties->reports, usage,
-				       sr_clock_unix_ms(duties->options.clock));
+	payload = sr_usage_reports_close(duties->reports, usage, unix_ms);
+	if (!payload && now_of(duties) >= duties->save_at)
+		payload =
+			sr_usage_reports_save(duties->reports, usage, unix_ms);
 	if (!payload)
 		return;
-	if (sr_lease_write(duties->lease, now_of(duties), payload) != SR_OK)
+	if (sr_lease_write(duties->lease, now_of(duties), payload) == SR_OK)
+		duties->save_at = now_of(duties) + USAGE_SAVE;
+	else
 		sr_usage_reports_written(duties->reports, FALSE);
 	g_bytes_unref(payload);
 }
@@ -163,9 +225,10 @@
 		return FALSE;
 	if (sr_lease_is_held(duties->lease, now_of(duties), 0))
 		return TRUE;
-	return now_of(duties) >= duties->claims_from &&
-	       sr_beliefs_rank(duties->options.beliefs, SR_BELIEFS_DUTIES) <
-		       CLAIMANTS;
+	/* a host that starts knows no other, so that it reads the object once
+	 */
+	return sr_beliefs_rank(duties->options.beliefs, SR_BELIEFS_DUTIES) <
+	       CLAIMANTS;
 }
 
 static void on_tick(void *user)
@@ -178,7 +241,7 @@
 	sr_lease_tick(duties->lease, now_of(duties));
 	if (!may_act(duties))
 		return;
-	close_windows(duties);
+	write_windows(duties);
 	if (now_of(duties) >= duties->retry_at)
 		send_reports(duties);
 	give_orders(duties);
@@ -197,19 +260,22 @@
 		.acquired = on_acquired,
 		.lost = on_lost,
 		.written = on_written,
+		.noted = on_noted,
 		.user = duties,
 	};
 	const sr_usage_reports_options_t reports = {
 		.window = options->usage_window,
 		.settle = USAGE_SETTLE,
 		.due = options->usage_due,
+		.intake = USAGE_SETTLE,
+		.margin = USAGE_MARGIN,
 	};
 
 	duties->options = *options;
 	duties->lease = sr_lease_new(&lease);
 	duties->reports = sr_usage_reports_new(&reports);
 	duties->plan = sr_fleet_plan_new();
-	duties->claims_from = now_of(duties) + hold_off(duties);
+	sr_lease_hold_off(duties->lease, now_of(duties) + hold_off(duties));
 	on_tick(duties);
 	return duties;
 }
--- a/src/fleet/tellings.c
+++ b/src/fleet/tellings.c
@@ -113,6 +113,8 @@
 	beliefs->works = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       free_work);
 	beliefs->demand = g_string_new(NULL);
+	beliefs->usage_told =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	if (beliefs->options.usage_window > 0)
 		beliefs->usage = sr_usage_windows_new(
 			beliefs->owner, beliefs->options.usage_window);
@@ -123,6 +125,7 @@
 	g_hash_table_unref(beliefs->loads);
 	g_hash_table_unref(beliefs->works);
 	g_string_free(beliefs->demand, TRUE);
+	g_hash_table_unref(beliefs->usage_told);
 	sr_usage_windows_free(beliefs->usage);
 }
 
--- a/test/gateway_policy_test.c
+++ b/test/gateway_policy_test.c
@@ -12,7 +12,6 @@
 #include "core/placement.h"
 #include "core/repeat_policy.h"
 #include "core/route_table.h"
-#include "core/usage_reports.h"
 
 /* What may follow when an attempt has ended. */
 
@@ -417,132 +416,6 @@
 	assert_false(sr_gateway_admit(&facts).admitted);
 }
 
-/* Usage reports. */
-
-#define WINDOW (5 * SR_SEC)
-
-static sr_usage_reports_t *new_reports(void)
-{
-	const sr_usage_reports_options_t options = {
-		.window = WINDOW,
-		.settle = 3 * SR_SEC,
-		.due = 10 * SR_SEC,
-	};
-
-	return sr_usage_reports_new(&options);
-}
-
-static guint64 count_of(const sr_usage_report_t *report, const char *account)
-{
-	const guint64 *count = g_hash_table_lookup(report->counts, account);
-
-	return count ? *count : 0;
-}
-
-static void test_window_is_reported_once_it_is_written(void **state)
-{
-	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
-	sr_usage_reports_t *reports = new_reports();
-	sr_usage_report_t report;
-	GBytes *payload;
-
-	(void)state;
-	sr_usage_windows_count(usage, 101000, "x");
-	sr_usage_windows_heard(usage, "b", 20, "x=4\n", 4);
-	payload = sr_usage_reports_close(reports, usage, 101500);
-	g_clear_pointer(&payload, g_bytes_unref);
-	sr_usage_reports_written(reports, TRUE);
-	while (sr_usage_reports_next(reports, &report))
-		assert_true(report.window < 20);
-	payload = sr_usage_reports_close(reports, usage, 108100);
-	assert_non_null(payload);
-	assert_false(sr_usage_reports_next(reports, &report));
-	sr_usage_reports_written(reports, TRUE);
-	assert_true(sr_usage_reports_next(reports, &report));
-	assert_int_equal(report.window, 19);
-	assert_true(sr_usage_reports_next(reports, &report));
-	assert_int_equal(report.window, 20);
-	assert_int_equal(count_of(&report, "x"), 5);
-	sr_usage_reports_sent(reports, 20, FALSE);
-	assert_true(sr_usage_reports_next(reports, &report));
-	sr_usage_reports_sent(reports, 20, TRUE);
-	assert_false(sr_usage_reports_next(reports, &report));
-	g_bytes_unref(payload);
-	sr_usage_reports_free(reports);
-	sr_usage_windows_free(usage);
-}
-
-/* The holder dies after its write, and its successor counted otherwise. */
-static void test_successor_repeats_to_the_letter(void **state)
-{
-	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
-	sr_usage_windows_t *other = sr_usage_windows_new("b", WINDOW);
-	sr_usage_reports_t *first = new_reports();
-	sr_usage_reports_t *second = new_reports();
-	sr_usage_report_t report;
-	guint64 found = 0;
-	guint64 spaced = 0;
-	GBytes *payload;
-
-	(void)state;
-	sr_usage_windows_count(usage, 101000, "x y"); /* a name with a space */
-	sr_usage_windows_count(usage, 101000, "x");
-	sr_usage_windows_count(usage, 101000, "x");
-	sr_usage_windows_count(other, 101000, "x");
-	payload = sr_usage_reports_close(first, usage, 108100);
-	sr_usage_reports_load(second, payload);
-	while (sr_usage_reports_next(second, &report)) {
-		if (report.window != 20)
-			continue;
-		found = count_of(&report, "x");
-		spaced = count_of(&report, "x y");
-	}
-	assert_int_equal(found, 2);
-	assert_int_equal(spaced, 1);
-	g_bytes_unref(payload);
-	/* and goes on after it, never with the same window again */
-	payload = sr_usage_reports_close(second, other, 109000);
-	assert_null(payload);
-	sr_usage_reports_free(first);
-	sr_usage_reports_free(second);
-	sr_usage_windows_free(usage);
-	sr_usage_windows_free(other);
-}
-
-static void test_failed_write_reports_nothing(void **state)
-{
-	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
-	sr_usage_reports_t *reports = new_reports();
-	sr_usage_report_t report;
-	GBytes *payload;
-
-	(void)state;
-	payload = sr_usage_reports_close(reports, usage, 108100);
-	g_bytes_unref(payload);
-	sr_usage_reports_written(reports, FALSE);
-	assert_false(sr_usage_reports_next(reports, &report));
-	payload = sr_usage_reports_close(reports, usage, 108100);
-	assert_non_null(payload);
-	g_bytes_unref(payload);
-	sr_usage_reports_free(reports);
-	sr_usage_windows_free(usage);
-}
-
-static void test_usage_counts_grow_only(void **state)
-{
-	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
-	GHashTable *total;
-
-	(void)state;
-	sr_usage_windows_heard(usage, "b", 20, "x=4\ny=1\n", 8);
-	sr_usage_windows_heard(usage, "b", 20, "x=2\n", 4);
-	sr_usage_windows_heard(usage, "b", 20, "junk", 4);
-	total = sr_usage_windows_total(usage, 20);
-	assert_int_equal(*(guint64 *)g_hash_table_lookup(total, "x"), 4);
-	g_hash_table_unref(total);
-	sr_usage_windows_free(usage);
-}
-
 /* The fleet. */
 
 typedef struct {
@@ -782,10 +655,6 @@
 		cmocka_unit_test(test_failing_service_is_still_asked),
 		cmocka_unit_test(test_urgent_requests_find_room_in_a_burst),
 		cmocka_unit_test(test_lost_request_is_refused_at_once),
-		cmocka_unit_test(test_window_is_reported_once_it_is_written),
-		cmocka_unit_test(test_successor_repeats_to_the_letter),
-		cmocka_unit_test(test_failed_write_reports_nothing),
-		cmocka_unit_test(test_usage_counts_grow_only),
 		cmocka_unit_test(test_fleet_bears_the_reclaim_of_a_domain),
 		cmocka_unit_test(test_usual_ones_stand_in_for_reclaimed_ones),
 		cmocka_unit_test(test_usual_ones_go_only_when_others_serve),
--- /dev/null
+++ b/test/usage_test.c
@@ -0,0 +1,242 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "core/usage_reports.h"
+
+/* Counts of requests by window of the wall clock, and their reports. */
+
+#define WINDOW (5 * SR_SEC)
+
+static sr_usage_reports_t *new_reports(void)
+{
+	const sr_usage_reports_options_t options = {
+		.window = WINDOW,
+		.settle = 3 * SR_SEC,
+		.due = 10 * SR_SEC,
+		.intake = 3 * SR_SEC,
+		.margin = 2 * SR_SEC,
+	};
+
+	return sr_usage_reports_new(&options);
+}
+
+static guint64 count_of(const sr_usage_report_t *report, const char *account)
+{
+	const guint64 *count = g_hash_table_lookup(report->counts, account);
+
+	return count ? *count : 0;
+}
+
+static void test_window_is_reported_once_it_is_written(void **state)
+{
+	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
+	sr_usage_reports_t *reports = new_reports();
+	sr_usage_report_t report;
+	GBytes *payload;
+
+	(void)state;
+	sr_usage_windows_count(usage, 101000, "x");
+	sr_usage_windows_heard(usage, "b", 20, "x=4\n", 4);
+	payload = sr_usage_reports_close(reports, usage, 101500);
+	g_clear_pointer(&payload, g_bytes_unref);
+	sr_usage_reports_written(reports, TRUE);
+	while (sr_usage_reports_next(reports, &report))
+		assert_true(report.window < 20);
+	payload = sr_usage_reports_close(reports, usage, 108100);
+	assert_non_null(payload);
+	assert_false(sr_usage_reports_next(reports, &report));
+	sr_usage_reports_written(reports, TRUE);
+	assert_true(sr_usage_reports_next(reports, &report));
+	assert_int_equal(report.window, 19);
+	assert_true(sr_usage_reports_next(reports, &report));
+	assert_int_equal(report.window, 20);
+	assert_int_equal(count_of(&report, "x"), 5);
+	sr_usage_reports_sent(reports, 20, FALSE);
+	assert_true(sr_usage_reports_next(reports, &report));
+	sr_usage_reports_sent(reports, 20, TRUE);
+	assert_false(sr_usage_reports_next(reports, &report));
+	g_bytes_unref(payload);
+	sr_usage_reports_free(reports);
+	sr_usage_windows_free(usage);
+}
+
+/* The holder dies after its write, and its successor counted otherwise. */
+static void test_successor_repeats_to_the_letter(void **state)
+{
+	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
+	sr_usage_windows_t *other = sr_usage_windows_new("b", WINDOW);
+	sr_usage_reports_t *first = new_reports();
+	sr_usage_reports_t *second = new_reports();
+	sr_usage_report_t report;
+	guint64 found = 0;
+	guint64 spaced = 0;
+	GBytes *payload;
+
+	(void)state;
+	sr_usage_windows_count(usage, 101000, "x y"); /* a name with a space */
+	sr_usage_windows_count(usage, 101000, "x");
+	sr_usage_windows_count(usage, 101000, "x");
+	sr_usage_windows_count(other, 101000, "x");
+	payload = sr_usage_reports_close(first, usage, 108100);
+	sr_usage_reports_load(second, payload, other, 105000);
+	while (sr_usage_reports_next(second, &report)) {
+		if (report.window != 20)
+			continue;
+		found = count_of(&report, "x");
+		spaced = count_of(&report, "x y");
+	}
+	assert_int_equal(found, 2);
+	assert_int_equal(spaced, 1);
+	g_bytes_unref(payload);
+	/* and goes on after it, never with the same window again */
+	payload = sr_usage_reports_close(second, other, 109000);
+	assert_null(payload);
+	sr_usage_reports_free(first);
+	sr_usage_reports_free(second);
+	sr_usage_windows_free(usage);
+	sr_usage_windows_free(other);
+}
+
+static void test_failed_write_reports_nothing(void **state)
+{
+	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
+	sr_usage_reports_t *reports = new_reports();
+	sr_usage_report_t report;
+	GBytes *payload;
+
+	(void)state;
+	payload = sr_usage_reports_close(reports, usage, 108100);
+	g_bytes_unref(payload);
+	sr_usage_reports_written(reports, FALSE);
+	assert_false(sr_usage_reports_next(reports, &report));
+	payload = sr_usage_reports_close(reports, usage, 108100);
+	assert_non_null(payload);
+	g_bytes_unref(payload);
+	sr_usage_reports_free(reports);
+	sr_usage_windows_free(usage);
+}
+
+static void test_usage_counts_grow_only(void **state)
+{
+	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
+	GHashTable *total;
+
+	(void)state;
+	sr_usage_windows_heard(usage, "b", 20, "x=4\ny=1\n", 8);
+	sr_usage_windows_heard(usage, "b", 20, "x=2\n", 4);
+	sr_usage_windows_heard(usage, "b", 20, "junk", 4);
+	total = sr_usage_windows_total(usage, 20);
+	assert_int_equal(*(guint64 *)g_hash_table_lookup(total, "x"), 4);
+	g_hash_table_unref(total);
+	sr_usage_windows_free(usage);
+}
+
+static guint64 total_of(const sr_usage_windows_t *usage, guint64 window,
+			const char *account)
+{
+	GHashTable *total = sr_usage_windows_total(usage, window);
+	const guint64 *count = g_hash_table_lookup(total, account);
+	guint64 n = count ? *count : 0;
+
+	g_hash_table_unref(total);
+	return n;
+}
+
+/* All hosts are killed at once in mid-window; nothing but the payload is left,
+ * and the host that takes over counts under a new incarnation. */
+static void test_open_windows_outlive_all_hosts(void **state)
+{
+	sr_usage_windows_t *before = sr_usage_windows_new("a/1", WINDOW);
+	sr_usage_windows_t *after = sr_usage_windows_new("a/2", WINDOW);
+	sr_usage_reports_t *first = new_reports();
+	sr_usage_reports_t *second = new_reports();
+	GBytes *payload;
+
+	(void)state;
+	for (int i = 0; i < 10; i++)
+		sr_usage_windows_count(before, 101000, "x y");
+	sr_usage_windows_heard(before, "b/1", 20, "x y=7\n", 6);
+	payload = sr_usage_reports_save(first, before, 102000);
+	assert_non_null(payload);
+	assert_null(sr_usage_reports_save(first, before, 102100));
+	sr_usage_windows_count(after, 104000, "x y");
+	sr_usage_windows_heard(after, "b/2", 20, "x y=2\n", 6);
+	sr_usage_reports_load(second, payload, after, 104500);
+	assert_int_equal(total_of(after, 20, "x y"), 20);
+	/* a host that lives still tells all it counted; nothing counts twice */
+	sr_usage_windows_heard(after, "b/1", 20, "x y=9\n", 6);
+	assert_int_equal(total_of(after, 20, "x y"), 22);
+	g_bytes_unref(payload);
+	sr_usage_reports_free(first);
+	sr_usage_reports_free(second);
+	sr_usage_windows_free(before);
+	sr_usage_windows_free(after);
+}
+
+/* The store was down; the host that takes over was not told so far. */
+static void test_successor_hears_the_others_first(void **state)
+{
+	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
+	sr_usage_reports_t *reports = new_reports();
+	sr_usage_report_t report;
+	GBytes *payload;
+
+	(void)state;
+	sr_usage_reports_load(reports, NULL, usage, 112000);
+	/* windows up to 19 ended at 100 s and are nearly due, the next are not */
+	payload = sr_usage_reports_close(reports, usage, 112100);
+	assert_non_null(payload);
+	g_bytes_unref(payload);
+	sr_usage_reports_written(reports, TRUE);
+	while (sr_usage_reports_next(reports, &report))
+		assert_true(report.window <= 19);
+	sr_usage_windows_heard(usage, "b", 20, "x=4\n", 4);
+	payload = sr_usage_reports_close(reports, usage, 115100);
+	assert_non_null(payload);
+	g_bytes_unref(payload);
+	sr_usage_reports_written(reports, TRUE);
+	assert_true(sr_usage_reports_next(reports, &report));
+	assert_int_equal(report.window, 20);
+	assert_int_equal(count_of(&report, "x"), 4);
+	sr_usage_reports_free(reports);
+	sr_usage_windows_free(usage);
+}
+
+/* The payload comes from the store; a damaged line changes nothing. */
+static void test_damaged_lines_are_left_out(void **state)
+{
+	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
+
+	(void)state;
+	sr_usage_windows_restore(usage, "");
+	sr_usage_windows_restore(usage, "+");
+	sr_usage_windows_restore(usage, "+20");
+	sr_usage_windows_restore(usage, "+20 b");
+	sr_usage_windows_restore(usage, "+x b x=1");
+	sr_usage_windows_restore(usage, "+20 b x= =1 x=-1 x=1z x");
+	assert_int_equal(total_of(usage, 20, "x"), 0);
+	sr_usage_windows_restore(usage, "+20 a x=5"); /* its own are its own */
+	assert_int_equal(total_of(usage, 20, "x"), 0);
+	sr_usage_windows_restore(usage, "+20 b x=5 %zz=3");
+	assert_int_equal(total_of(usage, 20, "x"), 5);
+	sr_usage_windows_free(usage);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_window_is_reported_once_it_is_written),
+		cmocka_unit_test(test_successor_repeats_to_the_letter),
+		cmocka_unit_test(test_failed_write_reports_nothing),
+		cmocka_unit_test(test_usage_counts_grow_only),
+		cmocka_unit_test(test_open_windows_outlive_all_hosts),
+		cmocka_unit_test(test_successor_hears_the_others_first),
+		cmocka_unit_test(test_damaged_lines_are_left_out),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
