Give what has one owner to a host that all hosts know

Owners and claimants are delegates now, the holder is spread with its address, and delegates tell the size of their domain, so that shares of the retry budget and of pools are of all hosts (75 were taken for 27).

Found on the way: hosts that are not held were told as alive and never taken back (866 changes of one seed in 50 s), and every host of the fleet contacted a seed of another domain that is no delegate every 2 s, for ever. Members are now told as they are held, and only delegates contact seeds. Test first: with a seed that is no delegate four tests of gossip_test failed, two of them old.

Ruled out: lost datagrams (the loss was two thirds for 30 s, to the percent), a full link, a second holder.

--- a/src/core/gossip.c
+++ b/src/core/gossip.c
@@ -9,7 +9,7 @@
 /* How long a dead member of the own domain is remembered. */
 #define DEAD_KEEP (10 * SR_MINUTE)
 /* Dead members of another domain that are kept to contact them again. */
-#define DEAD_PER_DOMAIN SR_DELEGATES
+#define DEAD_PER_DOMAIN SR_GOSSIP_DELEGATES
 #define PUSH_PERIOD (200 * SR_MSEC)
 #define SWEEP_PERIOD (500 * SR_MSEC)
 /* A longer gap between two ticks means that the process stood still. */
@@ -24,10 +24,11 @@
 			   (double)time);
 }
 
-static void tell_member(sr_gossip_t *g, const sr_record_t *record)
+static void tell_member(sr_gossip_t *g, sr_record_t *record)
 {
 	sr_member_t member;
 
+	record->told = TRUE;
 	sr_member_view(record, &member);
 	if (g->options.member_changed)
 		g->options.member_changed(g->options.user, &member);
@@ -80,6 +81,13 @@
 	return oldest;
 }
 
+static void forget_member(sr_gossip_t *g, sr_record_t *record)
+{
+	if (record->told && g->options.member_forgotten)
+		g->options.member_forgotten(g->options.user, record->key);
+	sr_table_remove(&g->table, record);
+}
+
 /*
  * Of another domain only the delegates stay, and the latest dead: their death
  * still has to be passed on.
@@ -95,14 +103,14 @@
 	for (guint i = 0; i < list->len; i++) {
 		sr_record_t *record = g_ptr_array_index(list, i);
 
-		if (sr_member_is_live(record) && ++live > SR_DELEGATES)
+		if (sr_member_is_live(record) && ++live > SR_GOSSIP_DELEGATES)
 			g_ptr_array_add(surplus, record);
 	}
 	oldest = oldest_dead(list, &n_dead);
 	if (n_dead > DEAD_PER_DOMAIN)
 		g_ptr_array_add(surplus, oldest);
 	for (guint i = 0; i < surplus->len; i++)
-		sr_table_remove(&g->table, g_ptr_array_index(surplus, i));
+		forget_member(g, g_ptr_array_index(surplus, i));
 	g_ptr_array_unref(surplus);
 }
 
@@ -114,6 +122,7 @@
 static void take_member(sr_gossip_t *g, sr_record_t *record)
 {
 	char *domain = g_strdup(record->domain);
+	char *name = g_strdup(record->key);
 	sr_member_state_t state = sr_member_state(record);
 	gboolean foreign = is_foreign(g, record);
 
@@ -124,10 +133,14 @@
 	else if (!record->expires)
 		record->expires = g->now + DEAD_KEEP;
 	sr_gossip_enqueue(g, record);
-	tell_member(g, record);
 	if (foreign)
 		prune_domain(g, domain);
+	/* one that is no delegate is not held, and no news */
+	record = sr_table_find(&g->table, SR_RECORD_MEMBER, name);
+	if (record)
+		tell_member(g, record);
 	g_free(domain);
+	g_free(name);
 }
 
 /* A member of another domain that is gone and was not known is no news. */
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -29,7 +29,8 @@
 	SR_RUMOUR_LEAVING, /* key = upstream or host that is leaving */
 	SR_RUMOUR_RECALL,  /* key = "service/version"; grow-only */
 	SR_RUMOUR_SHARD_OWNER, /* key = shard, or the duties of entry hosts;
-				* version = epoch; value = node */
+				* version = epoch; value = node, of the
+				* duties its address */
 	SR_RUMOUR_EVIDENCE,    /* key = node/service/version/route; counters */
 	SR_RUMOUR_USAGE,       /* key = node/account; requests in flight */
 	SR_RUMOUR_STATUS,      /* key = node; generation in force, draining */
@@ -39,9 +40,18 @@
 			     * its entry, and 1 more for its removal */
 	SR_RUMOUR_DEMAND,   /* key = node; what accounts asked it for */
 	SR_RUMOUR_LOAD,	    /* key = node; its work at instances */
+	SR_RUMOUR_SIZE,	    /* key = failure domain/node; the domain's live
+			     * members as one of its delegates knows them */
 	SR_RUMOUR_N_KINDS,
 } sr_rumour_kind_t;
 
+/** Delegates of a failure domain. */
+#define SR_GOSSIP_DELEGATES 3
+
+/** sr_gossip_delegate_score - the live members of a domain with the lowest
+ * scores are its delegates. */
+guint64 sr_gossip_delegate_score(const char *name);
+
 /** Largest value and key of a rumour, in bytes; larger ones are not taken. */
 #define SR_RUMOUR_MAX 512
 #define SR_RUMOUR_KEY_MAX 224
@@ -88,6 +98,8 @@
 	/* a rumour that is new here, or a higher version of a known one */
 	void (*heard)(void *user, const sr_rumour_t *rumour);
 	void (*member_changed)(void *user, const sr_member_t *member);
+	/* one of another domain is not held any more: it is no delegate */
+	void (*member_forgotten)(void *user, const char *name);
 	void *user;
 } sr_gossip_options_t;
 
--- a/src/core/gossip_sync.c
+++ b/src/core/gossip_sync.c
@@ -49,6 +49,7 @@
 	GPtrArray *addresses; /* borrowed strings */
 	GHashTable *live;     /* set of addresses */
 	unsigned n_live;
+	unsigned n_dead; /* addresses before those of seeds */
 } contacts_t;
 
 static gint compare_ids(gconstpointer a, gconstpointer b)
@@ -96,6 +97,7 @@
 			g_ptr_array_add(contacts->addresses, record->address);
 		}
 	}
+	contacts->n_dead = contacts->addresses->len;
 	for (guint i = 0; i < g->seeds->len; i++)
 		g_ptr_array_add(contacts->addresses,
 				g_ptr_array_index(g->seeds, i));
@@ -108,9 +110,23 @@
 		send_sync(g, address, g->table.domain);
 }
 
+/* One of the dead, or a seed that may be of a side that was never met. */
+static void contact_one(sr_gossip_t *g, contacts_t *contacts)
+{
+	gint32 i = g_rand_int_range(g->random, 0,
+				    (gint32)contacts->addresses->len);
+
+	if ((guint)i >= contacts->n_dead &&
+	    g_rand_int_range(g->random, 0, SR_GOSSIP_DELEGATES) > 0)
+		return; /* the turn of another delegate, on the average */
+	contact(g, contacts, g_ptr_array_index(contacts->addresses, i));
+}
+
 /*
  * After a partition each side holds the other for dead. Members that are dead
- * here, and seeds, are tried now and then, so that the sides meet again.
+ * here, and seeds, are tried now and then, so that the sides meet again. The
+ * delegates of each side do it: a seed of another domain that is no delegate
+ * is never held, and would hear of every node of the fleet again and again.
  */
 void sr_gossip_reconnect_tick(sr_gossip_t *g)
 {
@@ -130,11 +146,9 @@
 		for (guint i = 0; i < contacts.addresses->len; i++)
 			contact(g, &contacts,
 				g_ptr_array_index(contacts.addresses, i));
-	} else if (contacts.addresses->len) {
-		gint32 i = g_rand_int_range(g->random, 0,
-					    (gint32)contacts.addresses->len);
-
-		contact(g, &contacts, g_ptr_array_index(contacts.addresses, i));
+	} else if (contacts.addresses->len &&
+		   sr_table_is_delegate(&g->table, g->self)) {
+		contact_one(g, &contacts);
 	}
 out:
 	g_hash_table_unref(contacts.live);
--- a/src/core/gossip_table.c
+++ b/src/core/gossip_table.c
@@ -15,6 +15,11 @@
 	return XXH64(key, strlen(key), kind);
 }
 
+guint64 sr_gossip_delegate_score(const char *name)
+{
+	return XXH64(name, strlen(name), 1);
+}
+
 static guint64 mix(guint64 id, guint64 version)
 {
 	guint64 both[2] = { id, version };
@@ -198,7 +203,7 @@
 	record->domain = g_strdup(domain);
 	g_free(record->address);
 	record->address = g_strdup(address);
-	record->score = XXH64(record->key, strlen(record->key), 1);
+	record->score = sr_gossip_delegate_score(record->key);
 	list_member(table, record);
 }
 
@@ -247,7 +252,7 @@
 
 	if (!sr_member_is_live(record))
 		return FALSE;
-	for (guint i = 0; i < list->len && before < SR_DELEGATES; i++) {
+	for (guint i = 0; i < list->len && before < SR_GOSSIP_DELEGATES; i++) {
 		sr_record_t *other = g_ptr_array_index(list, i);
 
 		if (other == record)
--- a/src/core/gossip_table.h
+++ b/src/core/gossip_table.h
@@ -18,9 +18,6 @@
 /** How many hashes stand for a whole table in an exchange of digests. */
 #define SR_TABLE_BUCKETS 32
 
-/** Delegates of a failure domain. */
-#define SR_DELEGATES 3
-
 typedef struct sr_record {
 	sr_list_t queued; /* in one of the queues, or alone */
 	guint8 kind;
@@ -34,6 +31,7 @@
 	unsigned far_left;  /* and to other domains */
 	char *domain;	    /* members only, and so all below */
 	char *address;
+	gboolean told;	      /* to the owner of the gossip */
 	guint64 score;	      /* the lower, the sooner a delegate */
 	sr_usec_t suspect_by; /* when a suspect counts as dead */
 	sr_usec_t changed;
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -76,6 +76,14 @@
 	assign_roles(control);
 }
 
+static void on_member_forgotten(void *user, const char *name)
+{
+	sr_control_t *control = user;
+
+	if (sr_members_forget(control->members, name))
+		assign_roles(control);
+}
+
 static void on_gossip_send(void *user, const char *address, const guint8 *data,
 			   gsize size)
 {
@@ -291,6 +299,7 @@
 		.send = on_gossip_send,
 		.heard = sr_control_on_heard,
 		.member_changed = on_member_changed,
+		.member_forgotten = on_member_forgotten,
 		.user = control,
 	};
 	const sr_members_options_t members = {
--- a/src/daemon/control_rumours.c
+++ b/src/daemon/control_rumours.c
@@ -227,6 +227,7 @@
 	case SR_RUMOUR_INSTANCE:
 	case SR_RUMOUR_DEMAND:
 	case SR_RUMOUR_LOAD:
+	case SR_RUMOUR_SIZE:
 		break;
 	case SR_RUMOUR_RECALL:
 	case SR_RUMOUR_SHARD_OWNER:
--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -6,7 +6,9 @@
 
 struct sr_members {
 	char *node;
-	GHashTable *live; /* name -> live_t */
+	char *domain;	   /* of this node */
+	GHashTable *live;  /* name -> live_t */
+	GHashTable *sizes; /* failure domain -> its live nodes, as told */
 	GRand *random;
 };
 
@@ -14,6 +16,8 @@
 	char *name;
 	char *failure_domain;
 	char *address;
+	guint64 score; /* the lower, the sooner a delegate */
+	gboolean is_delegate;
 } live_t;
 
 static void free_live(gpointer data)
@@ -34,9 +38,36 @@
 	live->name = g_strdup(name);
 	live->failure_domain = g_strdup(failure_domain);
 	live->address = g_strdup(address);
+	live->score = sr_gossip_delegate_score(name);
 	g_hash_table_replace(members->live, live->name, live);
 }
 
+static gboolean is_before(const live_t *a, const live_t *b)
+{
+	return !strcmp(a->failure_domain, b->failure_domain) &&
+	       (a->score < b->score ||
+		(a->score == b->score && strcmp(a->name, b->name) < 0));
+}
+
+static void choose_delegates(sr_members_t *members)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		live_t *live = value;
+		GHashTableIter others;
+		gpointer other;
+		unsigned before = 0;
+
+		g_hash_table_iter_init(&others, members->live);
+		while (g_hash_table_iter_next(&others, NULL, &other))
+			before += is_before(other, live);
+		live->is_delegate = before < SR_GOSSIP_DELEGATES;
+	}
+}
+
 static gint compare_names(gconstpointer a, gconstpointer b)
 {
 	return strcmp(*(char *const *)a, *(char *const *)b);
@@ -50,8 +81,12 @@
 	members->live =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_live);
 	members->random = g_rand_new_with_seed((guint32)options->seed);
+	members->domain = g_strdup(options->failure_domain);
+	members->sizes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	add_live(members, options->node, options->failure_domain,
 		 options->address);
+	choose_delegates(members);
 	return members;
 }
 
@@ -60,19 +95,20 @@
 	if (!members)
 		return;
 	g_hash_table_destroy(members->live);
+	g_hash_table_unref(members->sizes);
+	g_free(members->domain);
 	g_rand_free(members->random);
 	g_free(members->node);
 	g_free(members);
 }
 
-gboolean sr_members_update(sr_members_t *members, const sr_member_t *member)
+/* Returns FALSE if the member is known like that already. */
+static gboolean apply(sr_members_t *members, const sr_member_t *member)
 {
 	gboolean is_live = member->state == SR_MEMBER_ALIVE ||
 			   member->state == SR_MEMBER_SUSPECT;
 	const live_t *known = g_hash_table_lookup(members->live, member->name);
 
-	if (!strcmp(member->name, members->node))
-		return FALSE;
 	if (!is_live)
 		return g_hash_table_remove(members->live, member->name);
 	if (known && !strcmp(known->address, member->address) &&
@@ -83,6 +119,23 @@
 	return TRUE;
 }
 
+gboolean sr_members_update(sr_members_t *members, const sr_member_t *member)
+{
+	if (!strcmp(member->name, members->node) || !apply(members, member))
+		return FALSE;
+	choose_delegates(members);
+	return TRUE;
+}
+
+gboolean sr_members_forget(sr_members_t *members, const char *node)
+{
+	if (!strcmp(node, members->node) ||
+	    !g_hash_table_remove(members->live, node))
+		return FALSE;
+	choose_delegates(members);
+	return TRUE;
+}
+
 gboolean sr_members_is_alive(const sr_members_t *members, const char *node)
 {
 	return g_hash_table_contains(members->live, node);
@@ -95,9 +148,52 @@
 	return live ? live->address : NULL;
 }
 
+void sr_members_set_sizes(sr_members_t *members, GHashTable *sizes)
+{
+	g_hash_table_unref(members->sizes);
+	members->sizes = g_hash_table_ref(sizes);
+}
+
+static unsigned count_known(const sr_members_t *members,
+			    const char *failure_domain)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += !strcmp(((live_t *)value)->failure_domain, failure_domain);
+	return n;
+}
+
 unsigned sr_members_count(const sr_members_t *members)
 {
-	return g_hash_table_size(members->live);
+	unsigned n = g_hash_table_size(members->live);
+	GHashTableIter iter;
+	gpointer domain;
+	gpointer size;
+
+	g_hash_table_iter_init(&iter, members->sizes);
+	while (g_hash_table_iter_next(&iter, &domain, &size)) {
+		unsigned known = count_known(members, domain);
+
+		if (known > 0 && strcmp(domain, members->domain) != 0)
+			n += MAX(GPOINTER_TO_UINT(size), known) - known;
+	}
+	return n;
+}
+
+unsigned sr_members_count_own(const sr_members_t *members)
+{
+	return count_known(members, members->domain);
+}
+
+gboolean sr_members_is_delegate(const sr_members_t *members)
+{
+	const live_t *self = g_hash_table_lookup(members->live, members->node);
+
+	return self->is_delegate;
 }
 
 unsigned sr_members_count_domains(const sr_members_t *members)
@@ -156,6 +252,7 @@
 unsigned sr_members_rank(const sr_members_t *members, const char *thing)
 {
 	guint64 own = sr_rendezvous_score(members->node, thing);
+	gboolean is_delegate = sr_members_is_delegate(members);
 	GHashTableIter iter;
 	gpointer value;
 	unsigned rank = 0;
@@ -164,13 +261,15 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const live_t *live = value;
 
-		if (sr_rendezvous_score(live->name, thing) > own)
+		if (live->is_delegate &&
+		    (!is_delegate ||
+		     sr_rendezvous_score(live->name, thing) > own))
 			rank++;
 	}
 	return rank;
 }
 
-/* The live node with the highest score below a bound, or NULL. */
+/* The live delegate with the highest score below a bound, or NULL. */
 static const live_t *next_owner(const sr_members_t *members, const char *thing,
 				guint64 bound)
 {
@@ -184,7 +283,8 @@
 		const live_t *live = value;
 		guint64 score = sr_rendezvous_score(live->name, thing);
 
-		if (score < bound && (!owner || score > best)) {
+		if (live->is_delegate && score < bound &&
+		    (!owner || score > best)) {
 			owner = live;
 			best = score;
 		}
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -221,7 +221,8 @@
 
 static void heard_holder(sr_beliefs_t *beliefs, const sr_rumour_t *rumour)
 {
-	if (strcmp(rumour->key, SR_BELIEFS_DUTIES))
+	if (strcmp(rumour->key, SR_BELIEFS_DUTIES) || rumour->size == 0 ||
+	    memchr(rumour->value, 0, rumour->size))
 		return;
 	g_free(beliefs->holder);
 	beliefs->holder = g_strndup((const char *)rumour->value, rumour->size);
@@ -259,7 +260,6 @@
 	static const char *const states[] = { "alive", "suspect", "left",
 					      "dead" };
 	sr_beliefs_t *beliefs = user;
-	unsigned n;
 
 	sr_log_event(beliefs->options.log, SR_LOG_INFO, "peer-changed", "peer",
 		     member->name, "state", states[member->state], "address",
@@ -269,8 +269,17 @@
 			sr_gateway_allowance(beliefs->options.gateway),
 			member->name);
 	sr_members_update(beliefs->members, member);
-	n = sr_members_count(beliefs->members);
-	sr_gateway_set_hosts(beliefs->options.gateway, n);
+	sr_gateway_set_hosts(beliefs->options.gateway,
+			     sr_beliefs_hosts(beliefs));
+}
+
+static void on_member_forgotten(void *user, const char *name)
+{
+	sr_beliefs_t *beliefs = user;
+
+	sr_log_event(beliefs->options.log, SR_LOG_INFO, "peer-changed", "peer",
+		     name, "state", "not held", NULL);
+	sr_members_forget(beliefs->members, name);
 }
 
 static void on_datagram(void *user, const guint8 *data, gsize size)
@@ -344,6 +353,9 @@
 	}
 	if (now >= beliefs->next_usage) {
 		beliefs->next_usage = now + USAGE_PERIOD;
+		sr_domain_sizes_tick(beliefs);
+		sr_gateway_set_hosts(beliefs->options.gateway,
+				     sr_beliefs_hosts(beliefs));
 		sr_usage_tellings_send(beliefs);
 		sr_pool_asks_tick(beliefs);
 	}
@@ -391,6 +403,7 @@
 		.send = on_send,
 		.heard = on_heard,
 		.member_changed = on_member_changed,
+		.member_forgotten = on_member_forgotten,
 		.user = beliefs,
 	};
 	const sr_members_options_t members = {
@@ -475,9 +488,9 @@
 void sr_beliefs_announce_holder(sr_beliefs_t *beliefs, guint64 epoch)
 {
 	g_free(beliefs->holder);
-	beliefs->holder = g_strdup(beliefs->options.node);
+	beliefs->holder = g_strdup(beliefs->options.peer_address);
 	put(beliefs, SR_RUMOUR_SHARD_OWNER, SR_BELIEFS_DUTIES, epoch,
-	    beliefs->options.node, 0);
+	    beliefs->options.peer_address, 0);
 }
 
 void sr_beliefs_leave(sr_beliefs_t *beliefs)
--- a/src/fleet/beliefs_internal.h
+++ b/src/fleet/beliefs_internal.h
@@ -37,7 +37,8 @@
 	sr_list_t asks;	   /* of pool_asks.c */
 	guint64 n_asks;
 	double most_hosts; /* that were live of late; fades slowly */
-	char *holder;	   /* of the duties, as far as it is known; or NULL */
+	char *holder;	   /* address of who has the duties; or NULL */
+	sr_usec_t next_size;
 	sr_usec_t next_usage;
 	guint64 n_usage_sent;
 	GHashTable *usage_told; /* host and incarnation -> sr_usec_t */
@@ -86,6 +87,11 @@
 gboolean sr_pool_asks_receive(sr_beliefs_t *beliefs, const guint8 *data,
 			      gsize size);
 
+/* domain_sizes.c: how many hosts the other failure domains have */
+
+/** sr_domain_sizes_tick - tell and collect the sizes; call once a second. */
+void sr_domain_sizes_tick(sr_beliefs_t *beliefs);
+
 /* usage_tellings.c: counts of usage, sent to those who report them */
 
 void sr_usage_tellings_send(sr_beliefs_t *beliefs);
--- a/src/fleet/usage_tellings.c
+++ b/src/fleet/usage_tellings.c
@@ -45,17 +45,17 @@
 {
 	GPtrArray *addresses = sr_members_owners(beliefs->members,
 						 SR_BELIEFS_DUTIES, SUCCESSORS);
-	const char *holder =
-		beliefs->holder ?
-			sr_members_address(beliefs->members, beliefs->holder) :
-			NULL;
+	char *holder = beliefs->holder;
 
+	/* its own counts need no datagram */
+	if (holder && !strcmp(holder, beliefs->options.peer_address))
+		holder = NULL;
 	for (guint i = 0; holder && i < addresses->len; i++) {
 		if (!strcmp(addresses->pdata[i], holder))
 			holder = NULL;
 	}
 	if (holder)
-		g_ptr_array_add(addresses, (gpointer)holder);
+		g_ptr_array_add(addresses, holder);
 	return addresses;
 }
 
--- a/test/gossip_test.c
+++ b/test/gossip_test.c
@@ -26,15 +26,19 @@
 	sr_gossip_t *gossip;
 	sr_usec_t heard_at;
 	unsigned heard;
+	unsigned changes;  /* of members, as told */
+	GHashTable *alive; /* set of names, as told */
 } node_t;
 
 struct cluster {
 	node_t nodes[NODES_MAX];
 	unsigned n;
+	unsigned seed; /* whom all others know from the start */
 	sr_usec_t now;
 	GQueue *wire; /* of packet_t */
 	gboolean drop_pushes;
 	unsigned pings[NODES_MAX]; /* sent by each node */
+	unsigned syncs[NODES_MAX]; /* sent to each node */
 };
 
 typedef struct {
@@ -53,6 +57,8 @@
 	assert_true(size <= SR_GOSSIP_DATAGRAM_MAX);
 	assert_true(sr_gossip_decode(data, size, &datagram));
 	push = datagram.message.type == SR_GOSSIP_PUSH;
+	node->cluster->syncs[g_ascii_strtoull(address, NULL, 10)] +=
+		datagram.message.type == SR_GOSSIP_SYNC;
 	node->cluster->pings[node->index] +=
 		datagram.message.type == SR_GOSSIP_PING;
 	sr_gossip_datagram_clear(&datagram);
@@ -72,12 +78,53 @@
 	node->heard_at = node->cluster->now;
 }
 
+static void on_member_changed(void *user, const sr_member_t *member)
+{
+	node_t *node = user;
+
+	node->changes++;
+	if (member->state == SR_MEMBER_ALIVE ||
+	    member->state == SR_MEMBER_SUSPECT)
+		g_hash_table_add(node->alive, g_strdup(member->name));
+	else
+		g_hash_table_remove(node->alive, member->name);
+}
+
+static void on_member_forgotten(void *user, const char *name)
+{
+	node_t *node = user;
+
+	node->changes++;
+	g_hash_table_remove(node->alive, name);
+}
+
+/* Of the first domain, the last to become a delegate. */
+static unsigned find_seed(unsigned per_domain)
+{
+	unsigned seed = 0;
+	guint64 most = 0;
+
+	for (unsigned i = 0; i < per_domain; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "node%u", i);
+		if (sr_gossip_delegate_score(name) > most) {
+			most = sr_gossip_delegate_score(name);
+			seed = i;
+		}
+	}
+	return seed;
+}
+
 static void start(cluster_t *c, unsigned domains, unsigned per_domain)
 {
+	char seed[16];
+
 	memset(c, 0, sizeof(*c));
 	c->wire = g_queue_new();
 	c->n = domains * per_domain;
 	c->now = SR_SEC;
+	c->seed = find_seed(per_domain);
 	for (unsigned i = 0; i < c->n; i++) {
 		node_t *node = &c->nodes[i];
 		char address[16];
@@ -88,8 +135,15 @@
 						.seed = i,
 						.send = on_send,
 						.heard = on_heard,
+						.member_changed =
+							on_member_changed,
+						.member_forgotten =
+							on_member_forgotten,
 						.user = node };
 
+		node->alive = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, NULL);
+
 		node->cluster = c;
 		node->index = i;
 		g_snprintf(node->name, sizeof(node->name), "node%u", i);
@@ -97,8 +151,11 @@
 			   i / per_domain);
 		g_snprintf(address, sizeof(address), "%u", i);
 		node->gossip = sr_gossip_new(&options, c->now);
-		if (i)
-			sr_gossip_seed(node->gossip, "0");
+	}
+	g_snprintf(seed, sizeof(seed), "%u", c->seed);
+	for (unsigned i = 0; i < c->n; i++) {
+		if (i != c->seed)
+			sr_gossip_seed(c->nodes[i].gossip, seed);
 	}
 }
 
@@ -132,6 +189,8 @@
 {
 	for (unsigned i = 0; i < c->n; i++)
 		sr_gossip_free(c->nodes[i].gossip);
+	for (unsigned i = 0; i < c->n; i++)
+		g_hash_table_unref(c->nodes[i].alive);
 	for (packet_t *p; (p = g_queue_pop_head(c->wire));) {
 		g_bytes_unref(p->data);
 		g_free(p);
@@ -175,10 +234,44 @@
 	start(&c, 12, 8);
 	run(&c, 30 * SR_SEC);
 	for (unsigned i = 0; i < c.n; i++) {
-		assert_int_equal(live_at(&c.nodes[i]), 8 + 11 * SR_DELEGATES);
+		assert_int_equal(live_at(&c.nodes[i]),
+				 8 + 11 * SR_GOSSIP_DELEGATES);
 		assert_true(sr_gossip_n_records(c.nodes[i].gossip) <=
-			    8 + 11 * 2 * SR_DELEGATES);
+			    8 + 11 * 2 * SR_GOSSIP_DELEGATES);
+	}
+	stop(&c);
+}
+
+/* What members are told to be alive is what the gossip itself holds, and a
+ * fleet in which nothing happens tells nothing. */
+static void test_members_are_told_as_they_are_held(void **state)
+{
+	static cluster_t c;
+
+	start(&c, 12, 8);
+	run(&c, 30 * SR_SEC);
+	for (unsigned i = 0; i < c.n; i++) {
+		assert_int_equal(g_hash_table_size(c.nodes[i].alive) + 1,
+				 live_at(&c.nodes[i]));
+		c.nodes[i].changes = 0;
 	}
+	run(&c, 20 * SR_SEC);
+	for (unsigned i = 0; i < c.n; i++)
+		assert_int_equal(c.nodes[i].changes, 0);
+	stop(&c);
+}
+
+/* The seed may be no delegate, so that other domains never hold it. */
+static void test_seed_bears_no_load_of_the_fleet(void **state)
+{
+	static cluster_t c;
+
+	start(&c, 12, 8);
+	run(&c, 30 * SR_SEC);
+	memset(c.syncs, 0, sizeof(c.syncs));
+	run(&c, 30 * SR_SEC);
+	/* from each domain, not from each node, at most once a second */
+	assert_true(c.syncs[c.seed] <= 12 * 30);
 	stop(&c);
 }
 
@@ -313,6 +406,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_state_does_not_grow_with_the_fleet),
+		cmocka_unit_test(test_members_are_told_as_they_are_held),
+		cmocka_unit_test(test_seed_bears_no_load_of_the_fleet),
 		cmocka_unit_test(test_rumour_crosses_the_fleet_in_time),
 		cmocka_unit_test(test_counters_stay_within_the_budget),
 		cmocka_unit_test(test_rumour_expires_everywhere),
--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -35,7 +35,7 @@
 static void answer(store_t *store)
 {
 	const sr_store_call_t *call = &store->call;
-	sr_store_reply_t reply = {.status = SR_STORE_OK};
+	sr_store_reply_t reply = { .status = SR_STORE_OK };
 
 	if (!store->is_waiting)
 		return;
--- /dev/null
+++ b/test/members_test.c
@@ -0,0 +1,191 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "daemon/members.h"
+
+/* Each host knows all hosts of its own failure domain and the delegates of the
+ * others; what they decide by that must agree all the same. */
+
+#define DOMAINS 5
+#define HOSTS 15 /* of each domain */
+
+typedef struct {
+	char name[32];
+	char domain[16];
+	char address[32];
+} host_t;
+
+typedef struct {
+	host_t hosts[DOMAINS * HOSTS];
+	sr_members_t *views[DOMAINS * HOSTS];
+} fleet_t;
+
+static gboolean is_delegate(const fleet_t *fleet, const host_t *host)
+{
+	unsigned before = 0;
+
+	for (unsigned i = 0; i < DOMAINS * HOSTS; i++) {
+		const host_t *other = &fleet->hosts[i];
+
+		if (!strcmp(other->domain, host->domain) &&
+		    sr_gossip_delegate_score(other->name) <
+			    sr_gossip_delegate_score(host->name))
+			before++;
+	}
+	return before < SR_GOSSIP_DELEGATES;
+}
+
+static void introduce(sr_members_t *view, const host_t *host,
+		      sr_member_state_t state)
+{
+	const sr_member_t member = {
+		.name = host->name,
+		.failure_domain = host->domain,
+		.address = host->address,
+		.state = state,
+	};
+
+	sr_members_update(view, &member);
+}
+
+static void start(fleet_t *fleet)
+{
+	for (unsigned i = 0; i < DOMAINS * HOSTS; i++) {
+		host_t *host = &fleet->hosts[i];
+
+		g_snprintf(host->name, sizeof(host->name), "host-%u", i);
+		g_snprintf(host->domain, sizeof(host->domain), "zone-%u",
+			   i / HOSTS);
+		g_snprintf(host->address, sizeof(host->address), "10.%u.0.%u:1",
+			   i / HOSTS, i % HOSTS);
+	}
+	for (unsigned i = 0; i < DOMAINS * HOSTS; i++) {
+		const host_t *host = &fleet->hosts[i];
+		const sr_members_options_t options = {
+			.node = host->name,
+			.failure_domain = host->domain,
+			.address = host->address,
+			.seed = i,
+		};
+
+		fleet->views[i] = sr_members_new(&options);
+		for (unsigned j = 0; j < DOMAINS * HOSTS; j++) {
+			const host_t *other = &fleet->hosts[j];
+
+			if (!strcmp(other->domain, host->domain) ||
+			    is_delegate(fleet, other))
+				introduce(fleet->views[i], other,
+					  SR_MEMBER_ALIVE);
+		}
+	}
+}
+
+static void stop(fleet_t *fleet)
+{
+	for (unsigned i = 0; i < DOMAINS * HOSTS; i++)
+		sr_members_free(fleet->views[i]);
+}
+
+/* The one that owns a thing has no other before it: its own address is left
+ * out of the list. */
+static unsigned count_owners(const fleet_t *fleet, const char *thing)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < DOMAINS * HOSTS; i++) {
+		GPtrArray *others =
+			sr_members_owners(fleet->views[i], thing, 1);
+
+		n += others->len == 0;
+		g_ptr_array_unref(others);
+	}
+	return n;
+}
+
+static void test_one_host_owns_a_thing(void **state)
+{
+	fleet_t fleet;
+	char thing[16];
+
+	(void)state;
+	start(&fleet);
+	for (unsigned i = 0; i < 50; i++) {
+		g_snprintf(thing, sizeof(thing), "thing-%u", i);
+		assert_int_equal(count_owners(&fleet, thing), 1);
+	}
+	stop(&fleet);
+}
+
+static void test_few_hosts_claim(void **state)
+{
+	fleet_t fleet;
+	unsigned n = 0;
+
+	(void)state;
+	start(&fleet);
+	for (unsigned i = 0; i < DOMAINS * HOSTS; i++)
+		n += sr_members_rank(fleet.views[i], "duties") < 2;
+	assert_int_equal(n, 2);
+	stop(&fleet);
+}
+
+/* A domain is down to one host, which was no delegate before. */
+static void test_last_host_of_a_domain_is_a_delegate(void **state)
+{
+	fleet_t fleet;
+	unsigned last = 0;
+
+	(void)state;
+	start(&fleet);
+	while (is_delegate(&fleet, &fleet.hosts[last]))
+		last++;
+	for (unsigned i = 0; i < DOMAINS * HOSTS; i++) {
+		if (i != last)
+			introduce(fleet.views[last], &fleet.hosts[i],
+				  SR_MEMBER_DEAD);
+	}
+	assert_int_equal(sr_members_rank(fleet.views[last], "duties"), 0);
+	stop(&fleet);
+}
+
+/* Sizes that delegates of other domains tell count; own hosts are known. */
+static void test_hosts_that_are_not_known_count(void **state)
+{
+	GHashTable *sizes = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet_t fleet;
+
+	(void)state;
+	start(&fleet);
+	assert_int_equal(sr_members_count(fleet.views[0]),
+			 HOSTS + (DOMAINS - 1) * SR_GOSSIP_DELEGATES);
+	for (unsigned i = 0; i < DOMAINS; i++)
+		g_hash_table_insert(sizes, fleet.hosts[i * HOSTS].domain,
+				    GUINT_TO_POINTER(i == 0 ? 99 : HOSTS));
+	/* a domain of which no host is known has none that are live */
+	g_hash_table_insert(sizes, "zone-9", GUINT_TO_POINTER(7));
+	sr_members_set_sizes(fleet.views[0], sizes);
+	assert_int_equal(sr_members_count(fleet.views[0]), DOMAINS * HOSTS);
+	/* a size that is not told any more, or less than what is known */
+	g_hash_table_remove(sizes, "zone-1");
+	g_hash_table_insert(sizes, "zone-2", GUINT_TO_POINTER(1));
+	assert_int_equal(sr_members_count(fleet.views[0]),
+			 (DOMAINS - 2) * HOSTS + 2 * SR_GOSSIP_DELEGATES);
+	g_hash_table_unref(sizes);
+	stop(&fleet);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_one_host_owns_a_thing),
+		cmocka_unit_test(test_few_hosts_claim),
+		cmocka_unit_test(test_last_host_of_a_domain_is_a_delegate),
+		cmocka_unit_test(test_hosts_that_are_not_known_count),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/prove/gossip_model.c
+++ b/test/prove/gossip_model.c
@@ -458,7 +458,7 @@
 		seen += view->live[node->index];
 	}
 	if (!own)
-		running = MIN(running, SR_DELEGATES);
+		running = MIN(running, SR_GOSSIP_DELEGATES);
 	if (seen != running)
 		fail(m, "%s knows %u of %u in domain%u", viewer->name, seen,
 		     running, domain);
--- a/test/usage_test.c
+++ b/test/usage_test.c
@@ -187,7 +187,8 @@
 
 	(void)state;
 	sr_usage_reports_load(reports, NULL, usage, 112000);
-	/* windows up to 19 ended at 100 s and are nearly due, the next are not */
+	/* windows up to 19 ended at 100 s and are nearly due, the next are not
+	 */
 	payload = sr_usage_reports_close(reports, usage, 112100);
 	assert_non_null(payload);
 	g_bytes_unref(payload);
