Let news of the table overtake instances in gossip

Records go in three lines now (members and tables, instances, counters), one that was not sent yet before those sent again, and a node that hears what it already knows tells it half as often there.

--- a/src/base/list.h
+++ b/src/base/list.h
@@ -45,6 +45,12 @@
 	head->prev = link;
 }
 
+/** sr_list_prepend - add a link at the beginning. */
+static inline void sr_list_prepend(sr_list_t *head, sr_list_t *link)
+{
+	sr_list_append(head->next, link);
+}
+
 /** sr_list_remove - unlink; the link is left pointing at itself. */
 static inline void sr_list_remove(sr_list_t *link)
 {
--- a/src/core/gossip.c
+++ b/src/core/gossip.c
@@ -239,8 +239,8 @@
 	g->now = now;
 	g->last_tick = now;
 	g->tokens = SR_GOSSIP_BURST;
-	sr_list_init(&g->urgent);
-	sr_list_init(&g->bulk);
+	for (unsigned i = 0; i < SR_N_QUEUES; i++)
+		sr_list_init(&g->queues[i]);
 	sr_table_init(&g->table, options->failure_domain);
 	g->seeds = g_ptr_array_new_with_free_func(g_free);
 	g->probe_order = g_ptr_array_new_with_free_func(g_free);
@@ -467,8 +467,11 @@
 	}
 	if (strcmp(datagram.message.sender, g->options.name) != 0) {
 		take_sender(g, &datagram.message);
-		for (gsize i = 0; i < datagram.n_records; i++)
+		for (gsize i = 0; i < datagram.n_records; i++) {
+			sr_gossip_lose_interest(g, &datagram.records[i],
+						datagram.message.domain);
 			sr_gossip_merge(g, &datagram.records[i], TRUE);
+		}
 		take_message(g, &datagram.message);
 		warn_sender(g, &datagram.message);
 	}
--- a/src/core/gossip_internal.h
+++ b/src/core/gossip_internal.h
@@ -10,6 +10,14 @@
 /* Burst of what may be sent beside probes, in bytes. */
 #define SR_GOSSIP_BURST (48 * 1024)
 
+/* What is queued to be passed on, in the order in which it goes. */
+typedef enum {
+	SR_QUEUE_FIRST, /* small and awaited by all */
+	SR_QUEUE_NEWS,	/* many at a time: instances, evidence */
+	SR_QUEUE_BULK,	/* replaced soon */
+	SR_N_QUEUES,
+} sr_gossip_queue_t;
+
 typedef struct {
 	char *name; /* NULL if no probe is under way */
 	guint64 nonce;
@@ -32,10 +40,9 @@
 	sr_usec_t now; /* of the last event */
 	sr_usec_t last_tick;
 	gboolean left;
-	sr_list_t urgent; /* records to be passed on */
-	sr_list_t bulk;	  /* counters, behind the urgent ones */
-	double tokens;	  /* bytes that may be sent */
-	GPtrArray *seeds; /* addresses */
+	sr_list_t queues[SR_N_QUEUES]; /* records to be passed on */
+	double tokens;		       /* bytes that may be sent */
+	GPtrArray *seeds;	       /* addresses */
 	GPtrArray *probe_order;
 	sr_probe_t probe;
 	GArray *relays; /* of sr_relay_t */
@@ -52,6 +59,11 @@
 void sr_gossip_merge(sr_gossip_t *g, const sr_wire_record_t *wire,
 		     gboolean from_outside);
 
+/** sr_gossip_lose_interest - a node of the domain knows what a queued record
+ * says: it is told there less often. */
+void sr_gossip_lose_interest(sr_gossip_t *g, const sr_wire_record_t *wire,
+			     const char *domain);
+
 /** sr_gossip_set_state - a new state for a member, at its incarnation. */
 void sr_gossip_set_state(sr_gossip_t *g, sr_record_t *record,
 			 sr_member_state_t state);
--- a/src/core/gossip_send.c
+++ b/src/core/gossip_send.c
@@ -103,29 +103,52 @@
 	return out;
 }
 
-static gboolean is_bulk(const sr_record_t *record)
+static sr_gossip_queue_t queue_of(const sr_record_t *record)
 {
-	return record->kind == SR_RUMOUR_EVIDENCE ||
-	       record->kind == SR_RUMOUR_USAGE ||
-	       record->kind == SR_RUMOUR_STATUS ||
-	       record->kind == SR_RUMOUR_LOAD ||
-	       record->kind == SR_RUMOUR_DEMAND;
+	switch (record->kind) {
+	case SR_RUMOUR_INSTANCE:
+		return SR_QUEUE_NEWS;
+	case SR_RUMOUR_EVIDENCE:
+	case SR_RUMOUR_USAGE:
+	case SR_RUMOUR_STATUS:
+	case SR_RUMOUR_LOAD:
+	case SR_RUMOUR_DEMAND:
+		return SR_QUEUE_BULK;
+	default:
+		return SR_QUEUE_FIRST;
+	}
 }
 
 void sr_gossip_enqueue(sr_gossip_t *g, sr_record_t *record)
 {
 	const GPtrArray *near = sr_table_of_domain(&g->table, g->table.domain);
 	unsigned domains = g_hash_table_size(g->table.members);
+	sr_gossip_queue_t queue = queue_of(record);
 	unsigned factor =
-		is_bulk(record) ? TRANSMIT_FACTOR_BULK : TRANSMIT_FACTOR;
+		queue == SR_QUEUE_BULK ? TRANSMIT_FACTOR_BULK : TRANSMIT_FACTOR;
 
 	sr_list_remove(&record->queued);
 	record->near_left = factor * log2_ceil(near->len + 1);
 	record->far_left = 0;
 	if (sr_table_is_delegate(&g->table, g->self))
 		record->far_left = factor * log2_ceil(domains + 1);
-	sr_list_append(is_bulk(record) ? &g->bulk : &g->urgent,
-		       &record->queued);
+	/* what was not sent yet goes before what is sent again */
+	sr_list_prepend(&g->queues[queue], &record->queued);
+}
+
+void sr_gossip_lose_interest(sr_gossip_t *g, const sr_wire_record_t *wire,
+			     const char *domain)
+{
+	sr_record_t *record = sr_table_find(&g->table, wire->kind, wire->key);
+	gboolean near = !strcmp(domain, g->table.domain);
+	unsigned *left;
+
+	if (!record || record->version != wire->version)
+		return;
+	left = near ? &record->near_left : &record->far_left;
+	*left /= 2;
+	if (!record->near_left && !record->far_left)
+		sr_list_remove(&record->queued);
 }
 
 sr_gossip_message_t sr_gossip_message(sr_gossip_t *g, sr_gossip_type_t type)
@@ -221,8 +244,8 @@
 	    sr_record_to_wire(first, g->now, &wire))
 		sr_gossip_encoder_add(&encoder, &wire);
 	if (domain) {
-		add_queue(g, &encoder, &g->urgent, domain);
-		add_queue(g, &encoder, &g->bulk, domain);
+		for (unsigned i = 0; i < SR_N_QUEUES; i++)
+			add_queue(g, &encoder, &g->queues[i], domain);
 	}
 	if (!encoder.n_records && message->type == SR_GOSSIP_PUSH) {
 		g_variant_builder_unref(encoder.records);
@@ -284,20 +307,29 @@
 	}
 }
 
+static gboolean is_idle(const sr_gossip_t *g)
+{
+	for (unsigned i = 0; i < SR_N_QUEUES; i++) {
+		if (!sr_list_is_empty(&g->queues[i]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 void sr_gossip_push(sr_gossip_t *g)
 {
 	GPtrArray *near;
 	GPtrArray *far;
 
-	if (sr_list_is_empty(&g->urgent) && sr_list_is_empty(&g->bulk))
+	if (is_idle(g))
 		return;
 	near = sr_gossip_near(g);
 	far = sr_gossip_far(g);
 	push_to(g, near, NEAR_FANOUT);
 	if (sr_table_is_delegate(&g->table, g->self) || g->left)
 		push_to(g, far, FAR_FANOUT);
-	forget_queue(&g->urgent, !near->len, !far->len);
-	forget_queue(&g->bulk, !near->len, !far->len);
+	for (unsigned i = 0; i < SR_N_QUEUES; i++)
+		forget_queue(&g->queues[i], !near->len, !far->len);
 	g_ptr_array_unref(near);
 	g_ptr_array_unref(far);
 }
--- a/src/core/gossip_sync.c
+++ b/src/core/gossip_sync.c
@@ -6,6 +6,9 @@
 #define RECONNECT_PERIOD (2 * SR_SEC)
 /* How often the seeds are asked while no other member is known. */
 #define JOIN_PERIOD SR_SEC
+/* Of the members that a node knows, about so many try a seed each time: with
+ * fewer all do, as each of them may be all that is left of a side. */
+#define SEED_TRIERS 12
 /* Records that one digest names. */
 #define DIGEST_RECORDS ((SR_GOSSIP_NUMBERS_MAX - 1) / 2)
 /* Digests that answer one message at most. */
@@ -110,23 +113,27 @@
 		send_sync(g, address, g->table.domain);
 }
 
-/* One of the dead, or a seed that may be of a side that was never met. */
+/* Whether it is this node's turn to try a seed, which may be of a side that
+ * was never met. A seed of another domain that is no delegate is never held,
+ * and would hear of every node of the fleet again and again. */
+static gboolean tries_seed(sr_gossip_t *g, const contacts_t *contacts)
+{
+	return sr_table_is_delegate(&g->table, g->self) &&
+	       g_rand_double(g->random) * contacts->n_live < SEED_TRIERS;
+}
+
 static void contact_one(sr_gossip_t *g, contacts_t *contacts)
 {
 	gint32 i = g_rand_int_range(g->random, 0,
 				    (gint32)contacts->addresses->len);
 
-	if ((guint)i >= contacts->n_dead &&
-	    g_rand_int_range(g->random, 0, SR_GOSSIP_DELEGATES) > 0)
-		return; /* the turn of another delegate, on the average */
-	contact(g, contacts, g_ptr_array_index(contacts->addresses, i));
+	if ((guint)i < contacts->n_dead || tries_seed(g, contacts))
+		contact(g, contacts, g_ptr_array_index(contacts->addresses, i));
 }
 
 /*
  * After a partition each side holds the other for dead. Members that are dead
- * here, and seeds, are tried now and then, so that the sides meet again. The
- * delegates of each side do it: a seed of another domain that is no delegate
- * is never held, and would hear of every node of the fleet again and again.
+ * here, and seeds, are tried now and then, so that the sides meet again.
  */
 void sr_gossip_reconnect_tick(sr_gossip_t *g)
 {
@@ -146,8 +153,7 @@
 		for (guint i = 0; i < contacts.addresses->len; i++)
 			contact(g, &contacts,
 				g_ptr_array_index(contacts.addresses, i));
-	} else if (contacts.addresses->len &&
-		   sr_table_is_delegate(&g->table, g->self)) {
+	} else if (contacts.addresses->len) {
 		contact_one(g, &contacts);
 	}
 out:
--- a/test/gossip_test.c
+++ b/test/gossip_test.c
@@ -26,8 +26,9 @@
 	sr_gossip_t *gossip;
 	sr_usec_t heard_at;
 	unsigned heard;
-	unsigned changes;  /* of members, as told */
-	GHashTable *alive; /* set of names, as told */
+	const char *awaited; /* key that heard_at is of; NULL for any */
+	unsigned changes;    /* of members, as told */
+	GHashTable *alive;   /* set of names, as told */
 } node_t;
 
 struct cluster {
@@ -75,7 +76,8 @@
 	node_t *node = user;
 
 	node->heard++;
-	node->heard_at = node->cluster->now;
+	if (!node->awaited || !strcmp(rumour->key, node->awaited))
+		node->heard_at = node->cluster->now;
 }
 
 static void on_member_changed(void *user, const sr_member_t *member)
@@ -292,6 +294,67 @@
 	stop(&c);
 }
 
+/* A store tells every node of 300 instances at once; a change of the table,
+ * which one node learns right after, may not wait behind them. */
+static void test_table_overtakes_instances(void **state)
+{
+	static cluster_t c;
+	sr_usec_t start_at;
+	char key[16];
+
+	start(&c, 6, 8);
+	run(&c, 30 * SR_SEC);
+	for (unsigned i = 0; i < c.n; i++) {
+		for (unsigned k = 0; k < 300; k++) {
+			g_snprintf(key, sizeof(key), "instance-%u", k);
+			put(&c.nodes[i], SR_RUMOUR_INSTANCE, key, 0);
+		}
+	}
+	run(&c, SR_SEC);
+	start_at = c.now;
+	for (unsigned i = 0; i < c.n; i++)
+		c.nodes[i].awaited = "table";
+	put(&c.nodes[c.n - 1], SR_RUMOUR_TABLE, "table", 0);
+	run(&c, 10 * SR_SEC);
+	for (unsigned i = 0; i + 1 < c.n; i++) {
+		assert_true(c.nodes[i].heard_at > start_at);
+		assert_true(c.nodes[i].heard_at - start_at <= LEAVING_LIMIT);
+	}
+	stop(&c);
+}
+
+/* All nodes hear the same from the store: what others know already is told
+ * a few times, not by each node to a share of all. */
+static void test_what_all_know_is_told_little(void **state)
+{
+	static cluster_t c;
+	guint64 before = 0;
+	guint64 after = 0;
+	char key[16];
+
+	start(&c, 6, 8);
+	run(&c, 30 * SR_SEC);
+	for (unsigned i = 0; i < c.n; i++)
+		before += sr_gossip_stats(c.nodes[i].gossip)->bytes_sent;
+	run(&c, 20 * SR_SEC);
+	for (unsigned i = 0; i < c.n; i++)
+		after += sr_gossip_stats(c.nodes[i].gossip)->bytes_sent;
+	before = after - before; /* of 20 s in which nothing happens */
+	for (unsigned i = 0; i < c.n; i++) {
+		for (unsigned k = 0; k < 100; k++) {
+			g_snprintf(key, sizeof(key), "instance-%u", k);
+			put(&c.nodes[i], SR_RUMOUR_INSTANCE, key, 0);
+		}
+	}
+	run(&c, 20 * SR_SEC);
+	for (unsigned i = 0; i < c.n; i++)
+		after -= sr_gossip_stats(c.nodes[i].gossip)->bytes_sent;
+	/* a record takes some 40 bytes; each node tells it five times, where
+	 * 3 log2(9) and 3 log2(7) made it 12 and 9 more at a delegate */
+	assert_true(-after - before <= (guint64)c.n * 100 * 40 * 5);
+	stop(&c);
+}
+
 static void test_counters_stay_within_the_budget(void **state)
 {
 	static cluster_t c;
@@ -409,6 +472,8 @@
 		cmocka_unit_test(test_members_are_told_as_they_are_held),
 		cmocka_unit_test(test_seed_bears_no_load_of_the_fleet),
 		cmocka_unit_test(test_rumour_crosses_the_fleet_in_time),
+		cmocka_unit_test(test_table_overtakes_instances),
+		cmocka_unit_test(test_what_all_know_is_told_little),
 		cmocka_unit_test(test_counters_stay_within_the_budget),
 		cmocka_unit_test(test_rumour_expires_everywhere),
 		cmocka_unit_test(test_leaving_is_told_with_every_message),
