--- a/src/core/gossip.c
+++ b/src/core/gossip.c
@@ -236,6 +236,7 @@
 	if (options->bytes_per_s == 0)
 		g->options.bytes_per_s = SR_GOSSIP_RATE;
 	g->random = g_rand_new_with_seed_array(seed, 2);
+	g->next_contact = g_rand_int(g->random);
 	g->now = now;
 	g->last_tick = now;
 	g->tokens = SR_GOSSIP_BURST;
--- a/src/core/gossip_internal.h
+++ b/src/core/gossip_internal.h
@@ -51,6 +51,7 @@
 	sr_usec_t next_push;
 	sr_usec_t next_sync;
 	sr_usec_t next_reconnect;
+	guint32 next_contact; /* whose turn it is of those that are tried */
 	sr_usec_t next_sweep;
 	sr_gossip_stats_t stats;
 };
--- a/src/core/gossip_sync.c
+++ b/src/core/gossip_sync.c
@@ -124,10 +124,10 @@
 
 static void contact_one(sr_gossip_t *g, contacts_t *contacts)
 {
-	gint32 i = g_rand_int_range(g->random, 0,
-				    (gint32)contacts->addresses->len);
+	/* in turn, so that each is tried within a known time */
+	guint i = g->next_contact++ % contacts->addresses->len;
 
-	if ((guint)i < contacts->n_dead || tries_seed(g, contacts))
+	if (i < contacts->n_dead || tries_seed(g, contacts))
 		contact(g, contacts, g_ptr_array_index(contacts->addresses, i));
 }
 
