Let go of the duties while held off from them

Cause (found in reading the change of the lease): a holder that lost the lease kept wanting it during its hold-off, where it had released the object before, so that others waited for a whole lease after an outage. A test in lease_test failed first.

--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -373,7 +373,8 @@
 		read_object(lease);
 	else if (lease->state == STATE_HELD)
 		start_write(lease, PENDING_RENEW, lease->epoch, lease->payload);
-	else if (!lease->wanted && is_own(lease))
+	else if (is_own(lease) &&
+		 (!lease->wanted || lease->now < lease->claims_from))
 		start_write(lease, PENDING_RELEASE, lease->epoch,
 			    lease->payload);
 	else if (lease->wanted && may_claim(lease))
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -76,7 +76,6 @@
 {
 	sr_duties_t *duties = user;
 	sr_usage_windows_t *usage = sr_beliefs_usage(duties->options.beliefs);
-
 	char text[80];
 
 	g_snprintf(text, sizeof(text),
@@ -101,33 +100,36 @@
 	sr_lease_hold_off(duties->lease, now_of(duties) + hold_off(duties));
 }
 
-/* Renewals of a holder are seen once a second; only another holder is news. */
-static void on_noted(void *user, sr_lease_note_t note, guint64 epoch,
-		     const char *holder)
+static const char *claim_outcome(sr_lease_note_t note)
 {
-	sr_duties_t *duties = user;
-
 	switch (note) {
 	case SR_LEASE_SEEN:
-		if (epoch != duties->seen_epoch)
-			log_duty(duties, "duties-seen", epoch, holder);
-		duties->seen_epoch = epoch;
 		break;
 	case SR_LEASE_CLAIM_SENT:
-		log_duty(duties, "duties-claim", epoch, "sent");
-		break;
+		return "sent";
 	case SR_LEASE_CLAIM_TAKEN:
-		log_duty(duties, "duties-claim", epoch, "taken");
-		break;
+		return "taken";
 	case SR_LEASE_CLAIM_CONFLICT:
-		log_duty(duties, "duties-claim", epoch, "another was faster");
-		break;
+		return "another was faster";
 	case SR_LEASE_CLAIM_UNKNOWN:
-		log_duty(duties, "duties-claim", epoch, "reply lost");
-		break;
+		return "reply lost";
 	case SR_LEASE_CLAIM_NOT_DONE:
-		log_duty(duties, "duties-claim", epoch, "not written");
-		break;
+		return "not written";
+	}
+	return "";
+}
+
+/* Renewals of a holder are seen once a second; only another holder is news. */
+static void on_noted(void *user, sr_lease_note_t note, guint64 epoch,
+		     const char *holder)
+{
+	sr_duties_t *duties = user;
+
+	if (note != SR_LEASE_SEEN) {
+		log_duty(duties, "duties-claim", epoch, claim_outcome(note));
+	} else if (epoch != duties->seen_epoch) {
+		duties->seen_epoch = epoch;
+		log_duty(duties, "duties-seen", epoch, holder);
 	}
 }
 
--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -147,11 +147,37 @@
 	stop(&store);
 }
 
+/* A holder that was cut off from the store may not take it up again for a
+ * while: it lets go of it as soon as it can. */
+static void test_held_off_holder_releases(void **state)
+{
+	store_t store;
+	sr_lease_t *first;
+	sr_lease_t *second;
+	sr_usec_t held;
+
+	(void)state;
+	start(&store);
+	first = new_lease(&store, "a/1");
+	run(&store, first, SR_SEC, 3 * SR_SEC);
+	assert_true(sr_lease_is_held(first, 3 * SR_SEC, 0));
+	sr_lease_hold_off(first, 20 * SR_SEC);
+	run(&store, first, 9 * SR_SEC, 10 * SR_SEC);
+	assert_false(sr_lease_is_held(first, 10 * SR_SEC, 0));
+	second = new_lease(&store, "b/1");
+	held = run(&store, second, 10 * SR_SEC, 20 * SR_SEC);
+	assert_true(held < 10 * SR_SEC + LEASE);
+	sr_lease_free(first);
+	sr_lease_free(second);
+	stop(&store);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_waits_run_at_the_same_time),
 		cmocka_unit_test(test_claims_nothing_while_held_off),
+		cmocka_unit_test(test_held_off_holder_releases),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
