Let cheap instances take the place of dear ones before the load comes

Before the load is known an instance may be given back as long as no fewer serve than there were; what is needed until then counts what was there first, not what is left. Ruled out: giving back without others in their place (the test that the fleet is kept until the load is known stands as it was).

--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -54,7 +54,8 @@
 
 /** load_t - what is known of the work of a service. */
 typedef struct {
-	sr_usec_t since; /* there has been work; 0 if not yet */
+	sr_usec_t since;  /* there has been work; 0 if not yet */
+	unsigned initial; /* staying instances that were there before it */
 	double peak;
 	sr_usec_t peak_at;
 } load_t;
@@ -64,7 +65,8 @@
 	const sr_gateway_service_t *service;
 	const sr_instances_t *instances;
 	double work;
-	double need; /* instances */
+	double need;	  /* instances */
+	unsigned initial; /* before there was any load */
 	gboolean is_load_known;
 } view_t;
 
@@ -129,8 +131,7 @@
 }
 
 /* What the load asks for, in instances. */
-static double measure_need(sr_fleet_plan_t *plan, sr_usec_t now,
-			   const view_t *view)
+static double measure_need(sr_fleet_plan_t *plan, sr_usec_t now, view_t *view)
 {
 	load_t *load = g_hash_table_lookup(plan->loads, view->service->name);
 	double need;
@@ -144,13 +145,15 @@
 		exp(-(double)(now - load->peak_at) / SR_SEC / PEAK_TIME_S);
 	load->peak = MAX(load->peak, view->work);
 	load->peak_at = now;
+	if (load->since == 0)
+		load->initial = MAX(load->initial, count(view, NULL, FALSE));
 	if (load->since == 0 && view->work > WORK_MIN)
 		load->since = now;
+	view->initial = load->initial;
 	need = MAX(load->peak / BUSY_MAX, NEED_MIN);
 	if (load->since > 0 && now - load->since > LEARNING)
 		return need;
-	/* those that were there before any order */
-	return MAX(need, UNKNOWN_NEED_PART * count(view, NULL, FALSE));
+	return MAX(need, UNKNOWN_NEED_PART * load->initial);
 }
 
 static gboolean is_load_known(const sr_fleet_plan_t *plan, sr_usec_t now,
@@ -261,8 +264,12 @@
 {
 	unsigned serving = count(view, NULL, FALSE) + count(view, NULL, TRUE);
 
-	return view->is_load_known &&
-	       (double)serving - given_back >= view->need * (1 + STAYING_PART);
+	double enough = view->need * (1 + STAYING_PART);
+
+	/* others may take the place of those that wait for the load */
+	if (!view->is_load_known)
+		enough = MAX(enough, view->initial);
+	return (double)serving - given_back >= enough;
 }
 
 static gboolean is_due(subject_t *subject, const view_t *view,
--- a/test/gateway_policy_test.c
+++ b/test/gateway_policy_test.c
@@ -611,6 +611,27 @@
 	free_fleet(&fleet);
 }
 
+/* Pattern: many dear instances are there before the day begins. Cheap ones
+ * that have come take their place, and together they are no fewer. */
+static void test_cheap_ones_take_over_before_the_load_comes(void **state)
+{
+	fleet_t fleet = new_fleet(0.15);
+	unsigned given_back = 0;
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(domains); i++)
+		add_instances(&fleet, domains[i], FALSE, 4);
+	take_orders(&fleet, SR_SEC, 0);
+	for (gsize i = 0; i < G_N_ELEMENTS(domains); i++)
+		add_instances(&fleet, domains[i], TRUE, 4);
+	for (int s = 2; s < 12; s++)
+		given_back += take_orders(&fleet, s * SR_SEC, 0).given_back;
+	assert_int_equal(given_back, 4);
+	assert_true(total_staying(&fleet) >= 4);
+	assert_true(total_staying(&fleet) <= 8);
+	free_fleet(&fleet);
+}
+
 /* Pattern: a reclaim after a rise in load; fewer than were ordered are
  * wanted, but none are left. */
 static void test_reclaimed_ones_are_ordered_again(void **state)
@@ -659,6 +680,8 @@
 		cmocka_unit_test(test_usual_ones_stand_in_for_reclaimed_ones),
 		cmocka_unit_test(test_usual_ones_go_only_when_others_serve),
 		cmocka_unit_test(test_fleet_is_kept_until_the_load_is_known),
+		cmocka_unit_test(
+			test_cheap_ones_take_over_before_the_load_comes),
 		cmocka_unit_test(test_reclaimed_ones_are_ordered_again),
 		cmocka_unit_test(test_order_is_repeated_while_none_come),
 	};
