Begin a pool empty where it moves to; keep less for small requests with many hosts

Demand is told every 0.8 s with 75 hosts again: the period per host was set when 27 of them were counted, and all of them made it 2.25 s.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -18,6 +18,10 @@
  * them have used up the rest. It counts as overage. */
 #define RESERVE_PART 0.08
 
+/** Hosts up to which the whole of that part is kept. Each host also overdraws
+ * its share by a request, which takes the place of it with many of them. */
+#define RESERVE_HOSTS 12
+
 /** Part of a limit that lies in the pool. */
 #define POOL_PART 0.5
 
@@ -204,14 +208,22 @@
 				     bucket->share;
 }
 
-static void fill(bucket_t *bucket, sr_usec_t now, double share)
+static double reserve_part(const sr_allowance_t *allowance)
 {
+	return RESERVE_PART *
+	       MIN((double)RESERVE_HOSTS / allowance->n_hosts, 1);
+}
+
+static void fill(const sr_allowance_t *allowance, bucket_t *bucket,
+		 sr_usec_t now, double share)
+{
+	double reserve = reserve_part(allowance);
 	double earned =
 		bucket->rate * share * seconds_since(bucket->filled, now);
 
 	bucket->level = MIN(bucket->level + earned, bucket->burst * share);
-	bucket->reserve = MIN(bucket->reserve + RESERVE_PART * earned,
-			      RESERVE_PART * bucket->burst * share);
+	bucket->reserve = MIN(bucket->reserve + reserve * earned,
+			      reserve * bucket->burst * share);
 	bucket->filled = now;
 }
 
@@ -223,7 +235,7 @@
 	double share = share_of(allowance, bucket, now);
 	gboolean is_first = bucket->rate == 0;
 
-	fill(bucket, now, share);
+	fill(allowance, bucket, now, share);
 	spread_over_window(allowance, bucket, rate_per_s, burst);
 	if (is_first) {
 		bucket->level = START_PART * bucket->burst * share;
@@ -244,7 +256,7 @@
 	if (bucket->rate <= 0)
 		return 0;
 	share = share_of(allowance, bucket, now);
-	fill(bucket, now, share);
+	fill(allowance, bucket, now, share);
 	if (bucket->level < 0 && bucket->reserve >= amount)
 		bucket->reserve -= amount;
 	else if (bucket->level < 0)
@@ -275,6 +287,15 @@
 	bucket->pool_filled = now;
 }
 
+void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
+			     const char *account)
+{
+	bucket_t *bucket = bucket_of(allowance, now, account);
+
+	bucket->pool_level = 0;
+	bucket->pool_filled = now;
+}
+
 sr_usec_t sr_allowance_take_pooled(sr_allowance_t *allowance, sr_usec_t now,
 				   const char *account, double amount)
 {
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -76,6 +76,11 @@
 /** sr_allowance_set_pool_part - of the hosts this one hears of, 0 to 1. */
 void sr_allowance_set_pool_part(sr_allowance_t *allowance, double part);
 
+/** sr_allowance_start_pool - the pool of an account lies here from now on; it
+ * begins empty, as what its last keeper gave out is not known. */
+void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
+			     const char *account);
+
 /** sr_allowance_take_pooled - like sr_allowance_take(), from the pool that
  * lies here. */
 sr_usec_t sr_allowance_take_pooled(sr_allowance_t *allowance, sr_usec_t now,
--- a/src/fleet/beliefs.c
+++ b/src/fleet/beliefs.c
@@ -13,7 +13,7 @@
  * host hears of all others stays about the same. */
 #define TELL_PERIOD SR_SEC
 #define LOAD_PERIOD (250 * SR_MSEC)
-#define PERIOD_PER_HOST (30 * SR_MSEC)
+#define PERIOD_PER_HOST (11 * SR_MSEC)
 
 /** Period in which the counts of usage are sent. */
 #define USAGE_PERIOD SR_SEC
--- a/src/fleet/beliefs_internal.h
+++ b/src/fleet/beliefs_internal.h
@@ -36,6 +36,7 @@
 	GHashTable *works; /* "node/service" -> work of tellings.c */
 	sr_list_t asks;	   /* of pool_asks.c */
 	guint64 n_asks;
+	GHashTable *pools; /* set of the accounts whose pool lies here */
 	double most_hosts; /* that were live of late; fades slowly */
 	char *holder;	   /* address of who has the duties; or NULL */
 	sr_usec_t next_size;
--- a/src/fleet/pool_asks.c
+++ b/src/fleet/pool_asks.c
@@ -37,22 +37,46 @@
 	g_free(ask);
 }
 
+/* The address of the host that keeps an account's pool; NULL if it is here. */
+static const char *keeper_of(const sr_beliefs_t *beliefs, const char *account)
+{
+	char *thing = g_strconcat("pool/", account, NULL);
+	GPtrArray *keepers = sr_members_owners(beliefs->members, thing, 1);
+	const char *address = keepers->len > 0 ? keepers->pdata[0] : NULL;
+
+	g_ptr_array_unref(keepers);
+	g_free(thing);
+	return address;
+}
+
 void sr_pool_asks_init(sr_beliefs_t *beliefs)
 {
 	sr_list_init(&beliefs->asks);
 	beliefs->most_hosts = HOSTS_MIN;
+	beliefs->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void sr_pool_asks_clear(sr_beliefs_t *beliefs)
 {
 	sr_list_for_each_safe (link, &beliefs->asks)
 		free_ask(sr_list_entry(link, ask_t, link));
+	g_hash_table_unref(beliefs->pools);
+}
+
+static gboolean is_kept_elsewhere(gpointer account, gpointer value,
+				  gpointer user)
+{
+	(void)value;
+	return keeper_of(user, account) != NULL;
 }
 
 void sr_pool_asks_tick(sr_beliefs_t *beliefs)
 {
 	double live = sr_beliefs_hosts(beliefs);
 
+	g_hash_table_foreach_remove(beliefs->pools, is_kept_elsewhere, beliefs);
+
 	beliefs->most_hosts *= 1 - FADING;
 	beliefs->most_hosts = MAX(beliefs->most_hosts, MAX(live, HOSTS_MIN));
 	sr_allowance_set_pool_part(
@@ -79,21 +103,17 @@
 
 static sr_usec_t take(sr_beliefs_t *beliefs, const char *account, double amount)
 {
-	return sr_allowance_take_pooled(
-		sr_gateway_allowance(beliefs->options.gateway),
-		sr_beliefs_now(beliefs), account, amount);
-}
-
-/* The address of the host that keeps an account's pool; NULL if it is here. */
-static const char *keeper_of(const sr_beliefs_t *beliefs, const char *account)
-{
-	char *thing = g_strconcat("pool/", account, NULL);
-	GPtrArray *keepers = sr_members_owners(beliefs->members, thing, 1);
-	const char *address = keepers->len > 0 ? keepers->pdata[0] : NULL;
-
-	g_ptr_array_unref(keepers);
-	g_free(thing);
-	return address;
+	sr_allowance_t *allowance =
+		sr_gateway_allowance(beliefs->options.gateway);
+
+	if (g_hash_table_add(beliefs->pools, g_strdup(account))) {
+		sr_log_event(beliefs->options.log, SR_LOG_INFO, "pool-kept",
+			     "account", account, NULL);
+		sr_allowance_start_pool(allowance, sr_beliefs_now(beliefs),
+					account);
+	}
+	return sr_allowance_take_pooled(allowance, sr_beliefs_now(beliefs),
+					account, amount);
 }
 
 static void send_text(sr_beliefs_t *beliefs, const char *address, char *text)
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -35,6 +35,7 @@
 	unsigned n_steps;
 	sr_usec_t now;
 	gboolean pooled;
+	int keeper; /* of the pool, or the first after it that is not cut off */
 } fleet_t;
 
 static sr_allowance_t *new_host(sr_usec_t now, gboolean pooled)
@@ -97,7 +98,7 @@
 /* The pool lies at the first host; those that are cut off have their own. */
 static gboolean take(fleet_t *fleet, int i)
 {
-	int keeper = 0;
+	int keeper = fleet->keeper;
 
 	if (!sr_allowance_take(fleet->hosts[i], fleet->now, "a", REQUEST))
 		return TRUE;
@@ -357,6 +358,75 @@
 	sr_allowance_free(host);
 }
 
+#define MANY 75
+#define MANY_RATE 1.0e6
+#define MANY_STEPS 1500
+
+static double take_all(sr_allowance_t *const hosts[], sr_usec_t now)
+{
+	static const double sizes[] = { 26000, 500, 500 };
+	double sum = 0;
+
+	for (int i = 0; i < MANY; i++) {
+		for (gsize k = 0; k < G_N_ELEMENTS(sizes); k++) {
+			if (!sr_allowance_take(hosts[i], now, "a", sizes[k]))
+				sum += sizes[k];
+		}
+	}
+	return sum;
+}
+
+/* Pattern: a hot account at many hosts, with requests that are large against
+ * one host's share and small ones between them. */
+static void test_many_hosts_overdraw_little_together(void **state)
+{
+	const double limit =
+		(MANY_RATE * 8 + MANY_RATE) * (1 + tolerance.overage) +
+		tolerance.slack;
+	sr_allowance_t *hosts[MANY];
+	double taken[MANY_STEPS];
+	double window = 0;
+	double worst = 0;
+
+	(void)state;
+	for (int i = 0; i < MANY; i++) {
+		hosts[i] = sr_allowance_new();
+		sr_allowance_set_tolerance(hosts[i], &tolerance);
+		sr_allowance_set_hosts(hosts[i], MANY);
+		sr_allowance_set_limit(hosts[i], SR_SEC, "a", MANY_RATE,
+				       MANY_RATE);
+	}
+	for (int n = 0; n < MANY_STEPS; n++) {
+		taken[n] = take_all(hosts, SR_SEC + n * STEP);
+		window += taken[n];
+		if (n >= 400)
+			window -= taken[n - 400];
+		worst = MAX(worst, window);
+	}
+	assert_true(worst <= limit);
+	for (int i = 0; i < MANY; i++)
+		sr_allowance_free(hosts[i]);
+}
+
+/* Pattern: the hosts that may keep a pool change under a hot account, again
+ * and again. */
+static void test_pool_moves_under_a_hot_account(void **state)
+{
+	fleet_t *fleet = new_fleet(TRUE);
+
+	(void)state;
+	set_demand(fleet, 8 * RATE);
+	run(fleet, 20);
+	for (int i = 1; i < 6; i++) {
+		fleet->keeper = i;
+		sr_allowance_start_pool(fleet->hosts[i], fleet->now, "a");
+		run(fleet, 1);
+	}
+	run(fleet, 20);
+	assert_true(worst_window(fleet) <= allowed());
+	free_fleet(fleet);
+}
+
 /* Pattern: one host happens to be asked for most of an account's requests
  * within a second, and the account is far below its limit. */
 static void test_pool_bears_what_one_share_does_not(void **state)
@@ -399,6 +469,8 @@
 		cmocka_unit_test(test_lowered_limit_is_used_up),
 		cmocka_unit_test(
 			test_small_request_is_not_held_up_by_a_large_one),
+		cmocka_unit_test(test_many_hosts_overdraw_little_together),
+		cmocka_unit_test(test_pool_moves_under_a_hot_account),
 		cmocka_unit_test(test_pool_bears_what_one_share_does_not),
 		cmocka_unit_test(test_wait_is_told),
 	};
