--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -263,7 +263,6 @@
 static gboolean may_shrink(const view_t *view, unsigned given_back)
 {
 	unsigned serving = count(view, NULL, FALSE) + count(view, NULL, TRUE);
-
 	double enough = view->need * (1 + STAYING_PART);
 
 	/* others may take the place of those that wait for the load */
--- a/src/fleet/pool_asks.c
+++ b/src/fleet/pool_asks.c
@@ -76,7 +76,6 @@
 	double live = sr_beliefs_hosts(beliefs);
 
 	g_hash_table_foreach_remove(beliefs->pools, is_kept_elsewhere, beliefs);
-
 	beliefs->most_hosts *= 1 - FADING;
 	beliefs->most_hosts = MAX(beliefs->most_hosts, MAX(live, HOSTS_MIN));
 	sr_allowance_set_pool_part(
