Sum the load of hosts by failure domain; release instances in steps

Each host's load was a rumour of its own. Of 195 hosts few arrived within the rumours' lifetime, a first value counted as no work, and the mean of what had arrived stood for all. Each failure domain then checked by itself whether enough instances would be left, so that all of them released at once.

Change: hosts report their load to the two first delegates of their domain. These add it up, exchange the sums with the other domains and send the total with the number of hosts in it. The work of too few hosts is not known and releases nothing; occupied slots count as work; what all domains release together is bounded. The three tests of the plan failed on the code before.

--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -2,10 +2,16 @@
 
 #include <math.h>
 
+#include "core/placement.h"
+
 /** Maximum fraction of an instance's time for the processing of prompts. The
  * rest is for the steps of running requests and for uneven arrivals. */
 #define UTILISATION_MAX 0.5
 
+/** Maximum fraction of an instance's slots that running requests occupy; the
+ * rest is for uneven arrivals. */
+#define OCCUPANCY_MAX 0.7
+
 /** Time from the first work until the load counts as known. */
 #define LOAD_KNOWN_AFTER (5 * SR_SEC)
 
@@ -48,6 +54,9 @@
  * caches is not. */
 #define SHRINK_DELAY_RECLAIMABLE (25 * SR_SEC)
 
+/** Largest fraction of the serving instances that is released at a time. */
+#define RELEASE_FRACTION 0.25
+
 /** order_state_t - the last order for a service, failure domain and kind. */
 typedef struct {
 	unsigned ordered;
@@ -62,7 +71,7 @@
 typedef struct {
 	sr_usec_t since;  /* time of the first work; 0 for none */
 	unsigned initial; /* most regular instances that served before */
-	double peak;	  /* decays */
+	double peak;	  /* of the instances needed; decays */
 	sr_usec_t peak_at;
 } load_t;
 
@@ -71,8 +80,10 @@
 	const sr_gateway_service_t *service;
 	const sr_instances_t *instances;
 	double work;
-	double need;	  /* instances */
-	unsigned initial; /* as in load_t */
+	gboolean is_work_known;
+	double need;	      /* instances */
+	unsigned initial;     /* as in load_t */
+	unsigned n_releasing; /* serving instances that were given back */
 	gboolean is_load_known;
 } context_t;
 
@@ -138,7 +149,31 @@
 	return n;
 }
 
-/* Updates the load and returns the number of instances that it needs. */
+/* Instances whose slots the requests of all entry hosts occupy. */
+static double occupied_instances(const context_t *context, sr_usec_t now)
+{
+	const GPtrArray *list = sr_instances_of_service(context->instances,
+							context->service->name);
+	double sum = 0;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const sr_instance_t *instance = list->pdata[i];
+
+		sum += sr_placement_in_flight(instance, now) /
+		       MAX(instance->slots, 1);
+	}
+	return sum;
+}
+
+/* Instances needed by the present load. */
+static double instances_needed(const context_t *context, sr_usec_t now)
+{
+	return MAX(context->work / UTILISATION_MAX,
+		   occupied_instances(context, now) / OCCUPANCY_MAX);
+}
+
+/* Updates the load and returns the number of instances that it needs. A peak
+ * decays only while the work is known. */
 static double update_need(sr_fleet_plan_t *plan, sr_usec_t now,
 			  context_t *context)
 {
@@ -150,9 +185,10 @@
 		g_hash_table_insert(plan->loads,
 				    g_strdup(context->service->name), load);
 	}
-	load->peak *= exp(-(double)(now - load->peak_at) / SR_SEC /
-			  PEAK_TIME_CONSTANT_S);
-	load->peak = MAX(load->peak, context->work);
+	if (context->is_work_known)
+		load->peak *= exp(-(double)(now - load->peak_at) / SR_SEC /
+				  PEAK_TIME_CONSTANT_S);
+	load->peak = MAX(load->peak, instances_needed(context, now));
 	load->peak_at = now;
 	if (load->since == 0)
 		load->initial =
@@ -160,7 +196,7 @@
 	if (load->since == 0 && context->work > IDLE_WORK_MAX)
 		load->since = now;
 	context->initial = load->initial;
-	need = MAX(load->peak / UTILISATION_MAX, NEED_MIN);
+	need = MAX(load->peak, NEED_MIN);
 	if (load->since > 0 && now - load->since > LOAD_KNOWN_AFTER)
 		return need;
 	return MAX(need, INITIAL_NEED_FRACTION * load->initial);
@@ -278,45 +314,83 @@
 				      0);
 }
 
-/* TRUE if enough instances serve without those to be released. */
-static gboolean may_shrink(const context_t *context, unsigned n_released)
+/* Serving instances of a kind in a domain that an accepted order gave back. */
+static unsigned count_releasing_in(sr_fleet_plan_t *plan,
+				   const context_t *context, const char *domain,
+				   gboolean reclaimable)
+{
+	const order_state_t *state = get_order_state(
+		plan, context->service->name, domain, reclaimable);
+	unsigned serving = count_serving(context, domain, reclaimable);
+	gboolean is_ordered = state->is_accepted || state->is_pending;
+
+	return is_ordered && state->ordered < serving ?
+		       serving - state->ordered :
+		       0;
+}
+
+static unsigned count_releasing(sr_fleet_plan_t *plan, const context_t *context)
+{
+	GHashTableIter iter;
+	gpointer domain;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, context->service->scaling->domain_prices);
+	while (g_hash_table_iter_next(&iter, &domain, NULL))
+		n += count_releasing_in(plan, context, domain, TRUE) +
+		     count_releasing_in(plan, context, domain, FALSE);
+	return n;
+}
+
+/* Number of instances that may be released now: enough must serve without them
+ * and those given back before, in any domain. */
+static unsigned releasable(const context_t *context)
 {
 	unsigned serving = count_serving(context, NULL, FALSE) +
 			   count_serving(context, NULL, TRUE);
 	double enough = context->need * (1 + REGULAR_FRACTION);
+	double step = MAX(serving * RELEASE_FRACTION, 1);
+	double rest;
 
+	if (!context->is_work_known)
+		return 0;
 	/* until the load is known, instances may be replaced, but no fewer
 	 * than the initial ones may serve */
-	if (!context->is_load_known)
+	if (!context->is_load_known) {
 		enough = MAX(enough, context->initial);
-	return (double)serving - n_released >= enough;
+		step = serving;
+	}
+	rest = MIN(serving - enough, step) - context->n_releasing;
+	return rest > 0 ? (unsigned)rest : 0;
 }
 
+/* Checks whether an order is due; *desired is raised to what may be ordered. */
 static gboolean is_due(order_state_t *state, const context_t *context,
 		       const char *domain, gboolean reclaimable,
-		       unsigned desired, sr_usec_t now)
+		       unsigned *desired, sr_usec_t now)
 {
 	unsigned serving = count_serving(context, domain, reclaimable);
 	unsigned current = state->is_accepted ? state->ordered : serving;
 
 	if (state->is_pending || now < state->retry_at)
 		return FALSE;
-	if (!state->is_accepted && desired >= current)
+	if (!state->is_accepted && *desired >= current)
 		return TRUE;
 	/* the ordered instances were reclaimed or did not start */
-	if (serving < desired &&
+	if (serving < *desired &&
 	    now - state->ordered_at > ORDER_REPEAT_INTERVAL)
 		return TRUE;
-	if (desired >= current) {
+	if (*desired >= current) {
 		state->excess_since = 0;
-		return desired > current;
+		return *desired > current;
 	}
 	if (state->excess_since == 0)
 		state->excess_since = now;
-	return now - state->excess_since > (reclaimable ?
-						    SHRINK_DELAY_RECLAIMABLE :
-						    SHRINK_DELAY) &&
-	       may_shrink(context, current - desired);
+	if (now - state->excess_since <=
+	    (reclaimable ? SHRINK_DELAY_RECLAIMABLE : SHRINK_DELAY))
+		return FALSE;
+	*desired = MAX(*desired, current - MIN(current, releasable(context)));
+	return *desired < current;
 }
 
 static gboolean try_order(sr_fleet_plan_t *plan, sr_usec_t now,
@@ -327,7 +401,7 @@
 	order_state_t *state = get_order_state(plan, context->service->name,
 					       domain, reclaimable);
 
-	if (!is_due(state, context, domain, reclaimable, desired, now))
+	if (!is_due(state, context, domain, reclaimable, &desired, now))
 		return FALSE;
 	state->ordered = desired;
 	state->is_pending = TRUE;
@@ -349,12 +423,14 @@
 		.service = input->service,
 		.instances = input->instances,
 		.work = input->work,
+		.is_work_known = input->is_work_known,
 	};
 	GHashTableIter iter;
 	gpointer domain;
 
 	context.need = update_need(plan, now, &context);
 	context.is_load_known = is_load_known(plan, now, &context);
+	context.n_releasing = count_releasing(plan, &context);
 	g_hash_table_iter_init(&iter, input->service->scaling->domain_prices);
 	while (g_hash_table_iter_next(&iter, &domain, NULL)) {
 		if (try_order(plan, now, &context, domain, TRUE, order) ||
--- a/src/core/fleet_plan.h
+++ b/src/core/fleet_plan.h
@@ -14,7 +14,7 @@
  * Reclaimable instances are cheap, but a failure domain may lose all of them
  * at once. The plan orders enough of them to serve the load after the loss of
  * one domain, and a few regular (non-reclaimable) instances. Instances are
- * released only while enough others serve.
+ * released in steps, while enough others serve, and only if the load is known.
  */
 typedef struct sr_fleet_plan sr_fleet_plan_t;
 
@@ -32,6 +32,9 @@
 	const sr_gateway_service_t *service; /* with scaling */
 	const sr_instances_t *instances;
 	double work; /* load of prompts, in fully busy instances */
+	/* FALSE if the load of too few entry hosts is known; no instances are
+	 * released then */
+	gboolean is_work_known;
 } sr_fleet_plan_input_t;
 
 /** sr_fleet_plan_new - the caller owns the result. */
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -48,7 +48,6 @@
 	SR_RUMOUR_INSTANCE,    /* key = instance; version = 2 * revision of its
 				* entry, plus 1 for its removal */
 	SR_RUMOUR_DEMAND, /* key = node; value = demand per client account */
-	SR_RUMOUR_LOAD,	  /* key = node; value = its load on instances */
 	SR_RUMOUR_DOMAIN_SIZE, /* key = "domain/node"; value = number of live
 				* members that this delegate counts in its
 				* domain */
--- a/src/core/gossip_send.c
+++ b/src/core/gossip_send.c
@@ -117,7 +117,6 @@
 	case SR_RUMOUR_EVIDENCE:
 	case SR_RUMOUR_USAGE:
 	case SR_RUMOUR_STATUS:
-	case SR_RUMOUR_LOAD:
 	case SR_RUMOUR_DEMAND:
 		return SR_GOSSIP_QUEUE_BULK;
 	default:
--- /dev/null
+++ b/src/core/load_sum.c
@@ -0,0 +1,225 @@
+#include "core/load_sum.h"
+
+#include <string.h>
+
+/** First character of a line with the work of a service. */
+#define WORK_MARK '@'
+
+struct sr_load_sum {
+	unsigned n_hosts;
+	GHashTable *items; /* instance -> sr_load_item_t */
+	GHashTable *work;  /* service -> double *, busy instances */
+};
+
+sr_load_sum_t *sr_load_sum_new(void)
+{
+	sr_load_sum_t *sum = g_new0(sr_load_sum_t, 1);
+
+	sum->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	sum->work = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  g_free);
+	return sum;
+}
+
+void sr_load_sum_free(sr_load_sum_t *sum)
+{
+	if (!sum)
+		return;
+	g_hash_table_unref(sum->items);
+	g_hash_table_unref(sum->work);
+	g_free(sum);
+}
+
+void sr_load_sum_set_hosts(sr_load_sum_t *sum, unsigned n)
+{
+	sum->n_hosts = n;
+}
+
+unsigned sr_load_sum_hosts(const sr_load_sum_t *sum)
+{
+	return sum->n_hosts;
+}
+
+void sr_load_sum_add_item(sr_load_sum_t *sum, const char *instance,
+			  const sr_load_item_t *item)
+{
+	sr_load_item_t *known = g_hash_table_lookup(sum->items, instance);
+
+	if (!known) {
+		known = g_new0(sr_load_item_t, 1);
+		g_hash_table_insert(sum->items, g_strdup(instance), known);
+	}
+	known->in_flight += item->in_flight;
+	known->pending_prompt_tokens += item->pending_prompt_tokens;
+}
+
+void sr_load_sum_add_work(sr_load_sum_t *sum, const char *service, double work)
+{
+	double *known = g_hash_table_lookup(sum->work, service);
+
+	if (!known) {
+		known = g_new0(double, 1);
+		g_hash_table_insert(sum->work, g_strdup(service), known);
+	}
+	*known += work;
+}
+
+void sr_load_sum_add(sr_load_sum_t *sum, const sr_load_sum_t *other)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	sum->n_hosts += other->n_hosts;
+	g_hash_table_iter_init(&iter, other->items);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		sr_load_sum_add_item(sum, key, value);
+	g_hash_table_iter_init(&iter, other->work);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		sr_load_sum_add_work(sum, key, *(double *)value);
+}
+
+sr_load_item_t sr_load_sum_item(const sr_load_sum_t *sum, const char *instance)
+{
+	const sr_load_item_t *known = g_hash_table_lookup(sum->items, instance);
+
+	return known ? *known : (sr_load_item_t){ 0 };
+}
+
+double sr_load_sum_work(const sr_load_sum_t *sum, const char *service)
+{
+	const double *known = g_hash_table_lookup(sum->work, service);
+
+	return known ? *known : 0;
+}
+
+typedef struct {
+	const char *instance;
+	const sr_load_item_t *item;
+} named_item_t;
+
+static gint compare_load(gconstpointer a, gconstpointer b)
+{
+	const named_item_t *x = a;
+	const named_item_t *y = b;
+
+	if (x->item->in_flight != y->item->in_flight)
+		return x->item->in_flight < y->item->in_flight ? 1 : -1;
+	return strcmp(x->instance, y->instance);
+}
+
+static GArray *sort_by_load(const sr_load_sum_t *sum)
+{
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(named_item_t));
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sum->items);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const named_item_t item = { key, value };
+
+		g_array_append_val(items, item);
+	}
+	g_array_sort(items, compare_load);
+	return items;
+}
+
+/* Takes ownership of the line. FALSE if it fits no part. */
+static gboolean add_line(GPtrArray *parts, char *line, gsize size_max,
+			 guint parts_max)
+{
+	GString *last = parts->len > 0 ? parts->pdata[parts->len - 1] : NULL;
+	gsize size = strlen(line);
+	gboolean fits = size <= size_max;
+
+	if (fits && (!last || last->len + size > size_max)) {
+		fits = parts->len < parts_max;
+		if (fits) {
+			last = g_string_new(NULL);
+			g_ptr_array_add(parts, last);
+		}
+	}
+	if (fits)
+		g_string_append(last, line);
+	g_free(line);
+	return fits;
+}
+
+static GPtrArray *take_texts(GPtrArray *parts)
+{
+	GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < parts->len; i++)
+		g_ptr_array_add(texts, g_string_free(parts->pdata[i], FALSE));
+	if (texts->len == 0)
+		g_ptr_array_add(texts, g_strdup(""));
+	g_ptr_array_unref(parts);
+	return texts;
+}
+
+/* A line is "@SERVICE WORK\n" or "INSTANCE IN_FLIGHT TOKENS\n". */
+GPtrArray *sr_load_sum_encode(const sr_load_sum_t *sum, gsize size_max,
+			      guint parts_max, unsigned *n_dropped)
+{
+	GPtrArray *parts = g_ptr_array_new();
+	GArray *items = sort_by_load(sum);
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	*n_dropped = 0;
+	g_hash_table_iter_init(&iter, sum->work);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		*n_dropped +=
+			!add_line(parts,
+				  g_strdup_printf("%c%s %.3f\n", WORK_MARK,
+						  (const char *)key,
+						  *(double *)value),
+				  size_max, parts_max);
+	for (guint i = 0; i < items->len; i++) {
+		const named_item_t *named =
+			&g_array_index(items, named_item_t, i);
+
+		*n_dropped += !add_line(
+			parts,
+			g_strdup_printf("%s %.0f %.0f\n", named->instance,
+					named->item->in_flight,
+					named->item->pending_prompt_tokens),
+			size_max, parts_max);
+	}
+	g_array_unref(items);
+	return take_texts(parts);
+}
+
+static void decode_line(sr_load_sum_t *sum, char **fields)
+{
+	guint n = g_strv_length(fields);
+
+	if (n == 2 && fields[0][0] == WORK_MARK) {
+		sr_load_sum_add_work(sum, fields[0] + 1,
+				     g_ascii_strtod(fields[1], NULL));
+	} else if (n == 3 && *fields[0]) {
+		const sr_load_item_t item = {
+			.in_flight = g_ascii_strtod(fields[1], NULL),
+			.pending_prompt_tokens =
+				g_ascii_strtod(fields[2], NULL),
+		};
+
+		sr_load_sum_add_item(sum, fields[0], &item);
+	}
+}
+
+void sr_load_sum_decode(sr_load_sum_t *sum, const char *text)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+
+	for (char **line = lines; *line; line++) {
+		char **fields = g_strsplit(*line, " ", -1);
+
+		decode_line(sum, fields);
+		g_strfreev(fields);
+	}
+	g_strfreev(lines);
+}
--- /dev/null
+++ b/src/core/load_sum.h
@@ -0,0 +1,64 @@
+#ifndef SR_CORE_LOAD_SUM_H
+#define SR_CORE_LOAD_SUM_H
+
+#include <glib.h>
+
+/**
+ * sr_load_sum_t - load of a group of entry hosts on the instances
+ *
+ * Holds the requests and prompt tokens that the hosts have in flight at each
+ * instance, the engine work that their prompts cause at each service, and the
+ * number of hosts that are included. Sums of disjoint groups are added up, so
+ * that a host can know the load of all without knowing the others one by one.
+ *
+ * A sum is sent in parts, each of which fits one datagram. Strings are copied.
+ */
+typedef struct sr_load_sum sr_load_sum_t;
+
+/** sr_load_item_t - load at one instance. */
+typedef struct {
+	double in_flight;	      /* requests */
+	double pending_prompt_tokens; /* of prompts without a first event */
+} sr_load_item_t;
+
+/** sr_load_sum_new - a sum of no hosts; the caller owns it. */
+sr_load_sum_t *sr_load_sum_new(void);
+
+/** sr_load_sum_free - sum may be NULL. */
+void sr_load_sum_free(sr_load_sum_t *sum);
+
+/** sr_load_sum_set_hosts - number of entry hosts included. */
+void sr_load_sum_set_hosts(sr_load_sum_t *sum, unsigned n);
+unsigned sr_load_sum_hosts(const sr_load_sum_t *sum);
+
+/** sr_load_sum_add_item - add load at an instance. */
+void sr_load_sum_add_item(sr_load_sum_t *sum, const char *instance,
+			  const sr_load_item_t *item);
+
+/** sr_load_sum_add_work - add engine work at a service, in busy instances. */
+void sr_load_sum_add_work(sr_load_sum_t *sum, const char *service, double work);
+
+/** sr_load_sum_add - add another sum, its hosts included. */
+void sr_load_sum_add(sr_load_sum_t *sum, const sr_load_sum_t *other);
+
+/** sr_load_sum_item - load at an instance; zero if it isn't known. */
+sr_load_item_t sr_load_sum_item(const sr_load_sum_t *sum, const char *instance);
+
+/** sr_load_sum_work - engine work at a service, in busy instances. */
+double sr_load_sum_work(const sr_load_sum_t *sum, const char *service);
+
+/**
+ * sr_load_sum_encode - the sum as texts of at most size_max bytes each
+ *
+ * Returns an array of char *, at least one; the caller unrefs it. At most
+ * parts_max are made: instances with the least load are left out and counted
+ * in *n_dropped.
+ */
+GPtrArray *sr_load_sum_encode(const sr_load_sum_t *sum, gsize size_max,
+			      guint parts_max, unsigned *n_dropped);
+
+/** sr_load_sum_decode - add the lines of one part to the sum; malformed lines
+ * are skipped. */
+void sr_load_sum_decode(sr_load_sum_t *sum, const char *text);
+
+#endif
--- a/src/daemon/control_rumours.c
+++ b/src/daemon/control_rumours.c
@@ -234,7 +234,6 @@
 	case SR_RUMOUR_ROUTE_TABLE: /* only used by the gateway */
 	case SR_RUMOUR_INSTANCE:
 	case SR_RUMOUR_DEMAND:
-	case SR_RUMOUR_LOAD:
 	case SR_RUMOUR_DOMAIN_SIZE:
 		break;
 	case SR_RUMOUR_RECALL:
--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -318,6 +318,52 @@
 	return addresses;
 }
 
+/* Number of live members of the same domain that precede this one. */
+static unsigned domain_rank(const sr_members_t *members,
+			    const live_member_t *live)
+{
+	GHashTableIter iter;
+	gpointer other;
+	unsigned rank = 0;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &other))
+		rank += ranks_before(other, live);
+	return rank;
+}
+
+unsigned sr_members_domain_rank(const sr_members_t *members)
+{
+	return domain_rank(members,
+			   g_hash_table_lookup(members->live, members->node));
+}
+
+GPtrArray *sr_members_delegate_addresses(const sr_members_t *members,
+					 gboolean own_domain, unsigned n)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		live_member_t *live = value;
+		gboolean is_local =
+			!strcmp(live->failure_domain, members->failure_domain);
+
+		if (!is_local == !own_domain &&
+		    strcmp(live->name, members->node) != 0 &&
+		    domain_rank(members, live) < n)
+			g_ptr_array_add(addresses, live->address);
+	}
+	return addresses;
+}
+
+GPtrArray *sr_members_local_addresses(const sr_members_t *members)
+{
+	return sr_members_delegate_addresses(members, TRUE, G_MAXUINT);
+}
+
 const char *sr_members_pick_address(sr_members_t *members)
 {
 	guint n = g_hash_table_size(members->live) - 1;
--- a/src/daemon/members.h
+++ b/src/daemon/members.h
@@ -120,6 +120,24 @@
 GPtrArray *sr_members_owner_addresses(const sr_members_t *members,
 				      const char *key, unsigned n);
 
+/** sr_members_domain_rank - number of live members of the own failure domain
+ * that precede this node in the order of its delegates. */
+unsigned sr_members_domain_rank(const sr_members_t *members);
+
+/**
+ * sr_members_delegate_addresses - peer addresses of the first n delegates of
+ * the own failure domain, or of each other one
+ *
+ * This node's own address is left out. The addresses are borrowed until the
+ * next change; the caller frees the array with g_ptr_array_unref().
+ */
+GPtrArray *sr_members_delegate_addresses(const sr_members_t *members,
+					 gboolean own_domain, unsigned n);
+
+/** sr_members_local_addresses - peer addresses of the other live nodes of the
+ * own failure domain; as above. */
+GPtrArray *sr_members_local_addresses(const sr_members_t *members);
+
 /** sr_members_pick_address - peer address of a random other live node, or NULL
  * if none is known; borrowed until the next change. */
 const char *sr_members_pick_address(sr_members_t *members);
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -191,14 +191,14 @@
 static void order_instances(sr_duties_t *duties,
 			    const sr_gateway_service_t *service)
 {
-	const sr_fleet_plan_input_t input = {
+	sr_fleet_plan_input_t input = {
 		.service = service,
 		.instances = sr_gateway_instances(duties->options.gateway),
-		.work = sr_fleet_busy_instances(duties->options.fleet_state,
-						service->name),
 	};
 	sr_fleet_order_t order;
 
+	input.is_work_known = sr_fleet_busy_instances(
+		duties->options.fleet_state, service->name, &input.work);
 	while (sr_fleet_plan_next(duties->plan, current_time(duties), &input,
 				  &order)) {
 		const sr_duty_call_t call = {
@@ -207,9 +207,10 @@
 		};
 		char text[160];
 
-		g_snprintf(text, sizeof(text), "%s in %s: %u%s, work %.2f",
+		g_snprintf(text, sizeof(text), "%s in %s: %u%s, work %.2f%s",
 			   order.service, order.failure_domain, order.desired,
-			   order.reclaimable ? " reclaimable" : "", input.work);
+			   order.reclaimable ? " reclaimable" : "", input.work,
+			   input.is_work_known ? "" : " (not known)");
 		log_event(duties, "ordered", call.epoch, text);
 		duties->options.call(duties->options.user, &call);
 	}
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,12 +8,11 @@
 /** Interval of the gossip; all other intervals are checked at this rate. */
 #define TICK (100 * SR_MSEC)
 
-/** Intervals at which this host publishes the demand of accounts, and its load
- * at instances, which goes stale faster. Both grow with the number of live
- * hosts, so that the traffic that a host receives stays about constant. */
+/** Interval at which this host publishes the demand of accounts. It grows with
+ * the number of live hosts, so that the traffic that a host receives stays
+ * about constant. */
 #define DEMAND_INTERVAL SR_SEC
-#define LOAD_INTERVAL (250 * SR_MSEC)
-#define INTERVAL_PER_HOST (11 * SR_MSEC)
+#define DEMAND_INTERVAL_PER_HOST (11 * SR_MSEC)
 
 /** Interval at which usage counts and domain sizes are sent and the pools of
  * accounts are updated. */
@@ -252,11 +251,7 @@
 		break;
 	case SR_RUMOUR_DEMAND:
 		if (strcmp(rumour->key, fleet->options.node))
-			sr_load_gossip_receive_demand(fleet, rumour);
-		break;
-	case SR_RUMOUR_LOAD:
-		if (strcmp(rumour->key, fleet->options.node))
-			sr_load_gossip_receive_load(fleet, rumour);
+			sr_demand_gossip_receive(fleet, rumour);
 		break;
 	case SR_RUMOUR_SHARD_OWNER:
 		receive_duty_holder(fleet, rumour);
@@ -301,7 +296,9 @@
 	sr_fleet_t *fleet = user;
 
 	if (sr_usage_exchange_receive(fleet, data, size) ||
-	    sr_pool_requests_receive(fleet, data, size))
+	    sr_pool_requests_receive(fleet, data, size) ||
+	    sr_load_exchange_receive(fleet->load_exchange, sr_fleet_now(fleet),
+				     data, size))
 		return;
 	sr_gossip_receive(fleet->gossip, sr_fleet_now(fleet), data, size);
 }
@@ -355,18 +352,19 @@
 {
 	sr_fleet_t *fleet = user;
 	sr_usec_t now = sr_fleet_now(fleet);
-	sr_usec_t spacing = sr_fleet_host_count(fleet) * INTERVAL_PER_HOST;
+	sr_usec_t spacing =
+		sr_fleet_host_count(fleet) * DEMAND_INTERVAL_PER_HOST;
 
 	fleet->timer =
 		sr_timer_start(fleet->options.clock, TICK, on_tick, fleet);
 	if (now >= fleet->next_demand_at) {
 		fleet->next_demand_at = now + MAX(DEMAND_INTERVAL, spacing);
-		sr_load_gossip_tick(fleet);
+		sr_demand_gossip_publish(fleet);
 	}
 	if (now >= fleet->next_load_at) {
-		fleet->next_load_at = now + MAX(LOAD_INTERVAL, spacing);
-		sr_load_gossip_publish_load(fleet);
-		sr_load_gossip_apply(fleet);
+		fleet->next_load_at =
+			now + sr_load_exchange_interval(fleet->load_exchange);
+		sr_load_report_tick(fleet);
 	}
 	if (now >= fleet->next_slow_tick_at) {
 		fleet->next_slow_tick_at = now + SLOW_TICK;
@@ -449,9 +447,10 @@
 		g_free(fleet);
 		return NULL;
 	}
-	sr_load_gossip_init(fleet);
+	sr_usage_exchange_init(fleet);
 	sr_pool_requests_init(fleet);
 	create_gossip(fleet);
+	sr_load_report_init(fleet);
 	on_tick(fleet);
 	return fleet;
 }
@@ -465,8 +464,9 @@
 	sr_pool_requests_clear(fleet);
 	sr_peer_free(fleet->peer);
 	sr_gossip_free(fleet->gossip);
+	sr_load_report_clear(fleet);
 	sr_members_free(fleet->members);
-	sr_load_gossip_clear(fleet);
+	sr_usage_exchange_clear(fleet);
 	g_clear_pointer(&fleet->table_text, g_bytes_unref);
 	g_free(fleet->duty_holder);
 	g_free(fleet->owner_id);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -111,9 +111,14 @@
  * owner of a key; 0 if this host should own it. */
 unsigned sr_fleet_rank(const sr_fleet_t *fleet, const char *key);
 
-/** sr_fleet_busy_instances - average number of a service's instances that the
- * prompts of all hosts keep busy. */
-double sr_fleet_busy_instances(const sr_fleet_t *fleet, const char *service);
+/**
+ * sr_fleet_busy_instances - average number of a service's instances that the
+ * prompts of all hosts keep busy
+ *
+ * Returns FALSE and sets *busy to 0 if the load of too few hosts is known.
+ */
+gboolean sr_fleet_busy_instances(const sr_fleet_t *fleet, const char *service,
+				 double *busy);
 
 /** sr_fleet_add_seed - add an address (IP:PORT) that is contacted until its
  * host is known. */
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -5,6 +5,7 @@
 #include "core/gossip.h"
 #include "daemon/members.h"
 #include "fleet/fleet.h"
+#include "fleet/load_exchange.h"
 #include "peer/peer.h"
 
 /** Shared by the source files of sr_fleet_t only. */
@@ -31,9 +32,9 @@
 	guint64 platform_revision;
 	guint64 peer_revision;
 	sr_usec_t behind_since; /* 0 if not behind the peers */
-	/* load of the other hosts, and engine work of all; load_gossip.c */
-	GHashTable *loads;	 /* node -> load_t */
-	GHashTable *engine_work; /* "NODE/SERVICE" -> work_t */
+	/* load of all hosts, and engine work of this one; load_report.c */
+	sr_load_exchange_t *load_exchange;
+	GHashTable *engine_work; /* service -> work_t */
 	/* pools of accounts; pool_requests.c */
 	sr_list_t pool_requests; /* without a reply yet */
 	guint64 n_pool_requests; /* sent so far; the id of the last one */
@@ -48,7 +49,6 @@
 	unsigned n_relayed;		 /* in the current send */
 	sr_usec_t usage_received_since;	 /* without a gap; 0 before the first */
 	sr_usec_t usage_received_at;	 /* from any host */
-	GString *demand_text;		 /* buffer of load_gossip.c */
 };
 
 static inline sr_usec_t sr_fleet_now(const sr_fleet_t *fleet)
@@ -65,27 +65,20 @@
 void sr_fleet_publish_own(sr_fleet_t *fleet, sr_rumour_kind_t kind,
 			  const char *key, const char *text, sr_usec_t ttl);
 
-/* load_gossip.c: load at instances, engine work and demand of accounts */
+/* load_report.c: load at instances and engine work */
 
-/** sr_load_gossip_init, sr_load_gossip_clear - set up and free the tables of
- * load_gossip.c and usage_exchange.c. */
-void sr_load_gossip_init(sr_fleet_t *fleet);
-void sr_load_gossip_clear(sr_fleet_t *fleet);
+void sr_load_report_init(sr_fleet_t *fleet);
+void sr_load_report_clear(sr_fleet_t *fleet);
 
-/** sr_load_gossip_publish_load - publish this host's load at instances and the
- * engine work of its prompts. */
-void sr_load_gossip_publish_load(sr_fleet_t *fleet);
+/** sr_load_report_tick - report this host's load, and set that of the others in
+ * the gateway's table of instances; call at the interval of the exchange. */
+void sr_load_report_tick(sr_fleet_t *fleet);
 
-/** sr_load_gossip_tick - publish the demand of accounts; call about once a
- * second. */
-void sr_load_gossip_tick(sr_fleet_t *fleet);
-void sr_load_gossip_receive_demand(sr_fleet_t *fleet,
-				   const sr_rumour_t *rumour);
-void sr_load_gossip_receive_load(sr_fleet_t *fleet, const sr_rumour_t *rumour);
+/* demand_gossip.c: demand of client accounts */
 
-/** sr_load_gossip_apply - add up the other hosts' load in the gateway's table
- * of instances. */
-void sr_load_gossip_apply(sr_fleet_t *fleet);
+/** sr_demand_gossip_publish - call about once a second. */
+void sr_demand_gossip_publish(sr_fleet_t *fleet);
+void sr_demand_gossip_receive(sr_fleet_t *fleet, const sr_rumour_t *rumour);
 
 /* pool_requests.c: requests to the hosts that hold the pools of accounts */
 
@@ -107,6 +100,9 @@
 
 /* usage_exchange.c: usage counts, sent to the hosts that report them */
 
+void sr_usage_exchange_init(sr_fleet_t *fleet);
+void sr_usage_exchange_clear(sr_fleet_t *fleet);
+
 /** sr_usage_exchange_send - send the counts; call once a second. */
 void sr_usage_exchange_send(sr_fleet_t *fleet);
 
--- /dev/null
+++ b/src/fleet/load_report.c
@@ -0,0 +1,160 @@
+#include <math.h>
+
+#include "fleet/fleet_internal.h"
+
+/** Time constant of the moving average of engine work, in s. */
+#define WORK_AVERAGE_S 4.0
+
+/** The work of all hosts is known if at least this fraction of them is
+ * included in the total. */
+#define KNOWN_FRACTION_MIN 0.5
+
+/** work_t - engine time that the prompts of this host need at a service. */
+typedef struct {
+	double total_s; /* only grows */
+	double rate;	/* s per s, moving average */
+	sr_usec_t updated_at;
+} work_t;
+
+static void send_datagram(void *user, const char *address, const guint8 *data,
+			  gsize size)
+{
+	sr_peer_send_datagram(((sr_fleet_t *)user)->peer, address, data, size);
+}
+
+static const work_t *update_work(sr_fleet_t *fleet, const char *service,
+				 double total_s)
+{
+	work_t *work = g_hash_table_lookup(fleet->engine_work, service);
+	sr_usec_t now = sr_fleet_now(fleet);
+	double elapsed_s;
+
+	if (!work) {
+		work = g_new0(work_t, 1);
+		work->total_s = total_s;
+		work->updated_at = now;
+		g_hash_table_insert(fleet->engine_work, g_strdup(service),
+				    work);
+	}
+	elapsed_s = (double)(now - work->updated_at) / SR_SEC;
+	if (elapsed_s <= 0)
+		return work;
+	work->rate += (1 - exp(-elapsed_s / WORK_AVERAGE_S)) *
+		      ((total_s - work->total_s) / elapsed_s - work->rate);
+	work->total_s = total_s;
+	work->updated_at = now;
+	return work;
+}
+
+typedef struct {
+	sr_fleet_t *fleet;
+	sr_load_sum_t *sum;
+} report_context_t;
+
+static void add_work(void *user, const char *service, double total_s)
+{
+	const report_context_t *context = user;
+
+	sr_load_sum_add_work(
+		context->sum, service,
+		update_work(context->fleet, service, total_s)->rate);
+}
+
+static sr_load_sum_t *own_load(sr_fleet_t *fleet)
+{
+	const GPtrArray *all =
+		sr_instances_all(sr_gateway_instances(fleet->options.gateway));
+	sr_load_sum_t *sum = sr_load_sum_new();
+	report_context_t context = { fleet, sum };
+
+	sr_gateway_foreach_prefill(fleet->options.gateway, add_work, &context);
+	for (guint i = 0; i < all->len; i++) {
+		const sr_instance_t *instance = all->pdata[i];
+		const sr_load_item_t item = {
+			.in_flight = instance->in_flight,
+			.pending_prompt_tokens =
+				instance->pending_prompt_tokens,
+		};
+
+		if (instance->in_flight > 0)
+			sr_load_sum_add_item(sum, instance->name, &item);
+	}
+	return sum;
+}
+
+/* Sets the load of the other hosts in the gateway's table of instances. Without
+ * a fresh total it is left to expire. */
+static void apply_total(void *user)
+{
+	sr_fleet_t *fleet = user;
+	sr_usec_t now = sr_fleet_now(fleet);
+	const sr_load_sum_t *own;
+	const sr_load_sum_t *total =
+		sr_load_exchange_total(fleet->load_exchange, now, &own);
+	const GPtrArray *all =
+		sr_instances_all(sr_gateway_instances(fleet->options.gateway));
+
+	for (guint i = 0; total && i < all->len; i++) {
+		sr_instance_t *instance = all->pdata[i];
+		sr_load_item_t sum = sr_load_sum_item(total, instance->name);
+		sr_load_item_t mine = sr_load_sum_item(own, instance->name);
+
+		instance->peers_in_flight =
+			MAX(sum.in_flight - mine.in_flight, 0);
+		instance->peers_pending_prompt_tokens =
+			MAX(sum.pending_prompt_tokens -
+				    mine.pending_prompt_tokens,
+			    0);
+		instance->peers_reported_at = now;
+	}
+}
+
+void sr_load_report_init(sr_fleet_t *fleet)
+{
+	const sr_load_exchange_options_t options = {
+		.node = fleet->options.node,
+		.failure_domain = fleet->options.failure_domain,
+		.incarnation = fleet->incarnation,
+		.members = fleet->members,
+		.datagram_max = SR_PEER_DATAGRAM_MAX,
+		.send = send_datagram,
+		.total_changed = apply_total,
+		.user = fleet,
+	};
+
+	fleet->load_exchange =
+		sr_load_exchange_new(&options, sr_fleet_now(fleet));
+	fleet->engine_work =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void sr_load_report_clear(sr_fleet_t *fleet)
+{
+	sr_load_exchange_free(fleet->load_exchange);
+	g_hash_table_unref(fleet->engine_work);
+}
+
+void sr_load_report_tick(sr_fleet_t *fleet)
+{
+	sr_load_exchange_tick(fleet->load_exchange, sr_fleet_now(fleet),
+			      own_load(fleet));
+}
+
+gboolean sr_fleet_busy_instances(const sr_fleet_t *fleet, const char *service,
+				 double *busy)
+{
+	const sr_load_sum_t *own;
+	const sr_load_sum_t *total = sr_load_exchange_total(
+		fleet->load_exchange, sr_fleet_now(fleet), &own);
+	double n_hosts = sr_fleet_host_count(fleet);
+	double n_included = total ? sr_load_sum_hosts(total) : 0;
+
+	*busy = 0;
+	if (n_included < 1 || n_included < KNOWN_FRACTION_MIN * n_hosts)
+		return FALSE;
+	/* The load balancer spreads callers over all hosts, so those that are
+	 * not included are assumed to cause the average of the others. */
+	*busy = sr_load_sum_work(total, service) *
+		MAX(n_hosts / n_included, 1);
+	return TRUE;
+}
--- a/src/fleet/usage_exchange.c
+++ b/src/fleet/usage_exchange.c
@@ -38,6 +38,21 @@
  * sr_peer_send_datagram() without a log entry. */
 #define DATAGRAM_MAX (8 * 1024)
 
+void sr_usage_exchange_init(sr_fleet_t *fleet)
+{
+	fleet->usage_last_received =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	if (fleet->options.usage_window > 0)
+		fleet->usage = sr_usage_windows_new(
+			fleet->owner_id, fleet->options.usage_window);
+}
+
+void sr_usage_exchange_clear(sr_fleet_t *fleet)
+{
+	g_hash_table_unref(fleet->usage_last_received);
+	sr_usage_windows_free(fleet->usage);
+}
+
 static guint64 current_window(const sr_fleet_t *fleet)
 {
 	return sr_usage_windows_at(fleet->usage,
--- a/test/gateway_policy_test.c
+++ b/test/gateway_policy_test.c
@@ -522,12 +522,14 @@
 	return n;
 }
 
-static orders_t collect_orders(fleet_t *fleet, sr_usec_t now, double work)
+static orders_t collect_orders_for(fleet_t *fleet, sr_usec_t now, double work,
+				   gboolean is_work_known)
 {
 	const sr_fleet_plan_input_t input = {
 		.service = fleet->service,
 		.instances = fleet->instances,
 		.work = work,
+		.is_work_known = is_work_known,
 	};
 	orders_t orders = { 0 };
 	sr_fleet_order_t order;
@@ -549,6 +551,11 @@
 	return orders;
 }
 
+static orders_t collect_orders(fleet_t *fleet, sr_usec_t now, double work)
+{
+	return collect_orders_for(fleet, now, work, TRUE);
+}
+
 /* All reclaimable instances of a failure domain may be reclaimed at once. */
 static void test_fleet_survives_reclaim_of_a_domain(void **state)
 {
@@ -656,6 +663,99 @@
 	fleet_free(&fleet);
 }
 
+/* Lets the instances beyond the last order of each domain drain. */
+static void drain_released(fleet_t *fleet)
+{
+	const GPtrArray *all = sr_instances_all(fleet->instances);
+	unsigned kept[G_N_ELEMENTS(domains)] = { 0 };
+
+	for (guint i = 0; i < all->len; i++) {
+		sr_instance_t *instance = all->pdata[i];
+		unsigned d = (unsigned)(instance->failure_domain[0] - 'a');
+
+		if (!instance->reclaimable && !instance->draining &&
+		    ++kept[d] > fleet->regular[d])
+			instance->draining = TRUE;
+	}
+}
+
+static unsigned count_present(const fleet_t *fleet)
+{
+	const GPtrArray *all = sr_instances_all(fleet->instances);
+	unsigned n = 0;
+
+	for (guint i = 0; i < all->len; i++)
+		n += sr_instance_is_present(all->pdata[i]);
+	return n;
+}
+
+/* The load falls to a quarter, so that each domain has too many instances. What
+ * the domains release together must leave enough, and not all at once. */
+static void test_domains_release_in_steps_together(void **state)
+{
+	fleet_t fleet = fleet_new(0);
+	unsigned before;
+
+	(void)state;
+	fleet.service->scaling->max = 20;
+	for (gsize i = 0; i < G_N_ELEMENTS(domains); i++) {
+		add_instances(&fleet, domains[i], FALSE, 12);
+		fleet.regular[i] = 12;
+	}
+	for (int s = 1; s < 10; s++)
+		collect_orders(&fleet, s * SR_SEC, 16);
+	for (int s = 10; s < 120; s++) {
+		before = count_present(&fleet);
+		collect_orders(&fleet, s * SR_SEC, 4);
+		drain_released(&fleet);
+		/* 8 are needed, and 0.35 of them in reserve */
+		assert_true(count_present(&fleet) >= 10);
+		assert_true(before - count_present(&fleet) <= before / 4);
+	}
+	assert_true(count_present(&fleet) < 24);
+	fleet_free(&fleet);
+}
+
+/* The load reports of the other hosts are lost under load. The work that is
+ * still known is next to nothing, and must not take instances away. */
+static void test_unknown_load_releases_nothing(void **state)
+{
+	fleet_t fleet = fleet_new(0.15);
+	unsigned reductions = 0;
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(domains); i++) {
+		add_instances(&fleet, domains[i], FALSE, 4);
+		add_instances(&fleet, domains[i], TRUE, 4);
+	}
+	for (int s = 1; s < 10; s++)
+		collect_orders(&fleet, s * SR_SEC, 6);
+	for (int s = 10; s < 90; s++)
+		reductions += collect_orders_for(&fleet, s * SR_SEC, 0, FALSE)
+				      .reductions;
+	assert_int_equal(reductions, 0);
+	fleet_free(&fleet);
+}
+
+/* Prompts are short, but their answers occupy the slots of the engines. */
+static void test_running_requests_need_instances(void **state)
+{
+	fleet_t fleet = fleet_new(0);
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(domains); i++)
+		add_instances(&fleet, domains[i], FALSE, 2);
+	for (guint i = 0; i < sr_instances_all(fleet.instances)->len; i++) {
+		sr_instance_t *instance =
+			sr_instances_all(fleet.instances)->pdata[i];
+
+		instance->in_flight = instance->slots;
+	}
+	collect_orders(&fleet, SR_SEC, 0.1);
+	assert_true(total_regular(&fleet) > 8);
+	fleet_free(&fleet);
+}
+
 /* After a peak in load the instances are reclaimed. Fewer are needed than were
  * ordered for the peak, but none are left, so a new order is due. */
 static void test_reclaimed_instances_are_reordered(void **state)
@@ -707,6 +807,9 @@
 		cmocka_unit_test(
 			test_fleet_is_not_reduced_before_load_is_known),
 		cmocka_unit_test(test_reclaimable_replace_regular_before_load),
+		cmocka_unit_test(test_domains_release_in_steps_together),
+		cmocka_unit_test(test_unknown_load_releases_nothing),
+		cmocka_unit_test(test_running_requests_need_instances),
 		cmocka_unit_test(test_reclaimed_instances_are_reordered),
 		cmocka_unit_test(test_unfilled_order_is_repeated),
 	};
