Sum usage counts by failure domain

Cause: each host sent its counts of three windows a second to three receivers, 585 datagrams a second to each of them at 195 hosts, and wrote the counts of each host into the lease's payload at every renewal.

Ruled out: the size of a datagram (19 accounts are 250 bytes). Sums that replace each other: a collector that has restarted knows less than the one before.

Change: hosts send their counts to the first two delegates of their domain, which send sums to the hosts that may report. Counts are merged one by one, the higher wins, so that they may come in several datagrams. Hosts that started within a window are summed apart by the second of their start: after a kill of a whole domain the higher of two sums would hide the counts of one life.

--- a/src/core/usage_windows.c
+++ b/src/core/usage_windows.c
@@ -194,95 +194,155 @@
 	}
 }
 
-/* Parses and adds "account=count". Returns the count, 0 if it is malformed. */
-static guint64 parse_count(GHashTable *counts, char *text, gboolean is_escaped)
+/* Parses and adds "account=count"; ignores it if it is malformed. */
+static void parse_count(GHashTable *counts, char *text, gboolean is_escaped)
 {
 	char *separator = strrchr(text, '=');
 	char *account;
 	guint64 n;
 
 	if (!separator || separator == text)
-		return 0;
+		return;
 	if (!g_ascii_string_to_unsigned(separator + 1, 10, 0, G_MAXUINT32, &n,
 					NULL))
-		return 0;
+		return;
 	*separator = '\0';
 	account =
 		is_escaped ? g_uri_unescape_string(text, NULL) : g_strdup(text);
 	if (!account)
-		return 0;
+		return;
 	add_count(counts, account, n);
 	g_free(account);
-	return n;
 }
 
-static GHashTable *parse_counts(const char *text, gsize size, guint64 *sum)
+/* Raises the counts of another host to the received ones; frees those. */
+static void merge_counts(sr_usage_windows_t *usage, const char *node,
+			 guint64 window, GHashTable *received)
+{
+	window_t *slot =
+		strcmp(node, usage->node) ? get_window(usage, window) : NULL;
+	GHashTable *known = slot && g_hash_table_size(received) > 0 ?
+				    get_counts(slot, node) :
+				    NULL;
+	GHashTableIter iter;
+	gpointer account;
+	gpointer count;
+
+	g_hash_table_iter_init(&iter, received);
+	while (known && g_hash_table_iter_next(&iter, &account, &count)) {
+		const guint64 *before = g_hash_table_lookup(known, account);
+		guint64 n = *(guint64 *)count;
+
+		if (!before || n > *before)
+			add_count(known, account, n - (before ? *before : 0));
+	}
+	g_hash_table_unref(received);
+}
+
+void sr_usage_windows_receive(sr_usage_windows_t *usage, const char *node,
+			      guint64 window, const char *text, gsize size)
 {
 	GHashTable *counts = new_counts();
 	char *copy = g_strndup(text, size);
 	char **lines = g_strsplit(copy, "\n", -1);
 
-	*sum = 0;
 	for (char **line = lines; *line; line++)
-		*sum += parse_count(counts, *line, FALSE);
+		parse_count(counts, *line, FALSE);
 	g_strfreev(lines);
 	g_free(copy);
-	return counts;
+	merge_counts(usage, node, window, counts);
 }
 
-static guint64 sum_counts(GHashTable *counts)
+void sr_usage_windows_restore(sr_usage_windows_t *usage, const char *line)
 {
-	GHashTableIter iter;
-	gpointer count;
-	guint64 sum = 0;
+	char **words = g_strsplit(line, " ", -1);
+	guint64 window;
+
+	if (g_strv_length(words) > 2 && words[0][0] == '+' && *words[1] &&
+	    g_ascii_string_to_unsigned(words[0] + 1, 10, 0, G_MAXUINT64,
+				       &window, NULL)) {
+		GHashTable *counts = new_counts();
+
+		for (char **word = words + 2; *word; word++)
+			parse_count(counts, *word, TRUE);
+		merge_counts(usage, words[1], window, counts);
+	}
+	g_strfreev(words);
+}
 
-	if (!counts)
+/* Start of a host in Unix seconds if it lies in or after the window, or else
+ * 0. */
+static gint64 cohort_of(const sr_usage_windows_t *usage, const char *node,
+			guint64 window)
+{
+	const char *separator = strrchr(node, '@');
+	gint64 start_ms;
+
+	if (!separator ||
+	    !g_ascii_string_to_signed(separator + 1, 10, 0, G_MAXINT64,
+				      &start_ms, NULL) ||
+	    sr_usage_windows_at(usage, start_ms) < window)
 		return 0;
-	g_hash_table_iter_init(&iter, counts);
-	while (g_hash_table_iter_next(&iter, NULL, &count))
-		sum += *(guint64 *)count;
-	return sum;
+	return start_ms / 1000;
 }
 
-/* Stores the counts of another host if their sum exceeds that of its known
- * counts; takes ownership of them. */
-static void store_counts(sr_usage_windows_t *usage, const char *node,
-			 guint64 window, GHashTable *counts, guint64 sum)
+static void add_counts(GHashTable *sum, GHashTable *counts)
 {
-	window_t *slot =
-		strcmp(node, usage->node) ? get_window(usage, window) : NULL;
+	GHashTableIter iter;
+	gpointer account;
+	gpointer count;
 
-	if (slot && sum > sum_counts(g_hash_table_lookup(slot->hosts, node)))
-		g_hash_table_insert(slot->hosts, g_strdup(node), counts);
-	else
-		g_hash_table_unref(counts);
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &account, &count))
+		add_count(sum, account, *(guint64 *)count);
 }
 
-void sr_usage_windows_receive(sr_usage_windows_t *usage, const char *node,
-			      guint64 window, const char *text, gsize size)
+static GHashTable *sum_cohorts(const sr_usage_windows_t *usage, guint64 window)
 {
-	guint64 sum;
-	GHashTable *counts = parse_counts(text, size, &sum);
+	const window_t *slot = find_window(usage, window);
+	GHashTable *cohorts =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				      (GDestroyNotify)g_hash_table_unref);
+	GHashTableIter hosts;
+	gpointer node;
+	gpointer counts;
 
-	store_counts(usage, node, window, counts, sum);
+	if (!slot)
+		return cohorts;
+	g_hash_table_iter_init(&hosts, slot->hosts);
+	while (g_hash_table_iter_next(&hosts, &node, &counts)) {
+		gint64 start_s = cohort_of(usage, node, window);
+		GHashTable *sum = g_hash_table_lookup(cohorts, &start_s);
+
+		if (!sum) {
+			sum = new_counts();
+			g_hash_table_insert(
+				cohorts, g_memdup2(&start_s, sizeof(start_s)),
+				sum);
+		}
+		add_counts(sum, counts);
+	}
+	return cohorts;
 }
 
-void sr_usage_windows_restore(sr_usage_windows_t *usage, const char *line)
+void sr_usage_windows_foreach_cohort(
+	const sr_usage_windows_t *usage, guint64 window,
+	void (*fn)(void *user, gint64 start_s, const char *text), void *user)
 {
-	char **words = g_strsplit(line, " ", -1);
-	guint64 window;
+	GHashTable *cohorts = sum_cohorts(usage, window);
+	GHashTableIter iter;
+	gpointer start_s;
+	gpointer counts;
 
-	if (g_strv_length(words) > 2 && words[0][0] == '+' && *words[1] &&
-	    g_ascii_string_to_unsigned(words[0] + 1, 10, 0, G_MAXUINT64,
-				       &window, NULL)) {
-		GHashTable *counts = new_counts();
-		guint64 sum = 0;
+	g_hash_table_iter_init(&iter, cohorts);
+	while (g_hash_table_iter_next(&iter, &start_s, &counts)) {
+		GString *text = g_string_new(NULL);
 
-		for (char **word = words + 2; *word; word++)
-			sum += parse_count(counts, *word, TRUE);
-		store_counts(usage, words[1], window, counts, sum);
+		format_counts(counts, text);
+		fn(user, *(gint64 *)start_s, text->str);
+		g_string_free(text, TRUE);
 	}
-	g_strfreev(words);
+	g_hash_table_unref(cohorts);
 }
 
 GHashTable *sr_usage_windows_total(const sr_usage_windows_t *usage,
@@ -296,14 +356,7 @@
 	if (!slot)
 		return total;
 	g_hash_table_iter_init(&hosts, slot->hosts);
-	while (g_hash_table_iter_next(&hosts, NULL, &counts)) {
-		GHashTableIter iter;
-		gpointer account;
-		gpointer count;
-
-		g_hash_table_iter_init(&iter, counts);
-		while (g_hash_table_iter_next(&iter, &account, &count))
-			add_count(total, account, *(guint64 *)count);
-	}
+	while (g_hash_table_iter_next(&hosts, NULL, &counts))
+		add_counts(total, counts);
 	return total;
 }
--- a/src/core/usage_windows.h
+++ b/src/core/usage_windows.h
@@ -13,7 +13,8 @@
  * host and window only grow. Each host sends its own to the others; the last
  * counts received from a host are kept when it is gone.
  *
- * The name of a host is its node and incarnation. Strings are copied.
+ * The name of a host is "NODE@INCARNATION", the incarnation being the Unix time
+ * of its start in milliseconds. Strings are copied.
  */
 typedef struct sr_usage_windows sr_usage_windows_t;
 
@@ -58,11 +59,24 @@
 	void (*fn)(void *user, const char *node, const char *text), void *user);
 
 /**
- * sr_usage_windows_receive - store the counts of a window from another host
+ * sr_usage_windows_foreach_cohort - call fn with the sums over the hosts that
+ * started together
  *
- * Ignored if their sum is not above that of the counts known for the host, if
- * they are of this host, or if the window is no longer kept. Malformed lines
- * are skipped.
+ * Hosts that started before the window are one cohort, with start_s 0, and so
+ * are those of each later second. A sum only grows as long as the counts of all
+ * hosts of its cohort are known. text is as in
+ * sr_usage_windows_foreach_peer().
+ */
+void sr_usage_windows_foreach_cohort(
+	const sr_usage_windows_t *usage, guint64 window,
+	void (*fn)(void *user, gint64 start_s, const char *text), void *user);
+
+/**
+ * sr_usage_windows_receive - merge counts of a window from another host
+ *
+ * Each count is raised to the one received if that is higher, so that counts
+ * may arrive in parts, again or out of order. Ignored if they are of this host
+ * or if the window is no longer kept. Malformed lines are skipped.
  */
 void sr_usage_windows_receive(sr_usage_windows_t *usage, const char *node,
 			      guint64 window, const char *text, gsize size);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -483,7 +483,7 @@
 
 sr_usage_windows_t *sr_fleet_usage(const sr_fleet_t *fleet)
 {
-	return fleet->usage;
+	return fleet->domain_usage;
 }
 
 const char *sr_fleet_owner_id(const sr_fleet_t *fleet)
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -18,7 +18,10 @@
 	sr_peer_t *peer;
 	sr_gossip_t *gossip;
 	sr_members_t *members;
-	sr_usage_windows_t *usage; /* NULL if usage is not counted */
+	/* counts of the hosts of this failure domain, and sums of each domain;
+	 * NULL if usage is not counted */
+	sr_usage_windows_t *usage;
+	sr_usage_windows_t *domain_usage; /* "DOMAIN/COHORT" for a host */
 	sr_timer_t *timer;
 	sr_usec_t next_demand_at;
 	sr_usec_t next_load_at;
--- a/test/usage_test.c
+++ b/test/usage_test.c
@@ -212,6 +212,89 @@
 	sr_usage_windows_free(usage);
 }
 
+typedef struct {
+	sr_usage_windows_t *reporter;
+	guint64 window;
+} cohort_context_t;
+
+static void report_cohort(void *user, gint64 start_s, const char *text)
+{
+	const cohort_context_t *context = user;
+	char *source = g_strdup_printf("domain/%" G_GINT64_FORMAT, start_s);
+
+	sr_usage_windows_receive(context->reporter, source, context->window,
+				 text, strlen(text));
+	g_free(source);
+}
+
+static void send_domain(const sr_usage_windows_t *collector,
+			sr_usage_windows_t *reporter)
+{
+	cohort_context_t context = { reporter, 20 };
+
+	sr_usage_windows_foreach_cohort(collector, 20, report_cohort, &context);
+}
+
+/* Two collectors of a domain send sums of the same hosts. */
+static void test_two_collectors_count_once(void **state)
+{
+	sr_usage_windows_t *a = sr_usage_windows_new("a@50000", WINDOW);
+	sr_usage_windows_t *b = sr_usage_windows_new("b@50000", WINDOW);
+	sr_usage_windows_t *reporter = sr_usage_windows_new("", WINDOW);
+
+	(void)state;
+	sr_usage_windows_count(a, 101000, "x");
+	sr_usage_windows_receive(a, "b@50000", 20, "x=4\n", 4);
+	sr_usage_windows_receive(a, "c@50000", 20, "x=5\n", 4);
+	for (int i = 0; i < 4; i++)
+		sr_usage_windows_count(b, 101000, "x");
+	sr_usage_windows_receive(b, "a@50000", 20, "x=1\n", 4);
+	sr_usage_windows_receive(b, "c@50000", 20, "x=3\n", 4);
+	send_domain(a, reporter);
+	send_domain(b, reporter);
+	send_domain(a, reporter);
+	assert_int_equal(total_of(reporter, 20, "x"), 10);
+	sr_usage_windows_free(a);
+	sr_usage_windows_free(b);
+	sr_usage_windows_free(reporter);
+}
+
+/* All hosts of a domain, its collectors too, are killed in a window and count
+ * from zero again. Sums of before and after are not merged with each other. */
+static void test_domain_that_restarts_counts_both_lives(void **state)
+{
+	sr_usage_windows_t *before = sr_usage_windows_new("a@50000", WINDOW);
+	sr_usage_windows_t *after = sr_usage_windows_new("a@102500", WINDOW);
+	sr_usage_windows_t *reporter = sr_usage_windows_new("", WINDOW);
+
+	(void)state;
+	sr_usage_windows_receive(before, "b@50000", 20, "x=70\n", 5);
+	sr_usage_windows_count(before, 101000, "x");
+	send_domain(before, reporter);
+	sr_usage_windows_receive(after, "b@102900", 20, "x=8\n", 4);
+	sr_usage_windows_count(after, 103000, "x");
+	send_domain(after, reporter);
+	assert_int_equal(total_of(reporter, 20, "x"), 80);
+	sr_usage_windows_free(before);
+	sr_usage_windows_free(after);
+	sr_usage_windows_free(reporter);
+}
+
+/* More accounts than fit a datagram arrive in parts, some of them again. */
+static void test_counts_arrive_in_parts(void **state)
+{
+	sr_usage_windows_t *usage = sr_usage_windows_new("a", WINDOW);
+
+	(void)state;
+	sr_usage_windows_receive(usage, "b", 20, "x=4\n", 4);
+	sr_usage_windows_receive(usage, "b", 20, "y=3\n", 4);
+	sr_usage_windows_receive(usage, "b", 20, "x=5\n", 4);
+	sr_usage_windows_receive(usage, "b", 20, "y=3\n", 4);
+	assert_int_equal(total_of(usage, 20, "x"), 5);
+	assert_int_equal(total_of(usage, 20, "y"), 3);
+	sr_usage_windows_free(usage);
+}
+
 /* The payload comes from the store; damaged lines must be ignored. */
 static void test_damaged_lines_are_ignored(void **state)
 {
@@ -242,6 +325,9 @@
 		cmocka_unit_test(test_open_windows_survive_all_hosts),
 		cmocka_unit_test(test_next_holder_waits_for_counts),
 		cmocka_unit_test(test_damaged_lines_are_ignored),
+		cmocka_unit_test(test_two_collectors_count_once),
+		cmocka_unit_test(test_domain_that_restarts_counts_both_lives),
+		cmocka_unit_test(test_counts_arrive_in_parts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
