Keep the limits of hundreds of hosts in two pools

Cause: each of 195 hosts may overdraw its share of an account by one request. Half of a limit was in shares that no request fits into, and a lost holder of the one pool refused the rest.

Ruled out: stale demand (the sum is exceeded with even shares as well).

Change: the part in shares falls with the number of hosts, the rest is in two pools whose holders are in different domains; a share is overdrawn only as far as all hosts together may. The three tests of hundreds of hosts and of a lost holder failed before.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -25,8 +25,10 @@
  * the overage instead. */
 #define FULL_RESERVE_HOSTS 12
 
-/** Fraction of a limit that is kept in the pool. */
-#define POOL_FRACTION 0.5
+/** Fraction of a limit that is kept by the hosts if they are few; the rest is in
+ * its pools. With more than FEW_HOSTS it falls with their number. */
+#define LOCAL_FRACTION 0.5
+#define FEW_HOSTS 12
 
 /** Time constant of the demand average, in s: short enough to follow callers
  * that move to other hosts, long against the time between two requests. */
@@ -48,9 +50,15 @@
 	double published_rate; /* own: at the last publication */
 } demand_t;
 
+typedef struct {
+	double level;
+	sr_usec_t refilled_at;
+} pool_t;
+
 typedef struct {
 	double rate;
 	double burst;
+	double overdraft; /* tolerated by all hosts together */
 	double level;
 	double reserve; /* for small requests while level is negative */
 	sr_usec_t refilled_at;
@@ -58,15 +66,13 @@
 	sr_usec_t share_updated_at;
 	demand_t own;
 	GHashTable *peers; /* host name -> demand_t */
-	/* used while this host holds the pool */
-	double pool_level;
-	sr_usec_t pool_refilled_at;
+	pool_t pools[SR_ALLOWANCE_POOLS]; /* used while this host holds them */
 } bucket_t;
 
 struct sr_allowance {
 	GHashTable *buckets; /* account -> bucket_t */
 	unsigned n_hosts;
-	gboolean has_pool;
+	gboolean has_pools;
 	double pool_fraction;
 	sr_allowance_tolerance_t tolerance;
 };
@@ -123,6 +129,8 @@
 	if (rate <= 0 || window <= 0)
 		return;
 	allowed = rate * window + burst + SLACK_FRACTION * tolerance->slack;
+	bucket->overdraft = tolerance->overage * (rate * window + burst) +
+			    (1 - SLACK_FRACTION) * tolerance->slack;
 	bucket->burst = MIN(BURST_FRACTION * allowed, allowed - rate * window);
 	bucket->rate = (allowed - bucket->burst) / window;
 }
@@ -202,7 +210,23 @@
 	       (1 - EVEN_FRACTION) * own / (own + peer_rate);
 }
 
-/* Moves the share towards its target; returns the part outside the pool. */
+/* Fraction of a limit outside the pools. */
+static double local_fraction(const sr_allowance_t *allowance)
+{
+	if (!allowance->has_pools)
+		return 1;
+	return LOCAL_FRACTION *
+	       MIN((double)FEW_HOSTS / allowance->n_hosts, 1);
+}
+
+/* Fraction of a limit in one pool, as far as this host may grant it. */
+static double pool_fraction(const sr_allowance_t *allowance)
+{
+	return (1 - local_fraction(allowance)) / SR_ALLOWANCE_POOLS *
+	       allowance->pool_fraction;
+}
+
+/* Moves the share towards its target; returns the part outside the pools. */
 static double update_share(const sr_allowance_t *allowance, bucket_t *bucket,
 			   sr_usec_t now)
 {
@@ -212,8 +236,7 @@
 	bucket->share += (1 - exp(-elapsed / SHARE_TIME_CONSTANT_S)) *
 			 (target - bucket->share);
 	bucket->share_updated_at = now;
-	return allowance->has_pool ? bucket->share * (1 - POOL_FRACTION) :
-				     bucket->share;
+	return bucket->share * local_fraction(allowance);
 }
 
 static double reserve_fraction(const sr_allowance_t *allowance)
@@ -247,17 +270,28 @@
 	set_window_limit(allowance, bucket, rate_per_s, burst);
 	if (is_first) {
 		bucket->level = INITIAL_FILL_FRACTION * bucket->burst * share;
-		bucket->pool_level = INITIAL_FILL_FRACTION * bucket->burst *
-				     POOL_FRACTION * allowance->pool_fraction;
-		bucket->pool_refilled_at = now;
+		for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
+			bucket->pools[i] = (pool_t){
+				.level = INITIAL_FILL_FRACTION * bucket->burst *
+					 pool_fraction(allowance),
+				.refilled_at = now,
+			};
 	}
 	bucket->level = MIN(bucket->level, bucket->burst * share);
 }
 
+/* Level of a share below which it may not be overdrawn. */
+static double level_min(const sr_allowance_t *allowance, const bucket_t *bucket)
+{
+	return allowance->has_pools ? -bucket->overdraft / allowance->n_hosts :
+				      -G_MAXDOUBLE;
+}
+
 sr_usec_t sr_allowance_take(sr_allowance_t *allowance, sr_usec_t now,
 			    const char *account, double amount)
 {
 	bucket_t *bucket = get_bucket(allowance, now, account);
+	double shortfall;
 	double share;
 
 	record_demand(&bucket->own, now, amount);
@@ -265,19 +299,21 @@
 		return 0;
 	share = update_share(allowance, bucket, now);
 	refill(allowance, bucket, now, share);
-	if (bucket->level < 0 && bucket->reserve >= amount)
+	shortfall = MAX(-bucket->level, level_min(allowance, bucket) + amount -
+						bucket->level);
+	if (shortfall > 0 && bucket->reserve >= amount)
 		bucket->reserve -= amount;
-	else if (bucket->level < 0)
-		return (sr_usec_t)(-bucket->level / (bucket->rate * share) *
+	else if (shortfall > 0)
+		return (sr_usec_t)(shortfall / (bucket->rate * share) *
 				   SR_SEC) +
 		       1;
 	bucket->level -= amount;
 	return 0;
 }
 
-void sr_allowance_enable_pool(sr_allowance_t *allowance)
+void sr_allowance_enable_pools(sr_allowance_t *allowance)
 {
-	allowance->has_pool = TRUE;
+	allowance->has_pools = TRUE;
 }
 
 void sr_allowance_set_pool_fraction(sr_allowance_t *allowance, double fraction)
@@ -285,39 +321,40 @@
 	allowance->pool_fraction = fraction;
 }
 
-static void refill_pool(bucket_t *bucket, sr_usec_t now, double fraction)
+static void refill_pool(const bucket_t *bucket, pool_t *pool, sr_usec_t now,
+			double fraction)
 {
-	double earned = bucket->rate * fraction *
-			seconds_since(bucket->pool_refilled_at, now);
+	double earned =
+		bucket->rate * fraction * seconds_since(pool->refilled_at, now);
 
-	bucket->pool_level =
-		MIN(bucket->pool_level + earned, bucket->burst * fraction);
-	bucket->pool_refilled_at = now;
+	pool->level = MIN(pool->level + earned, bucket->burst * fraction);
+	pool->refilled_at = now;
 }
 
 void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
-			     const char *account)
+			     const char *account, unsigned pool)
 {
 	bucket_t *bucket = get_bucket(allowance, now, account);
 
-	bucket->pool_level = 0;
-	bucket->pool_refilled_at = now;
+	bucket->pools[pool] = (pool_t){ .refilled_at = now };
 }
 
 sr_usec_t sr_allowance_take_from_pool(sr_allowance_t *allowance, sr_usec_t now,
-				      const char *account, double amount)
+				      const char *account, unsigned pool,
+				      double amount)
 {
 	bucket_t *bucket = get_bucket(allowance, now, account);
-	double fraction = POOL_FRACTION * allowance->pool_fraction;
+	double fraction = pool_fraction(allowance);
+	pool_t *from = &bucket->pools[pool];
 
 	if (bucket->rate <= 0 || fraction <= 0)
 		return SR_SEC; /* limit or fraction not set yet */
-	refill_pool(bucket, now, fraction);
-	if (bucket->pool_level < 0)
-		return (sr_usec_t)(-bucket->pool_level /
-				   (bucket->rate * fraction) * SR_SEC) +
+	refill_pool(bucket, from, now, fraction);
+	if (from->level < 0)
+		return (sr_usec_t)(-from->level / (bucket->rate * fraction) *
+				   SR_SEC) +
 		       1;
-	bucket->pool_level -= amount;
+	from->level -= amount;
 	return 0;
 }
 
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -18,17 +18,22 @@
  * missing or stale is assumed to have at least the demand of this host, so
  * that the sides of a network partition stay within the limit together.
  *
- * With the pool enabled, each host keeps only a fraction of its share. The
- * rest is a pool per account, held by one host; hosts whose share is used up
- * request from it. The holder grants the fraction of the pool that corresponds
- * to the fraction of hosts it can reach, so that the sides of a partition have
- * no more than one pool between them.
+ * With pools enabled, each host keeps only a fraction of its share, which falls
+ * with the number of hosts: the share of one among many is smaller than a
+ * request. The rest is divided between SR_ALLOWANCE_POOLS pools per account,
+ * each held by one host; hosts whose share is used up request from them. A
+ * holder grants the fraction of its pool that corresponds to the fraction of
+ * hosts it can reach, so that the sides of a partition have no more than one
+ * pool between them.
  *
  * Rates, bursts and amounts are in the units that the limit of the account
  * counts (requests or tokens). Strings are copied.
  */
 typedef struct sr_allowance sr_allowance_t;
 
+/** Pools of an account, held by hosts of different failure domains. */
+#define SR_ALLOWANCE_POOLS 2
+
 /** Age from which the counter of another host counts as stale. */
 #define SR_ALLOWANCE_STALE_AFTER (3 * SR_SEC)
 
@@ -84,34 +89,39 @@
 void sr_allowance_refund(sr_allowance_t *allowance, const char *account,
 			 double amount);
 
-/** sr_allowance_enable_pool - reserve a fraction of every limit for its
- * pool. */
-void sr_allowance_enable_pool(sr_allowance_t *allowance);
+/**
+ * sr_allowance_enable_pools - reserve a fraction of every limit for its pools
+ *
+ * The share of a host may then be overdrawn only so far that all hosts together
+ * stay within the tolerance; a larger request needs a pool.
+ */
+void sr_allowance_enable_pools(sr_allowance_t *allowance);
 
 /** sr_allowance_set_pool_fraction - fraction of the hosts that this host can
  * reach, itself included, from 0 to 1; 0 until set. */
 void sr_allowance_set_pool_fraction(sr_allowance_t *allowance, double fraction);
 
 /**
- * sr_allowance_start_pool - make this host the holder of an account's pool
+ * sr_allowance_start_pool - make this host the holder of a pool of an account
  *
  * The pool starts empty, as what the previous holder granted is not known.
  */
 void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
-			     const char *account);
+			     const char *account, unsigned pool);
 
 /**
- * sr_allowance_take_from_pool - take an amount from the pool on this host
+ * sr_allowance_take_from_pool - take an amount from a pool on this host
  *
  * Returns 0 if it was taken, or else the time until the pool is available
  * again; one second if the limit of the account or the fraction of the pool
  * has not been set.
  */
 sr_usec_t sr_allowance_take_from_pool(sr_allowance_t *allowance, sr_usec_t now,
-				      const char *account, double amount);
+				      const char *account, unsigned pool,
+				      double amount);
 
 /** sr_allowance_share - this host's fraction of the account's rate, from 0 to
- * 1, without the pool. */
+ * 1, without the pools. */
 double sr_allowance_share(sr_allowance_t *allowance, sr_usec_t now,
 			  const char *account);
 
--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -318,6 +318,43 @@
 	return addresses;
 }
 
+/* Returns the best delegate outside a domain, which may be NULL; NULL if none
+ * is known. */
+static const live_member_t *best_delegate_outside(const sr_members_t *members,
+						  const char *key,
+						  const char *failure_domain)
+{
+	const live_member_t *owner = NULL;
+	GHashTableIter iter;
+	gpointer value;
+	guint64 best = 0;
+
+	g_hash_table_iter_init(&iter, members->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const live_member_t *live = value;
+		guint64 score = sr_rendezvous_score(live->name, key);
+
+		if (live->is_delegate &&
+		    g_strcmp0(live->failure_domain, failure_domain) != 0 &&
+		    (!owner || score > best)) {
+			owner = live;
+			best = score;
+		}
+	}
+	return owner;
+}
+
+void sr_members_owner_pair(const sr_members_t *members, const char *key,
+			   const char *addresses[2])
+{
+	const live_member_t *first = best_delegate_outside(members, key, NULL);
+	const live_member_t *second =
+		best_delegate_outside(members, key, first->failure_domain);
+
+	addresses[0] = first->address;
+	addresses[1] = second ? second->address : first->address;
+}
+
 /* Number of live members of the same domain that precede this one. */
 static unsigned domain_rank(const sr_members_t *members,
 			    const live_member_t *live)
--- a/src/daemon/members.h
+++ b/src/daemon/members.h
@@ -120,6 +120,16 @@
 GPtrArray *sr_members_owner_addresses(const sr_members_t *members,
 				      const char *key, unsigned n);
 
+/**
+ * sr_members_owner_pair - peer addresses of two delegates that own a key
+ *
+ * The second one is in another failure domain than the first, or is the first
+ * again if no other domain is known. This node's address may be among them. The
+ * addresses are borrowed until the next change.
+ */
+void sr_members_owner_pair(const sr_members_t *members, const char *key,
+			   const char *addresses[2]);
+
 /** sr_members_domain_rank - number of live members of the own failure domain
  * that precede this node in the order of its delegates. */
 unsigned sr_members_domain_rank(const sr_members_t *members);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -8,11 +8,17 @@
 /** Interval of the gossip; all other intervals are checked at this rate. */
 #define TICK (100 * SR_MSEC)
 
-/** Interval at which this host publishes the demand of accounts. It grows with
- * the number of live hosts, so that the traffic that a host receives stays
- * about constant. */
+/** Interval at which this host publishes the demand of accounts. */
 #define DEMAND_INTERVAL SR_SEC
-#define DEMAND_INTERVAL_PER_HOST (11 * SR_MSEC)
+
+/** Live hosts up to which demand is published. The shares of more hosts are so
+ * small that nearly all requests take from the pools. */
+#define DEMAND_HOSTS_MAX 24
+
+/** Time after a start in which other hosts may not be known yet, and the number
+ * of hosts that allowances are divided by until then. */
+#define SETTLE_TIME (1500 * SR_MSEC)
+#define UNSETTLED_HOSTS 32
 
 /** Interval at which usage counts and domain sizes are sent and the pools of
  * accounts are updated. */
@@ -262,6 +268,15 @@
 	}
 }
 
+unsigned sr_fleet_sharing_hosts(const sr_fleet_t *fleet)
+{
+	unsigned n = sr_fleet_host_count(fleet);
+
+	if (sr_fleet_now(fleet) - fleet->started_at < SETTLE_TIME)
+		return MAX(n, UNSETTLED_HOSTS);
+	return n;
+}
+
 static void on_member_changed(void *user, const sr_member_t *member)
 {
 	static const char *const states[] = { "alive", "suspect", "left",
@@ -277,7 +292,7 @@
 			member->name);
 	sr_members_update(fleet->members, member);
 	sr_gateway_set_host_count(fleet->options.gateway,
-				  sr_fleet_host_count(fleet));
+				  sr_fleet_sharing_hosts(fleet));
 }
 
 /* Of another failure domain only the delegates and the latest dead members are
@@ -352,14 +367,13 @@
 {
 	sr_fleet_t *fleet = user;
 	sr_usec_t now = sr_fleet_now(fleet);
-	sr_usec_t spacing =
-		sr_fleet_host_count(fleet) * DEMAND_INTERVAL_PER_HOST;
 
 	fleet->timer =
 		sr_timer_start(fleet->options.clock, TICK, on_tick, fleet);
 	if (now >= fleet->next_demand_at) {
-		fleet->next_demand_at = now + MAX(DEMAND_INTERVAL, spacing);
-		sr_demand_gossip_publish(fleet);
+		fleet->next_demand_at = now + DEMAND_INTERVAL;
+		if (sr_fleet_host_count(fleet) <= DEMAND_HOSTS_MAX)
+			sr_demand_gossip_publish(fleet);
 	}
 	if (now >= fleet->next_load_at) {
 		fleet->next_load_at =
@@ -370,7 +384,7 @@
 		fleet->next_slow_tick_at = now + SLOW_TICK;
 		sr_domain_sizes_tick(fleet);
 		sr_gateway_set_host_count(fleet->options.gateway,
-					  sr_fleet_host_count(fleet));
+					  sr_fleet_sharing_hosts(fleet));
 		sr_usage_exchange_send(fleet);
 		sr_pool_requests_tick(fleet);
 	}
@@ -439,6 +453,7 @@
 	sr_fleet_t *fleet = g_new0(sr_fleet_t, 1);
 
 	fleet->options = *options;
+	fleet->started_at = sr_clock_now(options->clock);
 	fleet->incarnation = (guint64)sr_clock_unix_ms(options->clock);
 	fleet->owner_id = g_strdup_printf("%s@%" G_GUINT64_FORMAT,
 					  options->node, fleet->incarnation);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -87,7 +87,8 @@
  * pointer. */
 void sr_fleet_cancel_pool_requests(sr_fleet_t *fleet, void *user);
 
-/** sr_fleet_usage - counts by account; borrowed, NULL if not counted. */
+/** sr_fleet_usage - counts by account, of whole failure domains; borrowed, NULL
+ * if not counted. */
 sr_usage_windows_t *sr_fleet_usage(const sr_fleet_t *fleet);
 
 /** sr_fleet_usage_received_for - microseconds for which this host has received
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -13,6 +13,7 @@
 struct sr_fleet {
 	sr_fleet_options_t options;
 	char *owner_id; /* "NODE@INCARNATION" */
+	sr_usec_t started_at;
 	guint64 incarnation;
 	guint64 n_published; /* by sr_fleet_publish_own() */
 	sr_peer_t *peer;
@@ -38,10 +39,12 @@
 	/* load of all hosts, and engine work of this one; load_report.c */
 	sr_load_exchange_t *load_exchange;
 	GHashTable *engine_work; /* service -> work_t */
+	gboolean is_load_known;	 /* as logged last */
 	/* pools of accounts; pool_requests.c */
 	sr_list_t pool_requests; /* without a reply yet */
 	guint64 n_pool_requests; /* sent so far; the id of the last one */
-	GHashTable *held_pools;	 /* set of accounts */
+	GHashTable *held_pools;	 /* set; see held_pool_key() */
+	GHashTable *silent_holders; /* address -> sr_usec_t, asked last until */
 	double recent_max_hosts; /* highest number of live hosts; decays */
 	char *duty_holder;	 /* peer address; NULL if not known */
 	sr_usec_t next_size_at;
@@ -59,6 +62,10 @@
 	return sr_clock_now(fleet->options.clock);
 }
 
+/** sr_fleet_sharing_hosts - number of hosts that share the allowances; more than
+ * are known in the first moments after a start. */
+unsigned sr_fleet_sharing_hosts(const sr_fleet_t *fleet);
+
 /**
  * sr_fleet_publish_own - gossip a value that only this host publishes
  *
@@ -101,7 +108,8 @@
 /** sr_domain_sizes_tick - publish and collect sizes; call once a second. */
 void sr_domain_sizes_tick(sr_fleet_t *fleet);
 
-/* usage_exchange.c: usage counts, sent to the hosts that report them */
+/* usage_exchange.c: usage counts, added up in each failure domain and sent to
+ * the hosts that report them */
 
 void sr_usage_exchange_init(sr_fleet_t *fleet);
 void sr_usage_exchange_clear(sr_fleet_t *fleet);
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -134,8 +134,36 @@
 	g_hash_table_unref(fleet->engine_work);
 }
 
+static gboolean is_enough(const sr_fleet_t *fleet, unsigned n_included)
+{
+	return n_included > 0 &&
+	       n_included >= KNOWN_FRACTION_MIN * sr_fleet_host_count(fleet);
+}
+
+/* Logs when the load of enough hosts becomes known, or stops being known. */
+static void log_known(sr_fleet_t *fleet)
+{
+	const sr_load_sum_t *own;
+	const sr_load_sum_t *total = sr_load_exchange_total(
+		fleet->load_exchange, sr_fleet_now(fleet), &own);
+	unsigned n_included = total ? sr_load_sum_hosts(total) : 0;
+	gboolean is_known = is_enough(fleet, n_included);
+	char included[16];
+	char live[16];
+
+	if (is_known == fleet->is_load_known)
+		return;
+	fleet->is_load_known = is_known;
+	g_snprintf(included, sizeof(included), "%u", n_included);
+	g_snprintf(live, sizeof(live), "%u", sr_fleet_host_count(fleet));
+	sr_log_event(fleet->options.log, SR_LOG_INFO,
+		     is_known ? "load-known" : "load-unknown", "hosts",
+		     included, "live", live, NULL);
+}
+
 void sr_load_report_tick(sr_fleet_t *fleet)
 {
+	log_known(fleet);
 	sr_load_exchange_tick(fleet->load_exchange, sr_fleet_now(fleet),
 			      own_load(fleet));
 }
@@ -146,15 +174,14 @@
 	const sr_load_sum_t *own;
 	const sr_load_sum_t *total = sr_load_exchange_total(
 		fleet->load_exchange, sr_fleet_now(fleet), &own);
-	double n_hosts = sr_fleet_host_count(fleet);
-	double n_included = total ? sr_load_sum_hosts(total) : 0;
+	unsigned n_included = total ? sr_load_sum_hosts(total) : 0;
 
 	*busy = 0;
-	if (n_included < 1 || n_included < KNOWN_FRACTION_MIN * n_hosts)
+	if (!is_enough(fleet, n_included))
 		return FALSE;
 	/* The load balancer spreads callers over all hosts, so those that are
 	 * not included are assumed to cause the average of the others. */
 	*busy = sr_load_sum_work(total, service) *
-		MAX(n_hosts / n_included, 1);
+		MAX((double)sr_fleet_host_count(fleet) / n_included, 1);
 	return TRUE;
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -94,7 +94,7 @@
 	gateway->allowance = sr_allowance_new();
 	sr_allowance_set_tolerance(gateway->allowance, &options->allowance);
 	if (options->take_from_pool)
-		sr_allowance_enable_pool(gateway->allowance);
+		sr_allowance_enable_pools(gateway->allowance);
 	gateway->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gateway->connection_pool = sr_connection_pool_new(gateway);
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -31,12 +31,14 @@
 	double demand[N_HOSTS];	   /* tokens per second */
 	double backlog[N_HOSTS];   /* tokens not yet requested */
 	gboolean is_cut[N_HOSTS];  /* neither sends nor receives counters */
+	gboolean is_down[N_HOSTS]; /* grants nothing from its pools */
+	unsigned n_requests;	   /* granted by pools */
 	double admitted[STEPS_MAX];
 	double requested[STEPS_MAX];
 	unsigned n_steps;
 	sr_usec_t now;
 	gboolean has_pool;
-	int pool_holder; /* index; see request() for partitions */
+	int pool_holder; /* index of the first; see request() for partitions */
 } fleet_t;
 
 static sr_allowance_t *new_host(sr_usec_t now, gboolean has_pool)
@@ -44,7 +46,7 @@
 	sr_allowance_t *host = sr_allowance_new();
 
 	if (has_pool)
-		sr_allowance_enable_pool(host);
+		sr_allowance_enable_pools(host);
 	sr_allowance_set_pool_fraction(host, 1);
 
 	sr_allowance_set_tolerance(host, &tolerance);
@@ -96,21 +98,39 @@
 				     &fleet->published[i]);
 }
 
-/* Takes REQUEST tokens at a host and, if it refuses, from the pool; returns
- * TRUE if they were admitted. Each side of a partition has its own holder of
- * the pool: the first host of that side from pool_holder on. */
-static gboolean request(fleet_t *fleet, int i)
+/* Each side of a partition has its own holders of the pools: the first hosts of
+ * that side from pool_holder on. */
+static int holder_of(const fleet_t *fleet, int host, unsigned pool)
 {
-	int holder = fleet->pool_holder;
+	int holder = fleet->pool_holder - 1;
+
+	for (unsigned n = 0; n <= pool; n++) {
+		do {
+			holder = (holder + 1) % N_HOSTS;
+		} while (fleet->is_cut[holder] != fleet->is_cut[host]);
+	}
+	return holder;
+}
 
+/* Takes REQUEST tokens at a host and, if it refuses, from the pools in turn;
+ * returns TRUE if they were admitted. */
+static gboolean request(fleet_t *fleet, int i)
+{
 	if (!sr_allowance_take(fleet->hosts[i], fleet->now, "a", REQUEST))
 		return TRUE;
-	if (!fleet->has_pool)
-		return FALSE;
-	while (fleet->is_cut[holder] != fleet->is_cut[i])
-		holder++;
-	return !sr_allowance_take_from_pool(fleet->hosts[holder], fleet->now,
-					    "a", REQUEST);
+	for (unsigned k = 0; fleet->has_pool && k < SR_ALLOWANCE_POOLS; k++) {
+		unsigned pool = (fleet->n_requests + k) % SR_ALLOWANCE_POOLS;
+		int holder = holder_of(fleet, i, pool);
+
+		if (!fleet->is_down[holder] &&
+		    !sr_allowance_take_from_pool(fleet->hosts[holder],
+						 fleet->now, "a", pool,
+						 REQUEST)) {
+			fleet->n_requests++;
+			return TRUE;
+		}
+	}
+	return FALSE;
 }
 
 /* Cuts a host off. Each side of the partition then grants a fraction of the
@@ -438,7 +458,10 @@
 	run(fleet, 20);
 	for (int i = 1; i < 6; i++) {
 		fleet->pool_holder = i;
-		sr_allowance_start_pool(fleet->hosts[i], fleet->now, "a");
+		for (unsigned pool = 0; pool < SR_ALLOWANCE_POOLS; pool++)
+			sr_allowance_start_pool(
+				fleet->hosts[holder_of(fleet, 0, pool)],
+				fleet->now, "a", pool);
 		run(fleet, 1);
 	}
 	run(fleet, 20);
@@ -462,6 +485,106 @@
 	free_fleet(fleet);
 }
 
+/* The holder of one pool dies while the account is below its limit. The other
+ * pool must carry most of its requests until the pool has a new holder. */
+static void test_one_pool_carries_when_the_other_is_down(void **state)
+{
+	fleet_t *fleet = new_fleet(TRUE);
+	unsigned from;
+
+	(void)state;
+	set_demand(fleet, 0.55 * RATE);
+	run(fleet, 20);
+	fleet->is_down[fleet->pool_holder] = TRUE;
+	from = fleet->n_steps;
+	run(fleet, 8);
+	assert_true(admitted_fraction(fleet, from) > 0.95);
+	assert_true(max_in_window(fleet) <= max_allowed());
+	free_fleet(fleet);
+}
+
+#define HUNDREDS 195
+#define HUNDREDS_RATE 250000.0
+#define HUNDREDS_BURST 1000000.0
+
+/* An account's requests arrive evenly at hundreds of hosts, each of which has a
+ * share far smaller than a request. Returns the largest sum admitted in a
+ * window; *fraction is set to the part of the demand that was admitted. */
+static double run_hundreds(double demand, double *fraction)
+{
+	sr_allowance_t *hosts[HUNDREDS];
+	static double admitted[STEPS_MAX];
+	const unsigned n_steps = 1500;
+	double requested = 0;
+	double sum = 0;
+	double window = 0;
+	double largest = 0;
+	double backlog = 0;
+	unsigned host = 0;
+
+	for (int i = 0; i < HUNDREDS; i++) {
+		hosts[i] = sr_allowance_new();
+		sr_allowance_enable_pools(hosts[i]);
+		sr_allowance_set_pool_fraction(hosts[i], 1);
+		sr_allowance_set_tolerance(hosts[i], &tolerance);
+		sr_allowance_set_host_count(hosts[i], HUNDREDS);
+		sr_allowance_set_limit(hosts[i], SR_SEC, "a", HUNDREDS_RATE,
+				       HUNDREDS_BURST);
+	}
+	for (unsigned n = 0; n < n_steps; n++) {
+		sr_usec_t now = SR_SEC + n * STEP;
+
+		admitted[n] = 0;
+		backlog += demand * (double)STEP / SR_SEC;
+		for (; backlog >= REQUEST; backlog -= REQUEST) {
+			sr_allowance_t *at = hosts[host++ % HUNDREDS];
+			unsigned pool = host % SR_ALLOWANCE_POOLS;
+
+			requested += REQUEST;
+			if (!sr_allowance_take(at, now, "a", REQUEST) ||
+			    !sr_allowance_take_from_pool(hosts[pool], now, "a",
+							 pool, REQUEST) ||
+			    !sr_allowance_take_from_pool(hosts[1 - pool], now,
+							 "a", 1 - pool,
+							 REQUEST))
+				admitted[n] += REQUEST;
+		}
+		sum += admitted[n];
+		window += admitted[n];
+		if (n >= WINDOW_STEPS)
+			window -= admitted[n - WINDOW_STEPS];
+		largest = MAX(largest, window);
+	}
+	for (int i = 0; i < HUNDREDS; i++)
+		sr_allowance_free(hosts[i]);
+	*fraction = sum / requested;
+	return largest;
+}
+
+/* A hot account at hundreds of hosts: the overdrafts of all hosts add up and
+ * must stay within the tolerance. */
+static void test_hot_account_at_hundreds_of_hosts(void **state)
+{
+	const double limit = (HUNDREDS_RATE * 8 + HUNDREDS_BURST) *
+				     (1 + tolerance.overage) +
+			     tolerance.slack;
+	double fraction;
+
+	(void)state;
+	assert_true(run_hundreds(8 * HUNDREDS_RATE, &fraction) <= limit);
+}
+
+/* An account below its limit is served, though its shares are too small for any
+ * of its requests. */
+static void test_account_below_limit_at_hundreds_of_hosts(void **state)
+{
+	double fraction;
+
+	(void)state;
+	run_hundreds(0.7 * HUNDREDS_RATE, &fraction);
+	assert_true(fraction > 0.98);
+}
+
 static void test_refusal_returns_wait(void **state)
 {
 	sr_allowance_t *host = new_host(SR_SEC, FALSE);
@@ -490,6 +613,9 @@
 		cmocka_unit_test(test_overdraft_of_many_hosts_is_bounded),
 		cmocka_unit_test(test_pool_changes_holder_under_hot_account),
 		cmocka_unit_test(test_pool_covers_demand_above_one_share),
+		cmocka_unit_test(test_one_pool_carries_when_the_other_is_down),
+		cmocka_unit_test(test_hot_account_at_hundreds_of_hosts),
+		cmocka_unit_test(test_account_below_limit_at_hundreds_of_hosts),
 		cmocka_unit_test(test_refusal_returns_wait),
 	};
 
