Watch the store by one host of a failure domain

Change: in domains of four hosts and more the first delegate watches. It sends notices with the revision of the last change and the age of its state; the others fetch the changes by revision from it. When notices are too old the second delegate watches, then the others, spread over time and at a slow pace. What a new list shows is passed on as changes. Of several events of an object in one answer only the last is applied.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -310,7 +310,8 @@
 {
 	sr_fleet_t *fleet = user;
 
-	if (sr_usage_exchange_receive(fleet, data, size) ||
+	if (sr_store_notice_receive(fleet, data, size) ||
+	    sr_usage_exchange_receive(fleet, data, size) ||
 	    sr_pool_requests_receive(fleet, data, size) ||
 	    sr_load_exchange_receive(fleet->load_exchange, sr_fleet_now(fleet),
 				     data, size))
@@ -337,9 +338,9 @@
 {
 	sr_fleet_t *fleet = user;
 
-	if (strcmp(key, TABLE_KEY) || !fleet->table_text)
-		return NULL;
-	return g_bytes_ref(fleet->table_text);
+	if (strcmp(key, TABLE_KEY) != 0)
+		return fleet->options.fetch(fleet->options.user, key);
+	return fleet->table_text ? g_bytes_ref(fleet->table_text) : NULL;
 }
 
 static void on_send(void *user, const char *address, const guint8 *data,
@@ -511,6 +512,28 @@
 	return sr_members_count(fleet->members);
 }
 
+unsigned sr_fleet_domain_hosts(const sr_fleet_t *fleet)
+{
+	return sr_members_count_own_domain(fleet->members);
+}
+
+unsigned sr_fleet_domain_rank(const sr_fleet_t *fleet)
+{
+	return sr_members_domain_rank(fleet->members);
+}
+
+void sr_fleet_fetch(sr_fleet_t *fleet, const char *address, const char *key,
+		    sr_usec_t timeout, void (*done)(void *user, GBytes *value),
+		    void *user)
+{
+	sr_peer_fetch(fleet->peer, address, key, timeout, done, user);
+}
+
+void sr_fleet_cancel_fetches(sr_fleet_t *fleet, void *user)
+{
+	sr_peer_cancel_calls(fleet->peer, user);
+}
+
 unsigned sr_fleet_rank(const sr_fleet_t *fleet, const char *key)
 {
 	return sr_members_rank(fleet->members, key);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -22,6 +22,17 @@
  */
 typedef struct sr_fleet sr_fleet_t;
 
+/** Feeds of the platform's objects: the configuration, the instances. */
+#define SR_STORE_FEEDS 2
+
+/** sr_store_notice_t - what a host that watches the platform tells the hosts of
+ * its failure domain. */
+typedef struct {
+	const char *address; /* IP:PORT of the sender, for fetches; borrowed */
+	sr_usec_t age; /* since the platform last answered the sender */
+	guint64 revisions[SR_STORE_FEEDS]; /* at the last change */
+} sr_store_notice_t;
+
 /** sr_fleet_options_t - pointers are borrowed for the object's lifetime. */
 typedef struct {
 	const char *node;
@@ -40,6 +51,11 @@
 	sr_route_table_t *(*decode)(GBytes *text);
 	/* peers have newer data than the platform has sent to this host */
 	void (*behind)(void *user);
+	/* another host of the failure domain has sent a notice */
+	void (*store_notice)(void *user, const sr_store_notice_t *notice);
+	/* a peer fetches a key that is not the fleet's; returns a new
+	 * reference, NULL if there is no value */
+	GBytes *(*fetch)(void *user, const char *key);
 	void *user;
 } sr_fleet_options_t;
 
@@ -101,6 +117,28 @@
 /** sr_fleet_host_count - number of live entry hosts, including this one. */
 unsigned sr_fleet_host_count(const sr_fleet_t *fleet);
 
+/** sr_fleet_domain_hosts - number of live entry hosts in this host's failure
+ * domain, including this one. */
+unsigned sr_fleet_domain_hosts(const sr_fleet_t *fleet);
+
+/** sr_fleet_domain_rank - number of live hosts of the failure domain that
+ * precede this one in the order of its delegates. */
+unsigned sr_fleet_domain_rank(const sr_fleet_t *fleet);
+
+/** sr_fleet_send_store_notice - send a notice to the other hosts of the failure
+ * domain; its address is set here. */
+void sr_fleet_send_store_notice(sr_fleet_t *fleet,
+				const sr_store_notice_t *notice);
+
+/** sr_fleet_fetch - fetch a value from a peer; done gets NULL if it has none or
+ * doesn't reply. */
+void sr_fleet_fetch(sr_fleet_t *fleet, const char *address, const char *key,
+		    sr_usec_t timeout, void (*done)(void *user, GBytes *value),
+		    void *user);
+
+/** sr_fleet_cancel_fetches - drop the open fetches of a user pointer. */
+void sr_fleet_cancel_fetches(sr_fleet_t *fleet, void *user);
+
 /** Key under which the duties are assigned to a host. */
 #define SR_FLEET_DUTIES_KEY "duties"
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -103,6 +103,12 @@
 gboolean sr_pool_requests_receive(sr_fleet_t *fleet, const guint8 *data,
 				  gsize size);
 
+/* store_notice.c: notices of the hosts that watch the platform */
+
+/** sr_store_notice_receive - FALSE if the datagram is not of this kind. */
+gboolean sr_store_notice_receive(sr_fleet_t *fleet, const guint8 *data,
+				 gsize size);
+
 /* domain_sizes.c: numbers of live hosts in the other failure domains */
 
 /** sr_domain_sizes_tick - publish and collect sizes; call once a second. */
--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -184,7 +184,7 @@
 	"\"bounds\":{\"stop_ms\":8000,\"retry_ratio\":0.2,\"retry_slack\":58,"
 	"\"allowance_window_s\":8,\"allowance_overage\":0.1,"
 	"\"allowance_slack\":190000,\"usage_window_s\":5,\"usage_due_s\":10,"
-	"\"lease_ms\":3000}}";
+	"\"lease_ms\":3000,\"apply_ms\":4000,\"drain_ms\":2000}}";
 
 static void test_settings(void **state)
 {
@@ -212,6 +212,7 @@
 	sr_clock_t *clock;
 	sr_platform_t *client;
 	sr_object_feed_t *feed;
+	unsigned n_requests;
 	GString *events;   /* the feed's reports: "+NAME@REVISION ", "-NAME " */
 	const char *list;  /* the body of a list */
 	const char *watch; /* the next body of a watch, sent once */
@@ -228,6 +229,7 @@
 
 	(void)server;
 	(void)path;
+	store->n_requests++;
 	if (store->is_down) {
 		soup_server_message_set_status(message, 503, NULL);
 		return;
@@ -391,6 +393,92 @@
 	fake_store_free(store);
 }
 
+/* A feed that follows asks the store for nothing after its list, and learns of
+ * changes from another host's feed. */
+static void test_feed_follows_another_host(void **state)
+{
+	fake_store_t *watcher = fake_store_new();
+	fake_store_t *follower = fake_store_new();
+	unsigned n_before;
+	GBytes *changes;
+
+	(void)state;
+	assert_true(wait_for_events(watcher, "+b@4 ", 1000));
+	assert_true(wait_for_events(follower, "+b@4 ", 1000));
+	sr_object_feed_set_role(follower->feed, SR_WATCH_ROLE_FOLLOW);
+	n_before = follower->n_requests;
+	watcher->watch = "{\"events\":[{\"removed\":false,\"object\":{"
+			 "\"metadata\":{\"name\":\"a\",\"revision\":11}}},"
+			 "{\"removed\":true,\"object\":{\"metadata\":{\"name\":"
+			 "\"b\",\"revision\":12}}}],\"current_rev\":12}";
+	assert_true(wait_for_events(watcher, "+a@11 -b ", 1000));
+	assert_int_equal(sr_object_feed_changed_revision(watcher->feed), 12);
+	changes = sr_object_feed_changes_since(
+		watcher->feed, sr_object_feed_revision(follower->feed));
+	assert_non_null(changes);
+	sr_object_feed_apply_changes(follower->feed, changes);
+	g_bytes_unref(changes);
+	assert_non_null(strstr(follower->events->str, "+a@11 -b "));
+	assert_int_equal(sr_object_feed_revision(follower->feed), 12);
+	assert_false(wait_for_events(follower, "never", 300));
+	assert_int_equal(follower->n_requests, n_before);
+	/* a watcher that doesn't have the changes: they are read here */
+	assert_null(sr_object_feed_changes_since(watcher->feed, 5));
+	sr_object_feed_apply_changes(follower->feed, NULL);
+	assert_false(wait_for_events(follower, "never", 300));
+	assert_int_equal(follower->n_requests, n_before + 1);
+	fake_store_free(watcher);
+	fake_store_free(follower);
+}
+
+/* The store drops its history, and the watching feed lists anew. What the list
+ * shows reaches the hosts that follow without a call of theirs. */
+static void test_feed_passes_on_what_a_list_shows(void **state)
+{
+	fake_store_t *watcher = fake_store_new();
+	fake_store_t *follower = fake_store_new();
+	unsigned n_before;
+	GBytes *changes;
+
+	(void)state;
+	assert_true(wait_for_events(watcher, "+b@4 ", 1000));
+	assert_true(wait_for_events(follower, "+b@4 ", 1000));
+	sr_object_feed_set_role(follower->feed, SR_WATCH_ROLE_FOLLOW);
+	n_before = follower->n_requests;
+	watcher->list = "{\"items\":[{\"metadata\":{\"name\":\"a\","
+			"\"revision\":3}},{\"metadata\":{\"name\":\"c\","
+			"\"revision\":20}}],\"truncated\":false,"
+			"\"current_rev\":21}";
+	watcher->watch_status = 410;
+	assert_true(wait_for_events(watcher, "-b ", 1000));
+	changes = sr_object_feed_changes_since(
+		watcher->feed, sr_object_feed_revision(follower->feed));
+	assert_non_null(changes);
+	sr_object_feed_apply_changes(follower->feed, changes);
+	g_bytes_unref(changes);
+	assert_non_null(strstr(follower->events->str, "+c@20 -b "));
+	assert_int_equal(sr_object_feed_revision(follower->feed), 21);
+	assert_int_equal(follower->n_requests, n_before);
+	fake_store_free(watcher);
+	fake_store_free(follower);
+}
+
+/* An entry that lapses and is back in one batch has not gone. */
+static void test_feed_ignores_removal_before_return(void **state)
+{
+	fake_store_t *store = fake_store_new();
+
+	(void)state;
+	assert_true(wait_for_events(store, "+b@4 ", 1000));
+	store->watch = "{\"events\":[{\"removed\":true,\"object\":{"
+		       "\"metadata\":{\"name\":\"b\",\"revision\":11}}},"
+		       "{\"removed\":false,\"object\":{\"metadata\":{\"name\":"
+		       "\"b\",\"revision\":12}}}],\"current_rev\":12}";
+	assert_true(wait_for_events(store, "+b@12 ", 1000));
+	assert_null(strstr(store->events->str, "-b"));
+	fake_store_free(store);
+}
+
 static void test_feed_survives_malformed_bodies(void **state)
 {
 	fake_store_t *store = fake_store_new();
@@ -415,6 +503,9 @@
 		cmocka_unit_test(test_feed_follows_changes),
 		cmocka_unit_test(test_feed_lists_again_after_expired_watch),
 		cmocka_unit_test(test_feed_holds_removals_after_an_outage),
+		cmocka_unit_test(test_feed_follows_another_host),
+		cmocka_unit_test(test_feed_passes_on_what_a_list_shows),
+		cmocka_unit_test(test_feed_ignores_removal_before_return),
 		cmocka_unit_test(test_feed_survives_malformed_bodies),
 	};
 
