Compare the store's revisions within their era

Revisions go back and are given out again, leases are gone, and the header Store-Era rises.

Cause of what would have happened: the feed ignores revisions that are not higher than known ones, so that it would have kept the state of before for as long as the revisions took to catch up; a conditional write could succeed on a number that was given out again; the next holder of the duties would have got the epoch of the one before, and would have reported its windows again.

Change: a revision includes its era, so that all comparisons stay as they are. A later era leads to a new list and holds removals; late answers of an earlier one are dropped. Epochs start above a floor for each era, and no host claims the duties for one lease and a second. Which windows were reported is gossiped. An instance that drained and left does not come back under the same start, and a late removal no longer lowers the recorded revision (a finding of reading).

Tests: the feed into a later era, late answers, versions within their era, one holder through a restore, a reported window, a gone instance. The emulator, a model and a process test are not done.

--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -51,6 +51,8 @@
 	SR_RUMOUR_DOMAIN_SIZE, /* key = "domain/node"; value = number of live
 				* members that this delegate counts in its
 				* domain */
+	SR_RUMOUR_REPORTED, /* key ""; version = number after that of the last
+			     * usage window whose report was sent */
 	SR_RUMOUR_N_KINDS,
 } sr_rumour_kind_t;
 
--- a/src/core/instances.c
+++ b/src/core/instances.c
@@ -2,10 +2,19 @@
 
 #include <string.h>
 
+/** removal_t - the last removal of a name. An instance that was draining has
+ * ended; an older copy of its entry may still turn up under a later revision,
+ * and is told by its start. */
+typedef struct {
+	guint64 revision;
+	gboolean was_draining;
+	gint64 start_unix_ms;
+} removal_t;
+
 struct sr_instances {
 	GHashTable *by_name;	/* char * -> sr_instance_t */
 	GHashTable *by_service; /* char * -> GPtrArray of sr_instance_t */
-	GHashTable *removed;	/* char * -> guint64 *, revision of removal */
+	GHashTable *removed;	/* char * -> removal_t */
 	GPtrArray *all;
 	guint32 next_id;
 };
@@ -126,10 +135,31 @@
 static gboolean is_superseded_by_removal(const sr_instances_t *instances,
 					 const sr_registration_t *entry)
 {
-	const guint64 *revision =
+	const removal_t *removal =
 		g_hash_table_lookup(instances->removed, entry->name);
 
-	return revision && *revision >= entry->revision;
+	return removal && (removal->revision >= entry->revision ||
+			   (removal->was_draining &&
+			    removal->start_unix_ms == entry->start_unix_ms));
+}
+
+static void record_removal(sr_instances_t *instances, const char *name,
+			   const sr_instance_t *known, guint64 revision)
+{
+	removal_t *removal = g_hash_table_lookup(instances->removed, name);
+
+	if (!removal) {
+		if (g_hash_table_size(instances->removed) >= MAX_REMOVALS)
+			g_hash_table_remove_all(instances->removed);
+		removal = g_new0(removal_t, 1);
+		g_hash_table_insert(instances->removed, g_strdup(name),
+				    removal);
+	}
+	removal->revision = MAX(removal->revision, revision);
+	if (known) {
+		removal->was_draining = known->draining;
+		removal->start_unix_ms = known->start_unix_ms;
+	}
 }
 
 sr_instance_change_t sr_instances_register(sr_instances_t *instances,
@@ -167,10 +197,7 @@
 
 	if (known && known->revision > revision)
 		return FALSE;
-	if (g_hash_table_size(instances->removed) >= MAX_REMOVALS)
-		g_hash_table_remove_all(instances->removed);
-	g_hash_table_insert(instances->removed, g_strdup(name),
-			    g_memdup2(&revision, sizeof(revision)));
+	record_removal(instances, name, known, revision);
 	if (!known)
 		return FALSE;
 	unlink_instance(instances, known);
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -83,7 +83,8 @@
  * sr_instances_register - apply a registry entry
  *
  * An entry is ignored as stale unless its revision is higher than that of the
- * last entry or removal of its name.
+ * last entry or removal of its name, and if an instance of its name and start
+ * was removed while it drained.
  */
 sr_instance_change_t sr_instances_register(sr_instances_t *instances,
 					   const sr_registration_t *entry,
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -40,6 +40,7 @@
 	sr_usec_t now; /* as of the last tick or call, not of a reply */
 	sr_usec_t next_poll;
 	sr_usec_t earliest_claim;
+	guint64 epoch_floor;
 	GRand *random;
 
 	/* the object as last read or written */
@@ -380,7 +381,8 @@
 		 (!lease->wanted || lease->now < lease->earliest_claim))
 		start_write(lease, CALL_RELEASE, lease->epoch, lease->payload);
 	else if (lease->wanted && is_claimable(lease))
-		start_write(lease, CALL_CLAIM, lease->epoch + 1,
+		start_write(lease, CALL_CLAIM,
+			    MAX(lease->epoch, lease->epoch_floor) + 1,
 			    lease->payload);
 	else if (lease->wanted)
 		read_object(lease);
@@ -445,6 +447,11 @@
 	lease->earliest_claim = until;
 }
 
+void sr_lease_set_epoch_floor(sr_lease_t *lease, guint64 floor)
+{
+	lease->epoch_floor = MAX(lease->epoch_floor, floor);
+}
+
 void sr_lease_tick(sr_lease_t *lease, sr_usec_t now)
 {
 	g_assert(now >= lease->now);
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -79,6 +79,14 @@
  */
 void sr_lease_defer_claims(sr_lease_t *lease, sr_usec_t until);
 
+/**
+ * sr_lease_set_epoch_floor - let claims take epochs above a floor
+ *
+ * The platform may have lost the latest epochs; the floor keeps them from being
+ * given out again. It only grows.
+ */
+void sr_lease_set_epoch_floor(sr_lease_t *lease, guint64 floor);
+
 /** sr_lease_tick - send due calls; run at least 10 times a lease duration. */
 void sr_lease_tick(sr_lease_t *lease, sr_usec_t now);
 
--- a/src/core/usage_reports.c
+++ b/src/core/usage_reports.c
@@ -26,6 +26,7 @@
 	GQueue reports; /* report_t, in order of their windows */
 	gboolean write_pending;
 	gint64 receiving_since_ms; /* see sr_usage_reports_load() */
+	guint64 reported_before;   /* the same */
 };
 
 static void free_report(gpointer data)
@@ -100,7 +101,8 @@
 }
 
 void sr_usage_reports_load(sr_usage_reports_t *reports, GBytes *payload,
-			   sr_usage_windows_t *usage, gint64 receiving_since_ms)
+			   sr_usage_windows_t *usage, gint64 receiving_since_ms,
+			   guint64 reported_before)
 {
 	gsize size = 0;
 	const char *data = payload ? g_bytes_get_data(payload, &size) : NULL;
@@ -110,6 +112,7 @@
 	g_queue_clear_full(&reports->reports, free_report);
 	reports->write_pending = FALSE;
 	reports->receiving_since_ms = receiving_since_ms;
+	reports->reported_before = reported_before;
 	for (char **line = lines; *line; line++) {
 		if (**line == '+')
 			sr_usage_windows_restore(usage, *line);
@@ -129,6 +132,7 @@
 	guint64 first = sr_usage_windows_at(
 		usage, unix_ms - (options->window + options->due) / SR_MSEC);
 
+	first = MAX(first, reports->reported_before);
 	return last ? MAX(last->window + 1, first) : first;
 }
 
--- a/src/core/usage_reports.h
+++ b/src/core/usage_reports.h
@@ -51,11 +51,13 @@
  * Counts of open windows in the payload are merged into usage. The payload is
  * NULL if nothing was written yet; malformed lines are ignored.
  * receiving_since_ms is the time since when the counts of the other hosts are
- * received without a gap, in Unix milliseconds.
+ * received without a gap, in Unix milliseconds. Windows before reported_before
+ * are not closed: their reports were sent, though the payload may have been
+ * lost.
  */
 void sr_usage_reports_load(sr_usage_reports_t *reports, GBytes *payload,
 			   sr_usage_windows_t *usage,
-			   gint64 receiving_since_ms);
+			   gint64 receiving_since_ms, guint64 reported_before);
 
 /**
  * sr_usage_reports_close - fix the counts of the windows that have settled
--- a/src/daemon/control_rumours.c
+++ b/src/daemon/control_rumours.c
@@ -235,6 +235,7 @@
 	case SR_RUMOUR_INSTANCE:
 	case SR_RUMOUR_DEMAND:
 	case SR_RUMOUR_DOMAIN_SIZE:
+	case SR_RUMOUR_REPORTED:
 		break;
 	case SR_RUMOUR_RECALL:
 	case SR_RUMOUR_SHARD_OWNER:
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -33,6 +33,10 @@
 /** Time after which a report that was not accepted is sent again. */
 #define RETRY_DELAY (500 * SR_MSEC)
 
+/** Distance of the epochs of two eras of the store; far more than the holders
+ * of one. */
+#define EPOCHS_PER_ERA 1000000
+
 struct sr_duties {
 	sr_duties_options_t options;
 	sr_lease_t *lease;
@@ -40,6 +44,7 @@
 	sr_fleet_plan_t *plan;
 	sr_timer_t *timer;
 	guint64 last_seen_epoch; /* of another holder */
+	guint64 era;		 /* of the store, as far as it was restored */
 	sr_usec_t retry_at;	 /* no report is sent before */
 	sr_usec_t save_at;	 /* next write of the open windows */
 	gboolean is_stopping;
@@ -90,8 +95,11 @@
 	log_event(duties, "duties-taken", epoch, text);
 	sr_fleet_announce_duty_holder(duties->options.fleet_state, epoch);
 	if (usage)
-		sr_usage_reports_load(duties->reports, payload, usage,
-				      counts_since_ms(duties));
+		sr_usage_reports_load(
+			duties->reports, payload, usage,
+			counts_since_ms(duties),
+			sr_fleet_reported_windows(
+				duties->options.fleet_state));
 	sr_fleet_plan_reset_orders(duties->plan);
 }
 
@@ -184,6 +192,8 @@
 			.report = &report,
 		};
 
+		sr_fleet_announce_report(duties->options.fleet_state,
+					 report.window);
 		duties->options.call(duties->options.user, &call);
 	}
 }
@@ -329,6 +339,21 @@
 				 reclaimable, accepted);
 }
 
+void sr_duties_store_restored(sr_duties_t *duties, guint64 era)
+{
+	char detail[32];
+
+	if (era <= duties->era)
+		return;
+	g_snprintf(detail, sizeof(detail), "era %" G_GUINT64_FORMAT, era);
+	log_event(duties, "store-restored", sr_lease_epoch(duties->lease),
+		  detail);
+	duties->era = era;
+	sr_lease_set_epoch_floor(duties->lease, era * EPOCHS_PER_ERA);
+	sr_lease_defer_claims(duties->lease,
+			      current_time(duties) + hold_off_time(duties));
+}
+
 void sr_duties_release(sr_duties_t *duties)
 {
 	duties->is_stopping = TRUE;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -547,6 +547,20 @@
 		fleet->options.peer_address, 0);
 }
 
+void sr_fleet_announce_report(sr_fleet_t *fleet, guint64 window)
+{
+	publish(fleet, SR_RUMOUR_REPORTED, "", window + 1, "", 0);
+}
+
+guint64 sr_fleet_reported_windows(const sr_fleet_t *fleet)
+{
+	sr_rumour_t rumour;
+
+	return sr_gossip_get(fleet->gossip, SR_RUMOUR_REPORTED, "", &rumour) ?
+		       rumour.version :
+		       0;
+}
+
 void sr_fleet_leave(sr_fleet_t *fleet)
 {
 	sr_usage_exchange_send(fleet);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -146,6 +146,14 @@
  * under an epoch. */
 void sr_fleet_announce_duty_holder(sr_fleet_t *fleet, guint64 epoch);
 
+/** sr_fleet_announce_report - publish that the report of a usage window is sent
+ * and final. */
+void sr_fleet_announce_report(sr_fleet_t *fleet, guint64 window);
+
+/** sr_fleet_reported_windows - windows before this one have been reported, as
+ * far as this host has heard; 0 if it hasn't. */
+guint64 sr_fleet_reported_windows(const sr_fleet_t *fleet);
+
 /** sr_fleet_rank - number of live delegates that come before this host as
  * owner of a key; 0 if this host should own it. */
 unsigned sr_fleet_rank(const sr_fleet_t *fleet, const char *key);
--- a/src/platform_api/client.c
+++ b/src/platform_api/client.c
@@ -51,6 +51,7 @@
 	unsigned max_queued;
 	sr_usec_t default_timeout;
 	sr_usec_t watch_grace;
+	const char *era_header;
 	sr_list_t queue[SR_STORE_N_CLASSES];
 	unsigned queued[SR_STORE_N_CLASSES];
 	sr_list_t in_flight;
@@ -116,6 +117,7 @@
 		.status = SR_STORE_OK,
 		.http_status = result->status,
 		.body = result->body,
+		.era = result->era,
 	};
 
 	call->request_done(call->user, &answer);
@@ -232,6 +234,7 @@
 		.if_none_match = call->if_none_match,
 		.content_type = call->content_type,
 		.headers = call->headers,
+		.era_header = platform->era_header,
 		.body = call->body,
 		.timeout = call->timeout,
 		.done = on_exchange,
@@ -510,6 +513,7 @@
 	platform->default_timeout = options->default_timeout ?
 					    options->default_timeout :
 					    SR_PLATFORM_DEFAULT_TIMEOUT;
+	platform->era_header = options->era_header;
 	platform->watch_grace = options->watch_grace ?
 					options->watch_grace :
 					SR_PLATFORM_DEFAULT_WATCH_GRACE;
--- a/src/platform_api/client.h
+++ b/src/platform_api/client.h
@@ -37,6 +37,9 @@
 	sr_usec_t watch_grace;
 	/* longest delay between two probes; 0 for SR_BUDGET_BACKOFF_MAX */
 	sr_usec_t backoff_max;
+	/* response header with the era of the store, a number that grows when
+	 * the store is restored from a copy; static, NULL if there is none */
+	const char *era_header;
 } sr_platform_options_t;
 
 /** Calls per second, and calls that may be sent at once. */
@@ -97,6 +100,7 @@
 	unsigned http_status;
 	GBytes *body;
 	sr_usec_t retry_after; /* 0 if there is none */
+	guint64 era;	       /* of the store; 0 if it is not known */
 } sr_platform_answer_t;
 
 typedef void (*sr_platform_fn)(void *user, const sr_platform_answer_t *answer);
--- a/src/platform_api/exchange.c
+++ b/src/platform_api/exchange.c
@@ -15,6 +15,7 @@
 	GByteArray *body;
 	sr_timer_t *timer;
 	gboolean sent;
+	const char *era_header;
 	sr_exchange_fn done; /* NULL once it was called or cancelled */
 	void *user;
 };
@@ -72,6 +73,18 @@
 	       SR_SEC;
 }
 
+static guint64 parse_era(SoupMessageHeaders *headers, const char *name)
+{
+	const char *text =
+		name ? soup_message_headers_get_one(headers, name) : NULL;
+	guint64 era;
+
+	if (!text || !g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &era,
+						 NULL))
+		return 0;
+	return era;
+}
+
 static void finish_answered(sr_exchange_t *exchange)
 {
 	SoupMessageHeaders *headers =
@@ -81,6 +94,7 @@
 		.status = soup_message_get_status(exchange->message),
 		.version = parse_etag_version(headers),
 		.retry_after = parse_retry_after(headers),
+		.era = parse_era(headers, exchange->era_header),
 	};
 
 	result.body = g_bytes_new(exchange->body->data, exchange->body->len);
@@ -196,6 +210,7 @@
 	exchange->message = message;
 	exchange->cancellable = g_cancellable_new();
 	exchange->body = g_byte_array_new();
+	exchange->era_header = options->era_header;
 	exchange->done = options->done;
 	exchange->user = options->user;
 	exchange->timer = sr_timer_start(options->clock, options->timeout,
--- a/src/platform_api/exchange.h
+++ b/src/platform_api/exchange.h
@@ -21,6 +21,7 @@
 	unsigned status;       /* 0 if no complete answer was received */
 	guint64 version;       /* from the ETag header; 0 if there is none */
 	sr_usec_t retry_after; /* 0 if there is none; at most an hour */
+	guint64 era;	       /* from era_header; 0 if there is none */
 	GBytes *body;	       /* borrowed; never NULL */
 } sr_exchange_result_t;
 
@@ -36,7 +37,8 @@
 	const char *content_type;  /* of body */
 	char **headers; /* alternating names and values, ended by NULL; or
 			 * NULL */
-	GBytes *body;	/* or NULL; a reference is taken */
+	const char *era_header; /* static; see sr_platform_options_t; or NULL */
+	GBytes *body; /* or NULL; a reference is taken */
 	sr_usec_t timeout;
 	sr_exchange_fn done; /* called once; the exchange is then invalid */
 	void *user;
--- a/test/gateway_policy_test.c
+++ b/test/gateway_policy_test.c
@@ -223,6 +223,43 @@
 	sr_instances_free(instances);
 }
 
+/* The store was restored from a copy in which an instance that drained and left
+ * is still ready; its entry has a later revision, but the same start. */
+static void test_gone_instance_does_not_return(void **state)
+{
+	sr_instances_t *instances = sr_instances_new();
+	sr_registration_t entry = make_registration("i", 5);
+
+	(void)state;
+	entry.draining = TRUE;
+	sr_instances_register(instances, &entry, 0);
+	assert_true(sr_instances_remove(instances, "i", 6));
+	entry.draining = FALSE;
+	entry.revision = 100;
+	assert_int_equal(sr_instances_register(instances, &entry, 0),
+			 SR_INSTANCE_UNCHANGED);
+	entry.start_unix_ms = 2;
+	assert_int_equal(sr_instances_register(instances, &entry, 0),
+			 SR_INSTANCE_ADDED);
+	sr_instances_free(instances);
+}
+
+/* A removal that arrives late must not let older entries in again. */
+static void test_late_removal_keeps_the_later_one(void **state)
+{
+	sr_instances_t *instances = sr_instances_new();
+	sr_registration_t entry = make_registration("i", 5);
+
+	(void)state;
+	sr_instances_register(instances, &entry, 0);
+	sr_instances_remove(instances, "i", 9);
+	sr_instances_remove(instances, "i", 6);
+	entry.revision = 8;
+	assert_int_equal(sr_instances_register(instances, &entry, 0),
+			 SR_INSTANCE_UNCHANGED);
+	sr_instances_free(instances);
+}
+
 /* Placement. */
 
 #define N_ENGINES 9
@@ -792,6 +829,8 @@
 		cmocka_unit_test(test_pick_follows_service_weights),
 		cmocka_unit_test(test_stale_registrations_are_ignored),
 		cmocka_unit_test(test_draining_lasts_until_restart),
+		cmocka_unit_test(test_gone_instance_does_not_return),
+		cmocka_unit_test(test_late_removal_keeps_the_later_one),
 		cmocka_unit_test(test_hosts_agree_on_home_instance),
 		cmocka_unit_test(test_hot_prefix_moves_off_overloaded_home),
 		cmocka_unit_test(
--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -174,12 +174,53 @@
 	store_clear(&store);
 }
 
+/* The store is restored from a copy made before the holder's claim, so that the
+ * copy names no holder. The next holder claims only after the first one has
+ * stopped acting, and under a higher epoch. */
+static void test_restored_store_has_one_holder(void **state)
+{
+	const guint64 floor = 1000;
+	fake_store_t store;
+	sr_lease_t *first;
+	sr_lease_t *second;
+	sr_usec_t now;
+	guint64 first_epoch;
+
+	(void)state;
+	store_init(&store);
+	first = new_lease(&store, "a/1");
+	run_until_held(&store, first, SR_SEC, 3 * SR_SEC);
+	first_epoch = sr_lease_epoch(first);
+	store_clear(&store);
+	store.version = 0;
+	second = new_lease(&store, "b/1");
+	sr_lease_set_epoch_floor(second, floor);
+	sr_lease_defer_claims(second, 3 * SR_SEC + LEASE_DURATION);
+	for (now = 3 * SR_SEC; now < 20 * SR_SEC; now += TICK) {
+		sr_lease_set_wanted(first, now < 4 * SR_SEC);
+		sr_lease_tick(first, now);
+		while (store.call_pending)
+			reply_to_call(&store);
+		sr_lease_tick(second, now);
+		while (store.call_pending)
+			reply_to_call(&store);
+		assert_false(sr_lease_is_held(first, now, 0) &&
+			     sr_lease_is_held(second, now, 0));
+	}
+	assert_true(sr_lease_is_held(second, now, 0));
+	assert_true(sr_lease_epoch(second) > MAX(first_epoch, floor));
+	sr_lease_free(first);
+	sr_lease_free(second);
+	store_clear(&store);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_deferral_overlaps_lease_expiry),
 		cmocka_unit_test(test_no_claim_while_deferred),
 		cmocka_unit_test(test_deferred_holder_releases),
+		cmocka_unit_test(test_restored_store_has_one_holder),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -9,6 +9,7 @@
 
 #include "base/fields.h"
 #include "dialect.h"
+#include "era.h"
 #include "feed.h"
 #include "json.h"
 #include "manifest.h"
@@ -213,6 +214,7 @@
 	sr_platform_t *client;
 	sr_object_feed_t *feed;
 	unsigned n_requests;
+	const char *era; /* header of all answers; NULL for none */
 	GString *events;   /* the feed's reports: "+NAME@REVISION ", "-NAME " */
 	const char *list;  /* the body of a list */
 	const char *watch; /* the next body of a watch, sent once */
@@ -230,6 +232,10 @@
 	(void)server;
 	(void)path;
 	store->n_requests++;
+	if (store->era)
+		soup_message_headers_replace(
+			soup_server_message_get_response_headers(message),
+			"Store-Era", store->era);
 	if (store->is_down) {
 		soup_server_message_set_status(message, 503, NULL);
 		return;
@@ -274,7 +280,8 @@
 {
 	fake_store_t *store = g_new0(fake_store_t, 1);
 	sr_platform_options_t client = { .calls_per_s = 1000,
-					 .backoff_max = 100 * SR_MSEC };
+					 .backoff_max = 100 * SR_MSEC,
+					 .era_header = SR_STORE_ERA_HEADER };
 	sr_object_feed_options_t feed = {
 		.kind = "servers",
 		.wait = 50 * SR_MSEC,
@@ -463,6 +470,110 @@
 	fake_store_free(follower);
 }
 
+/* The store is restored from a copy: revisions go back, and an object that was
+ * written since is missing for a while. */
+static void test_feed_follows_into_a_later_era(void **state)
+{
+	fake_store_t *store = fake_store_new();
+	guint64 before;
+
+	(void)state;
+	assert_true(wait_for_events(store, "+b@4 ", 1000));
+	before = sr_object_feed_revision(store->feed);
+	store->list = "{\"items\":[{\"metadata\":{\"name\":\"a\","
+		      "\"revision\":3}}],\"truncated\":false,"
+		      "\"current_rev\":4}";
+	store->watch_status = 410;
+	store->era = "1";
+	g_string_truncate(store->events, 0);
+	assert_true(wait_for_events(store, "+a@3 ", 1000));
+	assert_true(sr_object_feed_revision(store->feed) > before);
+	assert_false(wait_for_events(store, "-b", 1000));
+	/* the missing object is written again, at a lower revision */
+	store->list = "{\"items\":[{\"metadata\":{\"name\":\"a\","
+		      "\"revision\":3}},{\"metadata\":{\"name\":\"b\","
+		      "\"revision\":6}}],\"truncated\":false,"
+		      "\"current_rev\":6}";
+	assert_true(wait_for_events(store, "+b@6 ", 2500));
+	assert_false(wait_for_events(store, "-", 300));
+	fake_store_free(store);
+}
+
+/* An answer of the time before the restore that arrives late must not take
+ * anything back. */
+static void test_feed_drops_answers_of_an_earlier_era(void **state)
+{
+	fake_store_t *store = fake_store_new();
+
+	(void)state;
+	assert_true(wait_for_events(store, "+b@4 ", 1000));
+	store->era = "2";
+	assert_true(wait_for_events(store, "+b@4 +a@3 +b@4 ", 1000));
+	store->era = "1";
+	store->watch = "{\"events\":[{\"removed\":false,\"object\":{"
+		       "\"metadata\":{\"name\":\"late\",\"revision\":99}}}],"
+		       "\"current_rev\":99}";
+	assert_false(wait_for_events(store, "late", 500));
+	fake_store_free(store);
+}
+
+static void on_reply(void *user, const sr_store_reply_t *reply)
+{
+	*(sr_store_reply_t *)user = *reply;
+}
+
+static void call_and_wait(sr_object_store_t *objects, sr_store_op_t op,
+			  guint64 if_version, sr_store_reply_t *reply)
+{
+	GBytes *value = bytes_of("v");
+	const sr_store_call_t call = {
+		.op = op,
+		.class = SR_STORE_LEASE,
+		.key = "kind/name",
+		.value = op == SR_STORE_GET ? NULL : value,
+		.if_version = if_version,
+		.done = on_reply,
+		.user = reply,
+	};
+
+	*reply = (sr_store_reply_t){ .status = SR_STORE_NOT_MODIFIED };
+	sr_store_submit(sr_object_store_base(objects), &call);
+	while (reply->status == SR_STORE_NOT_MODIFIED)
+		g_main_context_iteration(NULL, TRUE);
+	g_bytes_unref(value);
+}
+
+/* A conditional write on a version of an earlier era must not count as done,
+ * even if the number was given out again. */
+static void test_versions_are_compared_within_their_era(void **state)
+{
+	fake_store_t *store = fake_store_new();
+	sr_object_store_t *objects = sr_object_store_new(store->client);
+	sr_store_reply_t reply;
+	guint64 version;
+
+	(void)state;
+	store->era = "3";
+	store->list = "{\"metadata\":{\"name\":\"name\",\"revision\":8},"
+		      "\"spec\":{\"value\":\"dg==\"}}";
+	call_and_wait(objects, SR_STORE_GET, 0, &reply);
+	assert_int_equal(reply.status, SR_STORE_OK);
+	version = reply.version;
+	call_and_wait(objects, SR_STORE_UPDATE, version, &reply);
+	assert_int_equal(reply.status, SR_STORE_OK);
+	store->era = "4"; /* seen with the answer to the next write */
+	call_and_wait(objects, SR_STORE_UPDATE, version, &reply);
+	assert_int_equal(reply.status, SR_STORE_CONFLICT);
+	call_and_wait(objects, SR_STORE_GET, 0, &reply);
+	assert_int_equal(reply.status, SR_STORE_OK);
+	assert_true(reply.version > version);
+	store->era = "3"; /* a late answer */
+	call_and_wait(objects, SR_STORE_GET, 0, &reply);
+	assert_int_equal(reply.status, SR_STORE_UNKNOWN);
+	sr_object_store_free(objects);
+	fake_store_free(store);
+}
+
 /* An entry that lapses and is back in one batch has not gone. */
 static void test_feed_ignores_removal_before_return(void **state)
 {
@@ -505,6 +616,9 @@
 		cmocka_unit_test(test_feed_holds_removals_after_an_outage),
 		cmocka_unit_test(test_feed_follows_another_host),
 		cmocka_unit_test(test_feed_passes_on_what_a_list_shows),
+		cmocka_unit_test(test_feed_follows_into_a_later_era),
+		cmocka_unit_test(test_feed_drops_answers_of_an_earlier_era),
+		cmocka_unit_test(test_versions_are_compared_within_their_era),
 		cmocka_unit_test(test_feed_ignores_removal_before_return),
 		cmocka_unit_test(test_feed_survives_malformed_bodies),
 	};
--- a/test/usage_test.c
+++ b/test/usage_test.c
@@ -86,7 +86,7 @@
 	sr_usage_windows_count(usage, 101000, "x");
 	sr_usage_windows_count(other, 101000, "x");
 	payload = sr_usage_reports_close(first, usage, 108100);
-	sr_usage_reports_load(second, payload, other, 105000);
+	sr_usage_reports_load(second, payload, other, 105000, 0);
 	while (sr_usage_reports_next(second, &report)) {
 		if (report.window != 20)
 			continue;
@@ -169,7 +169,7 @@
 	assert_null(sr_usage_reports_save(first, before, 102100));
 	sr_usage_windows_count(after, 104000, "x y");
 	sr_usage_windows_receive(after, "b/2", 20, "x y=2\n", 6);
-	sr_usage_reports_load(second, payload, after, 104500);
+	sr_usage_reports_load(second, payload, after, 104500, 0);
 	assert_int_equal(total_of(after, 20, "x y"), 20);
 	/* counts of b/1 that arrive late replace those that were restored */
 	sr_usage_windows_receive(after, "b/1", 20, "x y=9\n", 6);
@@ -191,7 +191,7 @@
 	GBytes *payload;
 
 	(void)state;
-	sr_usage_reports_load(reports, NULL, usage, 112000);
+	sr_usage_reports_load(reports, NULL, usage, 112000, 0);
 	/* windows up to 19 ended by 100 s and are nearly due, later ones are
 	 * not */
 	payload = sr_usage_reports_close(reports, usage, 112100);
@@ -295,6 +295,45 @@
 	sr_usage_windows_free(usage);
 }
 
+/* The store is restored from a copy in which a window was still open. Its
+ * report was sent before, and must not be sent with other counts. */
+static void test_reported_window_is_not_closed_again(void **state)
+{
+	sr_usage_windows_t *usage = sr_usage_windows_new("", WINDOW);
+	sr_usage_reports_t *first = new_reports();
+	sr_usage_reports_t *second = new_reports();
+	sr_usage_report_t report;
+	unsigned n_reported = 0;
+	GBytes *copy;
+	GBytes *payload;
+
+	(void)state;
+	sr_usage_windows_receive(usage, "d/0", 20, "x=4\n", 4);
+	copy = sr_usage_reports_save(first, usage, 104000);
+	sr_usage_reports_written(first, TRUE);
+	payload = sr_usage_reports_close(first, usage, 108100);
+	sr_usage_reports_written(first, TRUE);
+	while (sr_usage_reports_next(first, &report))
+		n_reported += report.window == 20;
+	assert_int_equal(n_reported, 1);
+	sr_usage_windows_receive(usage, "d/0", 20, "x=5\n", 4);
+	sr_usage_windows_receive(usage, "d/0", 21, "x=7\n", 4);
+	sr_usage_reports_load(second, copy, usage, 105000, 21);
+	g_bytes_unref(payload);
+	payload = sr_usage_reports_close(second, usage, 113100);
+	assert_non_null(payload);
+	sr_usage_reports_written(second, TRUE);
+	assert_true(sr_usage_reports_next(second, &report));
+	assert_int_equal(report.window, 21);
+	assert_int_equal(count_of(&report, "x"), 7);
+	assert_false(sr_usage_reports_next(second, &report));
+	g_bytes_unref(payload);
+	g_bytes_unref(copy);
+	sr_usage_reports_free(first);
+	sr_usage_reports_free(second);
+	sr_usage_windows_free(usage);
+}
+
 /* The payload comes from the store; damaged lines must be ignored. */
 static void test_damaged_lines_are_ignored(void **state)
 {
@@ -324,6 +363,7 @@
 		cmocka_unit_test(test_older_counts_are_ignored),
 		cmocka_unit_test(test_open_windows_survive_all_hosts),
 		cmocka_unit_test(test_next_holder_waits_for_counts),
+		cmocka_unit_test(test_reported_window_is_not_closed_again),
 		cmocka_unit_test(test_damaged_lines_are_ignored),
 		cmocka_unit_test(test_two_collectors_count_once),
 		cmocka_unit_test(test_domain_that_restarts_counts_both_lives),
