Let pools grant at any time within a window; learn speeds sooner

And the plan took the engines for half as fast as they are for 30 s (work 33 at 20 s, 17 at 36 s), as a host of 195 sees three prompts a second and each counts a twentieth.

Change: a pool sums up what it granted in slots over the last window and grants until its part of the limit is reached. The first samples of the speed count as their number says.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -30,6 +30,10 @@
 #define LOCAL_FRACTION 0.5
 #define FEW_HOSTS 12
 
+/** Slots of a window in which a pool sums up its grants; a grant counts for up to
+ * one slot too long. */
+#define POOL_SLOTS 33
+
 /** Time constant of the demand average, in s: short enough to follow callers
  * that move to other hosts, long against the time between two requests. */
 #define DEMAND_TIME_CONSTANT_S 4.0
@@ -50,9 +54,10 @@
 	double published_rate; /* own: at the last publication */
 } demand_t;
 
+/** pool_t - what a pool has granted in the last window, by slots of time. */
 typedef struct {
-	double level;
-	sr_usec_t refilled_at;
+	double granted[POOL_SLOTS]; /* ring, by slot number */
+	gint64 slot;		    /* the latest one */
 } pool_t;
 
 typedef struct {
@@ -258,6 +263,35 @@
 	bucket->refilled_at = now;
 }
 
+/* What a pool may grant in a window, as far as this host may grant it. */
+static double pool_limit(const sr_allowance_t *allowance,
+			 const bucket_t *bucket)
+{
+	double window_s = (double)allowance->tolerance.window / SR_SEC;
+
+	return (bucket->burst + bucket->rate * window_s) *
+	       pool_fraction(allowance);
+}
+
+static sr_usec_t slot_length(const sr_allowance_t *allowance)
+{
+	return MAX(allowance->tolerance.window / (POOL_SLOTS - 1), 1);
+}
+
+/* Sets the pool to have granted a fraction of its limit, spread evenly over the
+ * last window. */
+static void assume_granted(const sr_allowance_t *allowance,
+			   const bucket_t *bucket, pool_t *pool, sr_usec_t now,
+			   double fraction)
+{
+	double granted =
+		pool_limit(allowance, bucket) * fraction / POOL_SLOTS;
+
+	for (unsigned i = 0; i < POOL_SLOTS; i++)
+		pool->granted[i] = granted;
+	pool->slot = now / slot_length(allowance);
+}
+
 void sr_allowance_set_limit(sr_allowance_t *allowance, sr_usec_t now,
 			    const char *account, double rate_per_s,
 			    double burst)
@@ -271,11 +305,8 @@
 	if (is_first) {
 		bucket->level = INITIAL_FILL_FRACTION * bucket->burst * share;
 		for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
-			bucket->pools[i] = (pool_t){
-				.level = INITIAL_FILL_FRACTION * bucket->burst *
-					 pool_fraction(allowance),
-				.refilled_at = now,
-			};
+			assume_granted(allowance, bucket, &bucket->pools[i],
+				       now, 1 - INITIAL_FILL_FRACTION);
 	}
 	bucket->level = MIN(bucket->level, bucket->burst * share);
 }
@@ -321,14 +352,41 @@
 	allowance->pool_fraction = fraction;
 }
 
-static void refill_pool(const bucket_t *bucket, pool_t *pool, sr_usec_t now,
-			double fraction)
+/* Empties the slots that have left the window. */
+static void advance_pool(const sr_allowance_t *allowance, pool_t *pool,
+			 sr_usec_t now)
 {
-	double earned =
-		bucket->rate * fraction * seconds_since(pool->refilled_at, now);
+	gint64 slot = now / slot_length(allowance);
+
+	if (slot - pool->slot >= POOL_SLOTS)
+		pool->slot = slot - POOL_SLOTS;
+	while (pool->slot < slot)
+		pool->granted[++pool->slot % POOL_SLOTS] = 0;
+}
+
+static double sum_granted(const pool_t *pool)
+{
+	double sum = 0;
+
+	for (unsigned i = 0; i < POOL_SLOTS; i++)
+		sum += pool->granted[i];
+	return sum;
+}
+
+/* Time until the grants of the window have fallen by an amount. */
+static sr_usec_t time_until_freed(const sr_allowance_t *allowance,
+				  const pool_t *pool, sr_usec_t now,
+				  double amount)
+{
+	sr_usec_t length = slot_length(allowance);
+	gint64 i;
 
-	pool->level = MIN(pool->level + earned, bucket->burst * fraction);
-	pool->refilled_at = now;
+	for (i = 1; i < POOL_SLOTS; i++) {
+		amount -= pool->granted[(pool->slot + i) % POOL_SLOTS];
+		if (amount <= 0)
+			break;
+	}
+	return (pool->slot + i) * length - now;
 }
 
 void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
@@ -336,7 +394,7 @@
 {
 	bucket_t *bucket = get_bucket(allowance, now, account);
 
-	bucket->pools[pool] = (pool_t){ .refilled_at = now };
+	assume_granted(allowance, bucket, &bucket->pools[pool], now, 1);
 }
 
 sr_usec_t sr_allowance_take_from_pool(sr_allowance_t *allowance, sr_usec_t now,
@@ -344,17 +402,20 @@
 				      double amount)
 {
 	bucket_t *bucket = get_bucket(allowance, now, account);
-	double fraction = pool_fraction(allowance);
+	double limit = pool_limit(allowance, bucket);
 	pool_t *from = &bucket->pools[pool];
+	double granted;
 
-	if (bucket->rate <= 0 || fraction <= 0)
+	if (limit <= 0)
 		return SR_SEC; /* limit or fraction not set yet */
-	refill_pool(bucket, from, now, fraction);
-	if (from->level < 0)
-		return (sr_usec_t)(-from->level / (bucket->rate * fraction) *
-				   SR_SEC) +
-		       1;
-	from->level -= amount;
+	advance_pool(allowance, from, now);
+	granted = sum_granted(from);
+	/* a request that is larger than the limit takes the whole pool */
+	if (granted > 0 && granted + amount > limit)
+		return MAX(time_until_freed(allowance, from, now,
+					    granted + amount - limit),
+			   1);
+	from->granted[from->slot % POOL_SLOTS] += amount;
 	return 0;
 }
 
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -21,7 +21,9 @@
  * With pools enabled, each host keeps only a fraction of its share, which falls
  * with the number of hosts: the share of one among many is smaller than a
  * request. The rest is divided between SR_ALLOWANCE_POOLS pools per account,
- * each held by one host; hosts whose share is used up request from them. A
+ * each held by one host; hosts whose share is used up request from them. A pool
+ * grants its part of what the tolerance allows in a window at any time within
+ * it. A
  * holder grants the fraction of its pool that corresponds to the fraction of
  * hosts it can reach, so that the sides of a partition have no more than one
  * pool between them.
@@ -92,6 +94,8 @@
 /**
  * sr_allowance_enable_pools - reserve a fraction of every limit for its pools
  *
+ * The tolerance must have a window.
+ *
  * The share of a host may then be overdrawn only so far that all hosts together
  * stay within the tolerance; a larger request needs a pool.
  */
@@ -104,7 +108,8 @@
 /**
  * sr_allowance_start_pool - make this host the holder of a pool of an account
  *
- * The pool starts empty, as what the previous holder granted is not known.
+ * The pool starts as if it had granted all of the last window, as what the
+ * previous holder granted is not known.
  */
 void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
 			     const char *account, unsigned pool);
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -34,6 +34,10 @@
 /** Weight of a new observation in the moving averages. */
 #define SMOOTHING_FACTOR 0.05
 
+/** Samples that the initial value of the speed counts for. The first ones weigh
+ * more than SMOOTHING_FACTOR, as a host among hundreds gets few of them. */
+#define SPEED_PRIOR_SAMPLES 3
+
 /** Fewer pending tokens give no sample of the speed: fixed costs dominate. */
 #define SPEED_MIN_TOKENS 1500.0
 
@@ -45,12 +49,14 @@
 	speed->tokens_per_s = INITIAL_TOKENS_PER_S;
 	speed->base_s = INITIAL_BASE_S;
 	speed->duration_s = INITIAL_DURATION_S;
+	speed->n_samples = 0;
 }
 
 void sr_engine_speed_add_first_event(sr_engine_speed_t *speed,
 				     double pending_tokens, sr_usec_t elapsed)
 {
 	double seconds = (double)elapsed / SR_SEC;
+	double factor;
 
 	if (pending_tokens < SPEED_MIN_TOKENS) {
 		if (pending_tokens < 1)
@@ -59,8 +65,11 @@
 		return;
 	}
 	seconds = MAX(seconds - speed->base_s, 0.001);
-	speed->tokens_per_s += SMOOTHING_FACTOR *
-			       (pending_tokens / seconds - speed->tokens_per_s);
+	speed->n_samples++;
+	factor = MAX(SMOOTHING_FACTOR,
+		     1.0 / (speed->n_samples + SPEED_PRIOR_SAMPLES));
+	speed->tokens_per_s +=
+		factor * (pending_tokens / seconds - speed->tokens_per_s);
 }
 
 void sr_engine_speed_add_duration(sr_engine_speed_t *speed, sr_usec_t elapsed)
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -36,6 +36,7 @@
 	double tokens_per_s; /* prompt processing */
 	double base_s;	     /* time to the first event, empty prompt */
 	double duration_s;   /* of a whole answer */
+	unsigned n_samples;  /* of tokens_per_s */
 } sr_engine_speed_t;
 
 /** sr_engine_speed_init - conservative values until there are observations. */
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -503,6 +503,26 @@
 	free_fleet(fleet);
 }
 
+/* An account that has been quiet sends what a window allows within a second, as
+ * callers that come back together do. It is within its limit. */
+static void test_burst_within_the_window_is_admitted(void **state)
+{
+	fleet_t *fleet = new_fleet(TRUE);
+	unsigned from;
+
+	(void)state;
+	set_demand(fleet, 0);
+	run(fleet, 20);
+	from = fleet->n_steps;
+	set_demand(fleet, 4 * RATE);
+	run(fleet, 1);
+	assert_true(admitted_fraction(fleet, from) > 0.97);
+	set_demand(fleet, 8 * RATE);
+	run(fleet, 20);
+	assert_true(max_in_window(fleet) <= max_allowed());
+	free_fleet(fleet);
+}
+
 #define HUNDREDS 195
 #define HUNDREDS_RATE 250000.0
 #define HUNDREDS_BURST 1000000.0
@@ -614,6 +634,7 @@
 		cmocka_unit_test(test_pool_changes_holder_under_hot_account),
 		cmocka_unit_test(test_pool_covers_demand_above_one_share),
 		cmocka_unit_test(test_one_pool_carries_when_the_other_is_down),
+		cmocka_unit_test(test_burst_within_the_window_is_admitted),
 		cmocka_unit_test(test_hot_account_at_hundreds_of_hosts),
 		cmocka_unit_test(test_account_below_limit_at_hundreds_of_hosts),
 		cmocka_unit_test(test_refusal_returns_wait),
--- a/test/gateway_policy_test.c
+++ b/test/gateway_policy_test.c
@@ -394,6 +394,22 @@
 	engines_free(&engines);
 }
 
+/* One of hundreds of hosts sees a few prompts a second. It must know the speed
+ * of the engines within seconds: what the prompts need follows from it. */
+static void test_speed_is_learnt_from_few_samples(void **state)
+{
+	sr_engine_speed_t speed;
+
+	(void)state;
+	sr_engine_speed_init(&speed);
+	for (int i = 0; i < 15; i++)
+		sr_engine_speed_add_first_event(
+			&speed, 10000,
+			(sr_usec_t)(speed.base_s * SR_SEC) + 100 * SR_MSEC);
+	assert_true(speed.tokens_per_s > 85000);
+	assert_true(speed.tokens_per_s < 110000);
+}
+
 static void test_draining_instances_get_no_requests(void **state)
 {
 	engines_t engines = engines_new();
@@ -836,6 +852,7 @@
 		cmocka_unit_test(
 			test_new_home_is_expected_to_have_a_cold_cache),
 		cmocka_unit_test(test_late_first_event_diverts_requests),
+		cmocka_unit_test(test_speed_is_learnt_from_few_samples),
 		cmocka_unit_test(test_draining_instances_get_no_requests),
 		cmocka_unit_test(test_fully_ejected_service_is_still_tried),
 		cmocka_unit_test(test_urgent_requests_are_admitted_in_a_burst),
