Start hosts with what is known of the fleet

Requests were refused after each restart (`limited ... share=0.006 wait_s=8`): a host that had just started divided limits by 32, and its pools began as if they had granted all.

Ruled out: loads known late after a start (the refusals are of allowances).

Change: the totals of load carry what pools granted in each quarter of the window, and the holder of the duties writes it and the number of hosts with each renewal of its lease. A host reads it when it starts. Shares of an account that was hot start in debt.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -34,6 +34,14 @@
  * one slot too long. */
 #define POOL_SLOTS 33
 
+/** Fraction of the limit of its pools from which an account counts as hot when a
+ * host starts. Its share then starts in debt, as that of the host before had
+ * most likely been overdrawn. */
+#define HOT_FRACTION 0.6
+
+/** Time after sr_allowance_restore_use() in which pools continue from it. */
+#define RESTORED_TIME (3 * SR_SEC)
+
 /** Time constant of the demand average, in s: short enough to follow callers
  * that move to other hosts, long against the time between two requests. */
 #define DEMAND_TIME_CONSTANT_S 4.0
@@ -72,6 +80,8 @@
 	demand_t own;
 	GHashTable *peers; /* host name -> demand_t */
 	pool_t pools[SR_ALLOWANCE_POOLS]; /* used while this host holds them */
+	gboolean is_held[SR_ALLOWANCE_POOLS];
+	double restored; /* by sr_allowance_restore_use(), all pools */
 } bucket_t;
 
 struct sr_allowance {
@@ -80,6 +90,7 @@
 	gboolean has_pools;
 	double pool_fraction;
 	sr_allowance_tolerance_t tolerance;
+	sr_usec_t restored_until; /* 0 if nothing was restored */
 };
 
 static void free_bucket(gpointer data)
@@ -292,6 +303,21 @@
 	pool->slot = now / slot_length(allowance);
 }
 
+/* Puts the share in debt if the account was hot before this host started. */
+static void restore_debt(const sr_allowance_t *allowance, bucket_t *bucket,
+			 double share)
+{
+	double limit = (bucket->burst +
+			bucket->rate * (double)allowance->tolerance.window /
+				SR_SEC) *
+		       (1 - local_fraction(allowance));
+	double debt = MAX(bucket->burst * share,
+			  bucket->overdraft / allowance->n_hosts);
+
+	if (bucket->rate > 0 && bucket->restored > HOT_FRACTION * limit)
+		bucket->level = MIN(bucket->level, -debt);
+}
+
 void sr_allowance_set_limit(sr_allowance_t *allowance, sr_usec_t now,
 			    const char *account, double rate_per_s,
 			    double burst)
@@ -304,18 +330,24 @@
 	set_window_limit(allowance, bucket, rate_per_s, burst);
 	if (is_first) {
 		bucket->level = INITIAL_FILL_FRACTION * bucket->burst * share;
-		for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
+		for (unsigned i = 0;
+		     i < SR_ALLOWANCE_POOLS && now >= allowance->restored_until;
+		     i++)
 			assume_granted(allowance, bucket, &bucket->pools[i],
 				       now, 1 - INITIAL_FILL_FRACTION);
 	}
 	bucket->level = MIN(bucket->level, bucket->burst * share);
+	if (is_first)
+		restore_debt(allowance, bucket, share);
 }
 
-/* Level of a share below which it may not be overdrawn. */
+/* Level of a share below which it may not be overdrawn. The requests by which a
+ * few hosts overdraw theirs are within the tolerance. */
 static double level_min(const sr_allowance_t *allowance, const bucket_t *bucket)
 {
-	return allowance->has_pools ? -bucket->overdraft / allowance->n_hosts :
-				      -G_MAXDOUBLE;
+	return allowance->has_pools && allowance->n_hosts > FEW_HOSTS ?
+		       -bucket->overdraft / allowance->n_hosts :
+		       -G_MAXDOUBLE;
 }
 
 sr_usec_t sr_allowance_take(sr_allowance_t *allowance, sr_usec_t now,
@@ -394,7 +426,112 @@
 {
 	bucket_t *bucket = get_bucket(allowance, now, account);
 
-	assume_granted(allowance, bucket, &bucket->pools[pool], now, 1);
+	bucket->is_held[pool] = TRUE;
+	if (now >= allowance->restored_until)
+		assume_granted(allowance, bucket, &bucket->pools[pool], now, 1);
+}
+
+/* The part of the window, counted back from now, in which a slot lies. */
+static unsigned part_of_slot(const pool_t *pool, gint64 slot)
+{
+	return (unsigned)((pool->slot - slot) * SR_ALLOWANCE_PARTS /
+			  POOL_SLOTS);
+}
+
+static void add_use(const pool_t *pool, sr_allowance_use_t *use)
+{
+	for (gint64 i = 0; i < POOL_SLOTS; i++) {
+		gint64 slot = pool->slot - i;
+
+		if (slot >= 0)
+			use->granted[part_of_slot(pool, slot)] +=
+				pool->granted[slot % POOL_SLOTS];
+	}
+}
+
+void sr_allowance_foreach_use(sr_allowance_t *allowance, sr_usec_t now,
+			      void (*fn)(void *user, const char *account,
+					 const sr_allowance_use_t *use),
+			      void *user)
+{
+	GHashTableIter iter;
+	gpointer account;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, allowance->buckets);
+	while (g_hash_table_iter_next(&iter, &account, &value)) {
+		bucket_t *bucket = value;
+		sr_allowance_use_t use = { { 0 } };
+		double sum = 0;
+
+		for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++) {
+			if (!bucket->is_held[i])
+				continue;
+			advance_pool(allowance, &bucket->pools[i], now);
+			add_use(&bucket->pools[i], &use);
+		}
+		for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+			sum += use.granted[i];
+		if (sum > 0)
+			fn(user, account, &use);
+	}
+}
+
+/* Within its part, a grant is taken to be as late as it can be. */
+static void restore_pool(const sr_allowance_t *allowance, pool_t *pool,
+			 sr_usec_t now, sr_usec_t age,
+			 const sr_allowance_use_t *use)
+{
+	sr_usec_t length = slot_length(allowance);
+
+	*pool = (pool_t){ .slot = now / length };
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++) {
+		gint64 slot = (now - age -
+			       allowance->tolerance.window * i /
+				       SR_ALLOWANCE_PARTS) /
+			      length;
+
+		if (slot >= 0 && pool->slot - slot < POOL_SLOTS)
+			pool->granted[slot % POOL_SLOTS] +=
+				use->granted[i] / SR_ALLOWANCE_POOLS;
+	}
+}
+
+void sr_allowance_restore_use(sr_allowance_t *allowance, sr_usec_t now,
+			      const char *account, sr_usec_t age,
+			      const sr_allowance_use_t *use)
+{
+	const sr_allowance_use_t nothing = { { 0 } };
+	bucket_t *bucket;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (allowance->restored_until == 0) {
+		g_hash_table_iter_init(&iter, allowance->buckets);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
+				restore_pool(allowance,
+					     &((bucket_t *)value)->pools[i],
+					     now, 0, &nothing);
+		}
+	}
+	allowance->restored_until = now + RESTORED_TIME;
+	if (!account)
+		return;
+	bucket = get_bucket(allowance, now, account);
+	for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
+		restore_pool(allowance, &bucket->pools[i], now, MAX(age, 0),
+			     use);
+	bucket->restored = 0;
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+		bucket->restored += use->granted[i];
+	restore_debt(allowance, bucket, update_share(allowance, bucket, now));
+}
+
+void sr_allowance_end_pool(sr_allowance_t *allowance, sr_usec_t now,
+			   const char *account, unsigned pool)
+{
+	get_bucket(allowance, now, account)->is_held[pool] = FALSE;
 }
 
 sr_usec_t sr_allowance_take_from_pool(sr_allowance_t *allowance, sr_usec_t now,
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -36,6 +36,15 @@
 /** Pools of an account, held by hosts of different failure domains. */
 #define SR_ALLOWANCE_POOLS 2
 
+/** Parts of a window, by which what pools have granted is told. */
+#define SR_ALLOWANCE_PARTS 4
+
+/** sr_allowance_use_t - what an account's pools granted in the last window, by
+ * parts of it, the latest first. */
+typedef struct {
+	double granted[SR_ALLOWANCE_PARTS];
+} sr_allowance_use_t;
+
 /** Age from which the counter of another host counts as stale. */
 #define SR_ALLOWANCE_STALE_AFTER (3 * SR_SEC)
 
@@ -96,7 +105,7 @@
  *
  * The tolerance must have a window.
  *
- * The share of a host may then be overdrawn only so far that all hosts together
+ * Among many hosts a share may then be overdrawn only so far that all together
  * stay within the tolerance; a larger request needs a pool.
  */
 void sr_allowance_enable_pools(sr_allowance_t *allowance);
@@ -109,11 +118,15 @@
  * sr_allowance_start_pool - make this host the holder of a pool of an account
  *
  * The pool starts as if it had granted all of the last window, as what the
- * previous holder granted is not known.
+ * previous holder granted is not known; see sr_allowance_restore_use().
  */
 void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
 			     const char *account, unsigned pool);
 
+/** sr_allowance_end_pool - another host holds the pool now. */
+void sr_allowance_end_pool(sr_allowance_t *allowance, sr_usec_t now,
+			   const char *account, unsigned pool);
+
 /**
  * sr_allowance_take_from_pool - take an amount from a pool on this host
  *
@@ -125,6 +138,25 @@
 				      const char *account, unsigned pool,
 				      double amount);
 
+/** sr_allowance_foreach_use - call fn for each account of which the pools on
+ * this host granted anything in the last window. */
+void sr_allowance_foreach_use(sr_allowance_t *allowance, sr_usec_t now,
+			      void (*fn)(void *user, const char *account,
+					 const sr_allowance_use_t *use),
+			      void *user);
+
+/**
+ * sr_allowance_restore_use - set what all pools of an account had granted
+ *
+ * For a host that has just started. use is age old. Pools that start on this
+ * host within the next seconds continue from it; those of accounts for which
+ * this isn't called have granted nothing, once it was called for any account or
+ * with NULL for none.
+ */
+void sr_allowance_restore_use(sr_allowance_t *allowance, sr_usec_t now,
+			      const char *account, sr_usec_t age,
+			      const sr_allowance_use_t *use);
+
 /** sr_allowance_share - this host's fraction of the account's rate, from 0 to
  * 1, without the pools. */
 double sr_allowance_share(sr_allowance_t *allowance, sr_usec_t now,
--- a/src/core/load_sum.c
+++ b/src/core/load_sum.c
@@ -2,13 +2,16 @@
 
 #include <string.h>
 
-/** First character of a line with the work of a service. */
+/** First character of a line with the work of a service, and of one with the
+ * use of an account's pools. */
 #define WORK_MARK '@'
+#define USE_MARK '$'
 
 struct sr_load_sum {
 	unsigned n_hosts;
 	GHashTable *items; /* instance -> sr_load_item_t */
 	GHashTable *work;  /* service -> double *, busy instances */
+	GHashTable *uses;  /* account -> sr_allowance_use_t */
 };
 
 sr_load_sum_t *sr_load_sum_new(void)
@@ -19,6 +22,8 @@
 					   g_free);
 	sum->work = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  g_free);
+	sum->uses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  g_free);
 	return sum;
 }
 
@@ -28,6 +33,7 @@
 		return;
 	g_hash_table_unref(sum->items);
 	g_hash_table_unref(sum->work);
+	g_hash_table_unref(sum->uses);
 	g_free(sum);
 }
 
@@ -65,6 +71,33 @@
 	*known += work;
 }
 
+void sr_load_sum_add_use(sr_load_sum_t *sum, const char *account,
+			 const sr_allowance_use_t *use)
+{
+	sr_allowance_use_t *known = g_hash_table_lookup(sum->uses, account);
+
+	if (!known) {
+		known = g_new0(sr_allowance_use_t, 1);
+		g_hash_table_insert(sum->uses, g_strdup(account), known);
+	}
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+		known->granted[i] += use->granted[i];
+}
+
+void sr_load_sum_foreach_use(const sr_load_sum_t *sum,
+			     void (*fn)(void *user, const char *account,
+					const sr_allowance_use_t *use),
+			     void *user)
+{
+	GHashTableIter iter;
+	gpointer account;
+	gpointer use;
+
+	g_hash_table_iter_init(&iter, sum->uses);
+	while (g_hash_table_iter_next(&iter, &account, &use))
+		fn(user, account, use);
+}
+
 void sr_load_sum_add(sr_load_sum_t *sum, const sr_load_sum_t *other)
 {
 	GHashTableIter iter;
@@ -78,6 +111,9 @@
 	g_hash_table_iter_init(&iter, other->work);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		sr_load_sum_add_work(sum, key, *(double *)value);
+	g_hash_table_iter_init(&iter, other->uses);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		sr_load_sum_add_use(sum, key, value);
 }
 
 sr_load_item_t sr_load_sum_item(const sr_load_sum_t *sum, const char *instance)
@@ -159,7 +195,19 @@
 	return texts;
 }
 
-/* A line is "@SERVICE WORK\n" or "INSTANCE IN_FLIGHT TOKENS\n". */
+static char *use_line(const char *account, const sr_allowance_use_t *use)
+{
+	GString *line = g_string_new(NULL);
+
+	g_string_append_printf(line, "%c%s", USE_MARK, account);
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+		g_string_append_printf(line, " %.0f", use->granted[i]);
+	g_string_append_c(line, '\n');
+	return g_string_free(line, FALSE);
+}
+
+/* A line is "@SERVICE WORK\n", "$ACCOUNT GRANTED...\n", the latest part first, or
+ * "INSTANCE IN_FLIGHT TOKENS\n". */
 GPtrArray *sr_load_sum_encode(const sr_load_sum_t *sum, gsize size_max,
 			      guint parts_max, unsigned *n_dropped)
 {
@@ -178,6 +226,10 @@
 						  (const char *)key,
 						  *(double *)value),
 				  size_max, parts_max);
+	g_hash_table_iter_init(&iter, sum->uses);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		*n_dropped += !add_line(parts, use_line(key, value), size_max,
+					parts_max);
 	for (guint i = 0; i < items->len; i++) {
 		const named_item_t *named =
 			&g_array_index(items, named_item_t, i);
@@ -200,6 +252,12 @@
 	if (n == 2 && fields[0][0] == WORK_MARK) {
 		sr_load_sum_add_work(sum, fields[0] + 1,
 				     g_ascii_strtod(fields[1], NULL));
+	} else if (n == 1 + SR_ALLOWANCE_PARTS && fields[0][0] == USE_MARK) {
+		sr_allowance_use_t use;
+
+		for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+			use.granted[i] = g_ascii_strtod(fields[1 + i], NULL);
+		sr_load_sum_add_use(sum, fields[0] + 1, &use);
 	} else if (n == 3 && *fields[0]) {
 		const sr_load_item_t item = {
 			.in_flight = g_ascii_strtod(fields[1], NULL),
--- a/src/core/load_sum.h
+++ b/src/core/load_sum.h
@@ -3,12 +3,14 @@
 
 #include <glib.h>
 
+#include "core/allowance.h"
+
 /**
  * sr_load_sum_t - load of a group of entry hosts on the instances
  *
  * Holds the requests and prompt tokens that the hosts have in flight at each
- * instance, the engine work that their prompts cause at each service, and the
- * number of hosts that are included. Sums of disjoint groups are added up, so
+ * instance, the engine work that their prompts cause at each service, what the
+ * pools that they hold have granted, and the number of hosts that are included. Sums of disjoint groups are added up, so
  * that a host can know the load of all without knowing the others one by one.
  *
  * A sum is sent in parts, each of which fits one datagram. Strings are copied.
@@ -38,6 +40,17 @@
 /** sr_load_sum_add_work - add engine work at a service, in busy instances. */
 void sr_load_sum_add_work(sr_load_sum_t *sum, const char *service, double work);
 
+/** sr_load_sum_add_use - add what pools of an account have granted. */
+void sr_load_sum_add_use(sr_load_sum_t *sum, const char *account,
+			 const sr_allowance_use_t *use);
+
+/** sr_load_sum_foreach_use - call fn for each account of which pools have
+ * granted anything. */
+void sr_load_sum_foreach_use(const sr_load_sum_t *sum,
+			     void (*fn)(void *user, const char *account,
+					const sr_allowance_use_t *use),
+			     void *user);
+
 /** sr_load_sum_add - add another sum, its hosts included. */
 void sr_load_sum_add(sr_load_sum_t *sum, const sr_load_sum_t *other);
 
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -1,5 +1,7 @@
 #include "fleet/duties.h"
 
+#include <string.h>
+
 #include "core/lease.h"
 
 /** Interval at which due writes, calls and claims are checked. */
@@ -33,6 +35,15 @@
 /** Time after which a report that was not accepted is sent again. */
 #define RETRY_DELAY (500 * SR_MSEC)
 
+/** Lines of the lease's payload after those of the usage reports: the number of
+ * entry hosts with the time of writing in Unix milliseconds, and what the pools
+ * of an account had granted then. */
+#define HOSTS_WORD "hosts"
+#define GRANTED_WORD "granted"
+
+/** Age from which the lines don't matter any more. */
+#define RESTORE_AGE_MAX (30 * SR_SEC)
+
 /** Distance of the epochs of two eras of the store; far more than the holders
  * of one. */
 #define EPOCHS_PER_ERA 1000000
@@ -47,6 +58,7 @@
 	guint64 era;		 /* of the store, as far as it was restored */
 	sr_usec_t retry_at;	 /* no report is sent before */
 	sr_usec_t save_at;	 /* next write of the open windows */
+	gboolean has_read; /* the leased object, after the start */
 	gboolean is_stopping;
 };
 
@@ -131,6 +143,94 @@
 	return "";
 }
 
+/* "granted ACCOUNT AMOUNT...", the account escaped as in a URI */
+static void restore_granted(sr_duties_t *duties, char **words, sr_usec_t age)
+{
+	char *account = g_uri_unescape_string(words[1], NULL);
+	sr_allowance_use_t use;
+
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+		use.granted[i] = g_ascii_strtod(words[2 + i], NULL);
+	if (account)
+		sr_allowance_restore_use(
+			sr_gateway_allowance(duties->options.gateway),
+			current_time(duties), account, age, &use);
+	g_free(account);
+}
+
+/* "hosts NUMBER UNIX_MS"; returns the age of the lines. */
+static sr_usec_t restore_hosts(sr_duties_t *duties, char **words)
+{
+	gint64 written_ms = g_ascii_strtoll(words[2], NULL, 10);
+	sr_usec_t age =
+		(sr_clock_unix_ms(duties->options.clock) - written_ms) *
+		SR_MSEC;
+
+	sr_fleet_expect_hosts(duties->options.fleet_state,
+			      (unsigned)g_ascii_strtoull(words[1], NULL, 10));
+	if (age <= RESTORE_AGE_MAX)
+		sr_allowance_restore_use(
+			sr_gateway_allowance(duties->options.gateway),
+			current_time(duties), NULL, age, NULL);
+	return age;
+}
+
+/* Reads what the holder knew of the fleet shortly before this host started. */
+static void restore_fleet(sr_duties_t *duties)
+{
+	GBytes *payload = sr_lease_payload(duties->lease);
+	gsize size = 0;
+	const char *data = payload ? g_bytes_get_data(payload, &size) : NULL;
+	char *text = g_strndup(data ? data : "", size);
+	char **lines = g_strsplit(text, "\n", -1);
+	sr_usec_t age = G_MAXINT64;
+
+	for (char **line = lines; *line; line++) {
+		char **words = g_strsplit(*line, " ", -1);
+		guint n = g_strv_length(words);
+
+		if (n == 3 && !strcmp(words[0], HOSTS_WORD))
+			age = restore_hosts(duties, words);
+		else if (n == 2 + SR_ALLOWANCE_PARTS &&
+			 !strcmp(words[0], GRANTED_WORD) &&
+			 age <= RESTORE_AGE_MAX)
+			restore_granted(duties, words, age);
+		g_strfreev(words);
+	}
+	g_strfreev(lines);
+	g_free(text);
+}
+
+static void append_granted(void *user, const char *account,
+			   const sr_allowance_use_t *use)
+{
+	char *escaped = g_uri_escape_string(account, NULL, FALSE);
+
+	g_string_append_printf(user, GRANTED_WORD " %s", escaped);
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+		g_string_append_printf(user, " %.0f", use->granted[i]);
+	g_string_append_c(user, '\n');
+	g_free(escaped);
+}
+
+/* Adds what a host that starts needs to know; takes ownership of the payload of
+ * the reports. */
+static GBytes *add_fleet(const sr_duties_t *duties, GBytes *payload)
+{
+	const sr_duties_options_t *options = &duties->options;
+	gsize size;
+	const char *data = g_bytes_get_data(payload, &size);
+	GString *text = g_string_new_len(data, (gssize)size);
+
+	g_string_append_printf(text,
+			       "\n" HOSTS_WORD " %u %" G_GINT64_FORMAT "\n",
+			       sr_fleet_host_count(options->fleet_state),
+			       sr_clock_unix_ms(options->clock));
+	sr_fleet_foreach_use(options->fleet_state, append_granted, text);
+	g_bytes_unref(payload);
+	return g_string_free_to_bytes(text);
+}
+
 /* Every renewal by a holder is reported, once a second; only a change of the
  * holder is logged. */
 static void on_lease_event(void *user, sr_lease_event_t event, guint64 epoch,
@@ -138,6 +238,10 @@
 {
 	sr_duties_t *duties = user;
 
+	if (event == SR_LEASE_CHANGED && !duties->has_read) {
+		duties->has_read = TRUE;
+		restore_fleet(duties);
+	}
 	if (event != SR_LEASE_CHANGED) {
 		log_event(duties, "duties-claim", epoch, claim_outcome(event));
 	} else if (epoch != duties->last_seen_epoch) {
@@ -174,6 +278,7 @@
 			sr_usage_reports_save(duties->reports, usage, unix_ms);
 	if (!payload)
 		return;
+	payload = add_fleet(duties, payload);
 	if (sr_lease_write(duties->lease, current_time(duties), payload) ==
 	    SR_OK)
 		duties->save_at = current_time(duties) + SAVE_INTERVAL;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -16,7 +16,7 @@
 #define DEMAND_HOSTS_MAX 24
 
 /** Time after a start in which other hosts may not be known yet, and the number
- * of hosts that allowances are divided by until then. */
+ * of hosts that allowances are divided by until then if nothing tells it. */
 #define SETTLE_TIME (1500 * SR_MSEC)
 #define UNSETTLED_HOSTS 32
 
@@ -273,10 +273,19 @@
 	unsigned n = sr_fleet_host_count(fleet);
 
 	if (sr_fleet_now(fleet) - fleet->started_at < SETTLE_TIME)
-		return MAX(n, UNSETTLED_HOSTS);
+		return MAX(n, fleet->expected_hosts > 0 ?
+				      fleet->expected_hosts :
+				      UNSETTLED_HOSTS);
 	return n;
 }
 
+void sr_fleet_expect_hosts(sr_fleet_t *fleet, unsigned n)
+{
+	fleet->expected_hosts = n;
+	sr_gateway_set_host_count(fleet->options.gateway,
+				  sr_fleet_sharing_hosts(fleet));
+}
+
 static void on_member_changed(void *user, const sr_member_t *member)
 {
 	static const char *const states[] = { "alive", "suspect", "left",
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -139,6 +139,17 @@
 /** sr_fleet_cancel_fetches - drop the open fetches of a user pointer. */
 void sr_fleet_cancel_fetches(sr_fleet_t *fleet, void *user);
 
+/** sr_fleet_expect_hosts - number of entry hosts of which the platform tells;
+ * used until this host has joined the others. */
+void sr_fleet_expect_hosts(sr_fleet_t *fleet, unsigned n);
+
+/** sr_fleet_foreach_use - call fn with what the pools of each account have
+ * granted on all hosts, as far as it is known. */
+void sr_fleet_foreach_use(const sr_fleet_t *fleet,
+			  void (*fn)(void *user, const char *account,
+				     const sr_allowance_use_t *use),
+			  void *user);
+
 /** Key under which the duties are assigned to a host. */
 #define SR_FLEET_DUTIES_KEY "duties"
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -14,6 +14,7 @@
 	sr_fleet_options_t options;
 	char *owner_id; /* "NODE@INCARNATION" */
 	sr_usec_t started_at;
+	unsigned expected_hosts; /* 0 if not known; see sr_fleet_expect_hosts */
 	guint64 incarnation;
 	guint64 n_published; /* by sr_fleet_publish_own() */
 	sr_peer_t *peer;
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -60,6 +60,12 @@
 		update_work(context->fleet, service, total_s)->rate);
 }
 
+static void add_use(void *user, const char *account,
+		    const sr_allowance_use_t *use)
+{
+	sr_load_sum_add_use(((report_context_t *)user)->sum, account, use);
+}
+
 static sr_load_sum_t *own_load(sr_fleet_t *fleet)
 {
 	const GPtrArray *all =
@@ -68,6 +74,8 @@
 	report_context_t context = { fleet, sum };
 
 	sr_gateway_foreach_prefill(fleet->options.gateway, add_work, &context);
+	sr_allowance_foreach_use(sr_gateway_allowance(fleet->options.gateway),
+				 sr_fleet_now(fleet), add_use, &context);
 	for (guint i = 0; i < all->len; i++) {
 		const sr_instance_t *instance = all->pdata[i];
 		const sr_load_item_t item = {
@@ -185,3 +193,16 @@
 		MAX((double)sr_fleet_host_count(fleet) / n_included, 1);
 	return TRUE;
 }
+
+void sr_fleet_foreach_use(const sr_fleet_t *fleet,
+			  void (*fn)(void *user, const char *account,
+				     const sr_allowance_use_t *use),
+			  void *user)
+{
+	const sr_load_sum_t *own;
+	const sr_load_sum_t *total = sr_load_exchange_total(
+		fleet->load_exchange, sr_fleet_now(fleet), &own);
+
+	if (total)
+		sr_load_sum_foreach_use(total, fn, user);
+}
--- a/src/fleet/pool_requests.c
+++ b/src/fleet/pool_requests.c
@@ -87,13 +87,19 @@
 	return g_strdup_printf("%u%s", pool, account);
 }
 
-static gboolean is_held_elsewhere(gpointer key, gpointer value, gpointer user)
+static gboolean end_if_held_elsewhere(gpointer key, gpointer value,
+				      gpointer user)
 {
+	sr_fleet_t *fleet = user;
 	const char *text = key;
+	unsigned pool = (unsigned)(text[0] - '0');
 
 	(void)value;
-	return find_pool_holder(user, text + 1, (unsigned)(text[0] - '0')) !=
-	       NULL;
+	if (!find_pool_holder(fleet, text + 1, pool))
+		return FALSE;
+	sr_allowance_end_pool(sr_gateway_allowance(fleet->options.gateway),
+			      sr_fleet_now(fleet), text + 1, pool);
+	return TRUE;
 }
 
 static gboolean is_silence_over(gpointer holder, gpointer until, gpointer user)
@@ -140,7 +146,7 @@
 	double n_live = sr_fleet_host_count(fleet);
 	double n_sharing;
 
-	g_hash_table_foreach_remove(fleet->held_pools, is_held_elsewhere,
+	g_hash_table_foreach_remove(fleet->held_pools, end_if_held_elsewhere,
 				    fleet);
 	g_hash_table_foreach_remove(fleet->silent_holders, is_silence_over,
 				    fleet);
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -76,7 +77,8 @@
 
 static void store_counter(void *user, const char *account, double requested)
 {
-	*(double *)user = requested;
+	if (!strcmp(account, "a"))
+		*(double *)user = requested;
 }
 
 /* Delivers the counters of the previous call and collects the next ones. */
@@ -305,6 +307,64 @@
 	run_restart_of_all_hosts_under_hot_account(TRUE);
 }
 
+static void store_use(void *user, const char *account,
+		      const sr_allowance_use_t *use)
+{
+	sr_allowance_use_t *sum = user;
+
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+		sum->granted[i] += use->granted[i];
+}
+
+/* All hosts restart in the middle of a window. What the pools had granted was
+ * written elsewhere a second before. An account that had taken all at the
+ * beginning of the window must not get more; one that was quiet is served at
+ * once. */
+static void test_restart_continues_from_what_was_granted(void **state)
+{
+	fleet_t *fleet = new_fleet(TRUE);
+	sr_allowance_use_t use = { { 0 } };
+	unsigned refused = 0;
+
+	(void)state;
+	for (unsigned pool = 0; pool < SR_ALLOWANCE_POOLS; pool++)
+		sr_allowance_start_pool(fleet->hosts[holder_of(fleet, 0, pool)],
+					fleet->now, "a", pool);
+	run(fleet, 10);
+	set_demand(fleet, 8 * RATE);
+	run(fleet, 3);
+	for (int i = 0; i < N_HOSTS; i++)
+		sr_allowance_foreach_use(fleet->hosts[i], fleet->now, store_use,
+					 &use);
+	run(fleet, 1);
+	for (int i = 0; i < N_HOSTS; i++) {
+		sr_allowance_free(fleet->hosts[i]);
+		fleet->hosts[i] = new_host(fleet->now, TRUE);
+		sr_allowance_restore_use(fleet->hosts[i], fleet->now, NULL,
+					 SR_SEC, NULL);
+		sr_allowance_restore_use(fleet->hosts[i], fleet->now, "a",
+					 SR_SEC, &use);
+		sr_allowance_set_limit(fleet->hosts[i], fleet->now, "quiet",
+				       RATE, BURST);
+		fleet->published[i] = 0;
+	}
+	for (unsigned pool = 0; pool < SR_ALLOWANCE_POOLS; pool++) {
+		sr_allowance_t *holder =
+			fleet->hosts[holder_of(fleet, 0, pool)];
+
+		sr_allowance_start_pool(holder, fleet->now, "a", pool);
+		sr_allowance_start_pool(holder, fleet->now, "quiet", pool);
+		for (int i = 0; i < 5; i++)
+			refused += sr_allowance_take_from_pool(
+					   holder, fleet->now, "quiet", pool,
+					   REQUEST) > 0;
+	}
+	assert_int_equal(refused, 0);
+	run(fleet, 20);
+	assert_true(max_in_window(fleet) <= max_allowed());
+	free_fleet(fleet);
+}
+
 /* Demand below the limit must hardly be refused, also if it is spread unevenly
  * over the hosts. */
 static void run_uneven_demand_is_not_refused(gboolean has_pool)
@@ -626,6 +686,7 @@
 		cmocka_unit_test(test_account_turns_hot),
 		cmocka_unit_test(test_hot_account_during_partition),
 		cmocka_unit_test(test_restart_of_all_hosts_under_hot_account),
+		cmocka_unit_test(test_restart_continues_from_what_was_granted),
 		cmocka_unit_test(test_uneven_demand_is_not_refused),
 		cmocka_unit_test(test_moved_demand_is_not_refused_for_long),
 		cmocka_unit_test(test_limit_is_used_up),
