--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -16,9 +16,9 @@
  * Keeps the route table, the registered instances and the live entry hosts,
  * and applies changes of them to the gateway. What the platform sends to one
  * host is gossiped to the others, and the higher version wins, so that a host
- * that gets no answer from the platform follows its peers. The hosts also
- * exchange their load at the instances, the demand of the client accounts and
- * the counts of executed requests.
+ * that gets no answer from the platform follows its peers. The hosts also sum
+ * up their load at the instances and the counts of executed requests, and share
+ * the allowances of the client accounts.
  */
 typedef struct sr_fleet sr_fleet_t;
 
