Restore each pool by itself; leave room beyond overdrafts

Read from the code: a host that starts again restored half of what both pools were known to have granted; with the first holder dead for over 2.5 s that is a quarter, so that the pool grants again what it had granted. And the overdrafts of all shares used up the tolerance, though requests wait at instances, so that what is granted over more than a window can run within one.

Ruled out: a restart of the holder of the duties (duties stayed with one host); not ruled out: how much each of the two adds.

Change: grants are summed, written and restored for each pool. While one pool of an account is known, the other is taken to have granted as much. Shares of many hosts may be overdrawn by a quarter of the tolerance together.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -25,6 +25,11 @@
  * the overage instead. */
 #define FULL_RESERVE_HOSTS 12
 
+/** Fraction of what the tolerance allows beyond a limit by which the shares of
+ * many hosts may be overdrawn. The rest covers requests that are granted over
+ * more than a window and executed within one, as they wait at instances. */
+#define OVERDRAFT_FRACTION 0.25
+
 /** Fraction of a limit that is kept by the hosts if they are few; the rest is
  * in its pools. With more than FEW_HOSTS it falls with their number. */
 #define LOCAL_FRACTION 0.5
@@ -39,7 +44,8 @@
  * most likely been overdrawn. */
 #define HOT_FRACTION 0.6
 
-/** Time after sr_allowance_restore_use() in which pools continue from it. */
+/** Time after sr_allowance_begin_restore() in which pools continue from what is
+ * restored. */
 #define RESTORED_TIME (3 * SR_SEC)
 
 /** Time constant of the demand average, in s: short enough to follow callers
@@ -81,7 +87,8 @@
 	GHashTable *peers;		  /* host name -> demand_t */
 	pool_t pools[SR_ALLOWANCE_POOLS]; /* used while this host holds them */
 	gboolean is_held[SR_ALLOWANCE_POOLS];
-	double restored; /* by sr_allowance_restore_use(), all pools */
+	gboolean is_restored[SR_ALLOWANCE_POOLS];
+	double restored[SR_ALLOWANCE_POOLS]; /* sums */
 } bucket_t;
 
 struct sr_allowance {
@@ -312,7 +319,11 @@
 	double debt = MAX(bucket->burst * share,
 			  bucket->overdraft / allowance->n_hosts);
 
-	if (bucket->rate > 0 && bucket->restored > HOT_FRACTION * limit)
+	double restored = 0;
+
+	for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
+		restored += bucket->restored[i];
+	if (bucket->rate > 0 && restored > HOT_FRACTION * limit)
 		bucket->level = MIN(bucket->level, -debt);
 }
 
@@ -344,7 +355,8 @@
 static double level_min(const sr_allowance_t *allowance, const bucket_t *bucket)
 {
 	return allowance->has_pools && allowance->n_hosts > FEW_HOSTS ?
-		       -bucket->overdraft / allowance->n_hosts :
+		       -OVERDRAFT_FRACTION * bucket->overdraft /
+			       allowance->n_hosts :
 		       -G_MAXDOUBLE;
 }
 
@@ -436,19 +448,23 @@
 			  POOL_SLOTS);
 }
 
-static void add_use(const pool_t *pool, sr_allowance_use_t *use)
+static sr_allowance_use_t sum_use(const pool_t *pool)
 {
+	sr_allowance_use_t use = { { 0 } };
+
 	for (gint64 i = 0; i < POOL_SLOTS; i++) {
 		gint64 slot = pool->slot - i;
 
 		if (slot >= 0)
-			use->granted[part_of_slot(pool, slot)] +=
+			use.granted[part_of_slot(pool, slot)] +=
 				pool->granted[slot % POOL_SLOTS];
 	}
+	return use;
 }
 
 void sr_allowance_foreach_use(sr_allowance_t *allowance, sr_usec_t now,
 			      void (*fn)(void *user, const char *account,
+					 unsigned pool,
 					 const sr_allowance_use_t *use),
 			      void *user)
 {
@@ -459,19 +475,18 @@
 	g_hash_table_iter_init(&iter, allowance->buckets);
 	while (g_hash_table_iter_next(&iter, &account, &value)) {
 		bucket_t *bucket = value;
-		sr_allowance_use_t use = { { 0 } };
-		double sum = 0;
 
 		for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++) {
+			pool_t *pool = &bucket->pools[i];
+			sr_allowance_use_t use;
+
 			if (!bucket->is_held[i])
 				continue;
-			advance_pool(allowance, &bucket->pools[i], now);
-			add_use(&bucket->pools[i], &use);
+			advance_pool(allowance, pool, now);
+			use = sum_use(pool);
+			if (sum_granted(pool) > 0)
+				fn(user, account, i, &use);
 		}
-		for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
-			sum += use.granted[i];
-		if (sum > 0)
-			fn(user, account, &use);
 	}
 }
 
@@ -490,39 +505,42 @@
 			length;
 
 		if (slot >= 0 && pool->slot - slot < POOL_SLOTS)
-			pool->granted[slot % POOL_SLOTS] +=
-				use->granted[i] / SR_ALLOWANCE_POOLS;
+			pool->granted[slot % POOL_SLOTS] += use->granted[i];
 	}
 }
 
-void sr_allowance_restore_use(sr_allowance_t *allowance, sr_usec_t now,
-			      const char *account, sr_usec_t age,
-			      const sr_allowance_use_t *use)
+void sr_allowance_begin_restore(sr_allowance_t *allowance, sr_usec_t now)
 {
 	const sr_allowance_use_t nothing = { { 0 } };
-	bucket_t *bucket;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (allowance->restored_until == 0) {
-		g_hash_table_iter_init(&iter, allowance->buckets);
-		while (g_hash_table_iter_next(&iter, NULL, &value)) {
-			for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
-				restore_pool(allowance,
-					     &((bucket_t *)value)->pools[i],
-					     now, 0, &nothing);
-		}
-	}
 	allowance->restored_until = now + RESTORED_TIME;
-	if (!account)
-		return;
-	bucket = get_bucket(allowance, now, account);
-	for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
+	g_hash_table_iter_init(&iter, allowance->buckets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
+			restore_pool(allowance, &((bucket_t *)value)->pools[i],
+				     now, 0, &nothing);
+	}
+}
+
+void sr_allowance_restore_use(sr_allowance_t *allowance, sr_usec_t now,
+			      const char *account, unsigned pool, sr_usec_t age,
+			      const sr_allowance_use_t *use)
+{
+	bucket_t *bucket = get_bucket(allowance, now, account);
+	double sum = 0;
+
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+		sum += use->granted[i];
+	bucket->is_restored[pool] = TRUE;
+	for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++) {
+		if (i != pool && bucket->is_restored[i])
+			continue;
 		restore_pool(allowance, &bucket->pools[i], now, MAX(age, 0),
 			     use);
-	bucket->restored = 0;
-	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
-		bucket->restored += use->granted[i];
+		bucket->restored[i] = sum;
+	}
 	restore_debt(allowance, bucket, update_share(allowance, bucket, now));
 }
 
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -39,8 +39,8 @@
 /** Parts of a window, by which grants of pools are summed up. */
 #define SR_ALLOWANCE_PARTS 4
 
-/** sr_allowance_use_t - what an account's pools granted in the last window, by
- * parts of it, the latest first. */
+/** sr_allowance_use_t - what a pool granted in the last window, by parts of it,
+ * the latest first. */
 typedef struct {
 	double granted[SR_ALLOWANCE_PARTS];
 } sr_allowance_use_t;
@@ -118,7 +118,7 @@
  * sr_allowance_start_pool - make this host the holder of a pool of an account
  *
  * The pool starts as if it had granted all of the last window, as what the
- * previous holder granted is not known; see sr_allowance_restore_use().
+ * previous holder granted is not known; see sr_allowance_begin_restore().
  */
 void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
 			     const char *account, unsigned pool);
@@ -138,23 +138,27 @@
 				      const char *account, unsigned pool,
 				      double amount);
 
-/** sr_allowance_foreach_use - call fn for each account of which the pools on
- * this host granted anything in the last window. */
+/** sr_allowance_foreach_use - call fn for each pool on this host that granted
+ * anything in the last window. */
 void sr_allowance_foreach_use(sr_allowance_t *allowance, sr_usec_t now,
 			      void (*fn)(void *user, const char *account,
+					 unsigned pool,
 					 const sr_allowance_use_t *use),
 			      void *user);
 
+/** sr_allowance_begin_restore - for a host that has just started: pools that
+ * start on it within the next seconds have granted nothing, unless
+ * sr_allowance_restore_use() is called for their account. */
+void sr_allowance_begin_restore(sr_allowance_t *allowance, sr_usec_t now);
+
 /**
- * sr_allowance_restore_use - set what all pools of an account had granted
+ * sr_allowance_restore_use - set what a pool of an account had granted
  *
- * For a host that has just started. use is age old. Pools that start on this
- * host within the next seconds continue from it; those of accounts for which
- * this isn't called have granted nothing, once it was called for any account or
- * with NULL for none.
+ * use is age old. As long as this is called for one pool of an account only,
+ * the others are taken to have granted as much: their holders may be gone.
  */
 void sr_allowance_restore_use(sr_allowance_t *allowance, sr_usec_t now,
-			      const char *account, sr_usec_t age,
+			      const char *account, unsigned pool, sr_usec_t age,
 			      const sr_allowance_use_t *use);
 
 /** sr_allowance_share - this host's fraction of the account's rate, from 0 to
--- a/src/core/load_sum.c
+++ b/src/core/load_sum.c
@@ -11,7 +11,7 @@
 	unsigned n_hosts;
 	GHashTable *items; /* instance -> sr_load_item_t */
 	GHashTable *work;  /* service -> double *, busy instances */
-	GHashTable *uses;  /* account -> sr_allowance_use_t */
+	GHashTable *uses;  /* pool, one digit, and account -> its use */
 };
 
 sr_load_sum_t *sr_load_sum_new(void)
@@ -71,31 +71,42 @@
 	*known += work;
 }
 
-void sr_load_sum_add_use(sr_load_sum_t *sum, const char *account,
-			 const sr_allowance_use_t *use)
+/* The key is the number of the pool, one digit, and the account. */
+static void add_use(sr_load_sum_t *sum, const char *key,
+		    const sr_allowance_use_t *use)
 {
-	sr_allowance_use_t *known = g_hash_table_lookup(sum->uses, account);
+	sr_allowance_use_t *known = g_hash_table_lookup(sum->uses, key);
 
 	if (!known) {
 		known = g_new0(sr_allowance_use_t, 1);
-		g_hash_table_insert(sum->uses, g_strdup(account), known);
+		g_hash_table_insert(sum->uses, g_strdup(key), known);
 	}
 	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
 		known->granted[i] += use->granted[i];
 }
 
+void sr_load_sum_add_use(sr_load_sum_t *sum, const char *account, unsigned pool,
+			 const sr_allowance_use_t *use)
+{
+	char *key = g_strdup_printf("%u%s", pool, account);
+
+	add_use(sum, key, use);
+	g_free(key);
+}
+
 void sr_load_sum_foreach_use(const sr_load_sum_t *sum,
 			     void (*fn)(void *user, const char *account,
+					unsigned pool,
 					const sr_allowance_use_t *use),
 			     void *user)
 {
 	GHashTableIter iter;
-	gpointer account;
+	gpointer key;
 	gpointer use;
 
 	g_hash_table_iter_init(&iter, sum->uses);
-	while (g_hash_table_iter_next(&iter, &account, &use))
-		fn(user, account, use);
+	while (g_hash_table_iter_next(&iter, &key, &use))
+		fn(user, (char *)key + 1, (unsigned)(*(char *)key - '0'), use);
 }
 
 void sr_load_sum_add(sr_load_sum_t *sum, const sr_load_sum_t *other)
@@ -113,7 +124,7 @@
 		sr_load_sum_add_work(sum, key, *(double *)value);
 	g_hash_table_iter_init(&iter, other->uses);
 	while (g_hash_table_iter_next(&iter, &key, &value))
-		sr_load_sum_add_use(sum, key, value);
+		add_use(sum, key, value);
 }
 
 sr_load_item_t sr_load_sum_item(const sr_load_sum_t *sum, const char *instance)
@@ -195,19 +206,19 @@
 	return texts;
 }
 
-static char *use_line(const char *account, const sr_allowance_use_t *use)
+static char *use_line(const char *key, const sr_allowance_use_t *use)
 {
 	GString *line = g_string_new(NULL);
 
-	g_string_append_printf(line, "%c%s", USE_MARK, account);
+	g_string_append_printf(line, "%c%s", USE_MARK, key);
 	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
 		g_string_append_printf(line, " %.0f", use->granted[i]);
 	g_string_append_c(line, '\n');
 	return g_string_free(line, FALSE);
 }
 
-/* A line is "@SERVICE WORK\n", "$ACCOUNT GRANTED...\n", the latest part first,
- * or "INSTANCE IN_FLIGHT TOKENS\n". */
+/* A line is "@SERVICE WORK\n", "$POOL_AND_ACCOUNT GRANTED...\n", the latest
+ * part first, or "INSTANCE IN_FLIGHT TOKENS\n". */
 GPtrArray *sr_load_sum_encode(const sr_load_sum_t *sum, gsize size_max,
 			      guint parts_max, unsigned *n_dropped)
 {
@@ -252,11 +263,13 @@
 		sr_load_sum_add_work(sum, fields[0] + 1,
 				     g_ascii_strtod(fields[1], NULL));
 	} else if (n == 1 + SR_ALLOWANCE_PARTS && fields[0][0] == USE_MARK) {
+		unsigned pool = (unsigned)(fields[0][1] - '0');
 		sr_allowance_use_t use;
 
 		for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
 			use.granted[i] = g_ascii_strtod(fields[1 + i], NULL);
-		sr_load_sum_add_use(sum, fields[0] + 1, &use);
+		if (pool < SR_ALLOWANCE_POOLS)
+			add_use(sum, fields[0] + 1, &use);
 	} else if (n == 3 && *fields[0]) {
 		const sr_load_item_t item = {
 			.in_flight = g_ascii_strtod(fields[1], NULL),
--- a/src/core/load_sum.h
+++ b/src/core/load_sum.h
@@ -41,14 +41,15 @@
 /** sr_load_sum_add_work - add engine work at a service, in busy instances. */
 void sr_load_sum_add_work(sr_load_sum_t *sum, const char *service, double work);
 
-/** sr_load_sum_add_use - add what pools of an account have granted. */
-void sr_load_sum_add_use(sr_load_sum_t *sum, const char *account,
+/** sr_load_sum_add_use - add what a pool of an account has granted. */
+void sr_load_sum_add_use(sr_load_sum_t *sum, const char *account, unsigned pool,
 			 const sr_allowance_use_t *use);
 
-/** sr_load_sum_foreach_use - call fn for each account of which pools have
- * granted anything. */
+/** sr_load_sum_foreach_use - call fn for each pool that has granted anything.
+ */
 void sr_load_sum_foreach_use(const sr_load_sum_t *sum,
 			     void (*fn)(void *user, const char *account,
+					unsigned pool,
 					const sr_allowance_use_t *use),
 			     void *user);
 
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -36,7 +36,7 @@
 #define RETRY_DELAY (500 * SR_MSEC)
 
 /** Lines of the lease's payload after those of the usage reports: the number of
- * entry hosts with the time of writing in Unix milliseconds, and what the pools
+ * entry hosts with the time of writing in Unix milliseconds, and what each pool
  * of an account had granted then. */
 #define HOSTS_WORD "hosts"
 #define GRANTED_WORD "granted"
@@ -142,18 +142,22 @@
 	return "";
 }
 
-/* "granted ACCOUNT AMOUNT...", the account escaped as in a URI */
+/* "granted POOL ACCOUNT AMOUNT...", the account escaped as in a URI */
 static void restore_granted(sr_duties_t *duties, char **words, sr_usec_t age)
 {
-	char *account = g_uri_unescape_string(words[1], NULL);
+	char *account = g_uri_unescape_string(words[2], NULL);
 	sr_allowance_use_t use;
+	guint64 pool;
 
 	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
-		use.granted[i] = g_ascii_strtod(words[2 + i], NULL);
-	if (account)
+		use.granted[i] = g_ascii_strtod(words[3 + i], NULL);
+	if (account &&
+	    g_ascii_string_to_unsigned(words[1], 10, 0, SR_ALLOWANCE_POOLS - 1,
+				       &pool, NULL))
 		sr_allowance_restore_use(
 			sr_gateway_allowance(duties->options.gateway),
-			current_time(duties), account, age, &use);
+			current_time(duties), account, (unsigned)pool, age,
+			&use);
 	g_free(account);
 }
 
@@ -167,9 +171,9 @@
 	sr_fleet_expect_hosts(duties->options.fleet_state,
 			      (unsigned)g_ascii_strtoull(words[1], NULL, 10));
 	if (age <= RESTORE_AGE_MAX)
-		sr_allowance_restore_use(
+		sr_allowance_begin_restore(
 			sr_gateway_allowance(duties->options.gateway),
-			current_time(duties), NULL, age, NULL);
+			current_time(duties));
 	return age;
 }
 
@@ -189,7 +193,7 @@
 
 		if (n == 3 && !strcmp(words[0], HOSTS_WORD))
 			age = restore_hosts(duties, words);
-		else if (n == 2 + SR_ALLOWANCE_PARTS &&
+		else if (n == 3 + SR_ALLOWANCE_PARTS &&
 			 !strcmp(words[0], GRANTED_WORD) &&
 			 age <= RESTORE_AGE_MAX)
 			restore_granted(duties, words, age);
@@ -199,12 +203,12 @@
 	g_free(text);
 }
 
-static void append_granted(void *user, const char *account,
+static void append_granted(void *user, const char *account, unsigned pool,
 			   const sr_allowance_use_t *use)
 {
 	char *escaped = g_uri_escape_string(account, NULL, FALSE);
 
-	g_string_append_printf(user, GRANTED_WORD " %s", escaped);
+	g_string_append_printf(user, GRANTED_WORD " %u %s", pool, escaped);
 	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
 		g_string_append_printf(user, " %.0f", use->granted[i]);
 	g_string_append_c(user, '\n');
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -143,10 +143,11 @@
  * this host has joined the others. */
 void sr_fleet_expect_hosts(sr_fleet_t *fleet, unsigned n);
 
-/** sr_fleet_foreach_use - call fn with what the pools of each account have
- * granted on all hosts, as far as it is known. */
+/** sr_fleet_foreach_use - call fn with what each pool on any host has granted,
+ * as far as it is known. */
 void sr_fleet_foreach_use(const sr_fleet_t *fleet,
 			  void (*fn)(void *user, const char *account,
+				     unsigned pool,
 				     const sr_allowance_use_t *use),
 			  void *user);
 
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -60,10 +60,11 @@
 		update_work(context->fleet, service, total_s)->rate);
 }
 
-static void add_use(void *user, const char *account,
+static void add_use(void *user, const char *account, unsigned pool,
 		    const sr_allowance_use_t *use)
 {
-	sr_load_sum_add_use(((report_context_t *)user)->sum, account, use);
+	sr_load_sum_add_use(((report_context_t *)user)->sum, account, pool,
+			    use);
 }
 
 static sr_load_sum_t *own_load(sr_fleet_t *fleet)
@@ -195,6 +196,7 @@
 
 void sr_fleet_foreach_use(const sr_fleet_t *fleet,
 			  void (*fn)(void *user, const char *account,
+				     unsigned pool,
 				     const sr_allowance_use_t *use),
 			  void *user)
 {
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -307,26 +307,22 @@
 	run_restart_of_all_hosts_under_hot_account(TRUE);
 }
 
-static void store_use(void *user, const char *account,
+static void store_use(void *user, const char *account, unsigned pool,
 		      const sr_allowance_use_t *use)
 {
-	sr_allowance_use_t *sum = user;
-
-	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
-		sum->granted[i] += use->granted[i];
+	((sr_allowance_use_t *)user)[pool] = *use;
 }
 
-/* All hosts restart in the middle of a window. What the pools had granted was
- * written elsewhere a second before. An account that had taken all at the
- * beginning of the window must not get more; one that was quiet is served at
- * once. */
-static void test_restart_continues_from_what_was_granted(void **state)
+/* All hosts restart in the middle of a window. What the first n_known pools had
+ * granted was written elsewhere a second before. An account that had taken all
+ * at the beginning of the window must not get more; one that was quiet is
+ * served at once. */
+static void run_restart_with_known_use(unsigned n_known)
 {
 	fleet_t *fleet = new_fleet(TRUE);
-	sr_allowance_use_t use = { { 0 } };
+	sr_allowance_use_t uses[SR_ALLOWANCE_POOLS] = { 0 };
 	unsigned refused = 0;
 
-	(void)state;
 	for (unsigned pool = 0; pool < SR_ALLOWANCE_POOLS; pool++)
 		sr_allowance_start_pool(fleet->hosts[holder_of(fleet, 0, pool)],
 					fleet->now, "a", pool);
@@ -335,15 +331,16 @@
 	run(fleet, 3);
 	for (int i = 0; i < N_HOSTS; i++)
 		sr_allowance_foreach_use(fleet->hosts[i], fleet->now, store_use,
-					 &use);
+					 uses);
 	run(fleet, 1);
 	for (int i = 0; i < N_HOSTS; i++) {
 		sr_allowance_free(fleet->hosts[i]);
 		fleet->hosts[i] = new_host(fleet->now, TRUE);
-		sr_allowance_restore_use(fleet->hosts[i], fleet->now, NULL,
-					 SR_SEC, NULL);
-		sr_allowance_restore_use(fleet->hosts[i], fleet->now, "a",
-					 SR_SEC, &use);
+		sr_allowance_begin_restore(fleet->hosts[i], fleet->now);
+		for (unsigned pool = 0; pool < n_known; pool++)
+			sr_allowance_restore_use(fleet->hosts[i], fleet->now,
+						 "a", pool, SR_SEC,
+						 &uses[pool]);
 		sr_allowance_set_limit(fleet->hosts[i], fleet->now, "quiet",
 				       RATE, BURST);
 		fleet->published[i] = 0;
@@ -365,6 +362,20 @@
 	free_fleet(fleet);
 }
 
+static void test_restart_continues_from_what_was_granted(void **state)
+{
+	(void)state;
+	run_restart_with_known_use(SR_ALLOWANCE_POOLS);
+}
+
+/* The holder of the second pool had been dead for a while. Its pool is taken to
+ * have granted as much as the first one. */
+static void test_restart_after_the_loss_of_a_holder(void **state)
+{
+	(void)state;
+	run_restart_with_known_use(1);
+}
+
 /* Demand below the limit must hardly be refused, also if it is spread unevenly
  * over the hosts. */
 static void run_uneven_demand_is_not_refused(gboolean has_pool)
@@ -688,6 +699,7 @@
 		cmocka_unit_test(test_hot_account_during_partition),
 		cmocka_unit_test(test_restart_of_all_hosts_under_hot_account),
 		cmocka_unit_test(test_restart_continues_from_what_was_granted),
+		cmocka_unit_test(test_restart_after_the_loss_of_a_holder),
 		cmocka_unit_test(test_uneven_demand_is_not_refused),
 		cmocka_unit_test(test_moved_demand_is_not_refused_for_long),
 		cmocka_unit_test(test_limit_is_used_up),
