Restore pools only from what is known; grant less of a limit among many hosts

Change: the time of the lines is 0, which restores nothing, unless 0.95 of the live hosts are in the total; a host that starts then begins as if all had been granted. Pools of more than twelve hosts grant 0.92 of their part.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -30,6 +30,10 @@
  * more than a window and executed within one, as they wait at instances. */
 #define OVERDRAFT_FRACTION 0.25
 
+/** Fraction of their part of a limit that the pools of many hosts grant, for
+ * the same reason and for pools that change their holder. */
+#define POOL_USED_FRACTION 0.92
+
 /** Fraction of a limit that is kept by the hosts if they are few; the rest is
  * in its pools. With more than FEW_HOSTS it falls with their number. */
 #define LOCAL_FRACTION 0.5
@@ -285,8 +289,9 @@
 			 const bucket_t *bucket)
 {
 	double window_s = (double)allowance->tolerance.window / SR_SEC;
+	double used = allowance->n_hosts > FEW_HOSTS ? POOL_USED_FRACTION : 1;
 
-	return (bucket->burst + bucket->rate * window_s) *
+	return (bucket->burst + bucket->rate * window_s) * used *
 	       pool_fraction(allowance);
 }
 
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -220,15 +220,19 @@
 static GBytes *add_fleet(const sr_duties_t *duties, GBytes *payload)
 {
 	const sr_duties_options_t *options = &duties->options;
+	GString *granted = g_string_new(NULL);
+	gboolean is_known = sr_fleet_foreach_use(options->fleet_state,
+						 append_granted, granted);
 	gsize size;
 	const char *data = g_bytes_get_data(payload, &size);
 	GString *text = g_string_new_len(data, (gssize)size);
 
-	g_string_append_printf(text,
-			       "\n" HOSTS_WORD " %u %" G_GINT64_FORMAT "\n",
-			       sr_fleet_host_count(options->fleet_state),
-			       sr_clock_unix_ms(options->clock));
-	sr_fleet_foreach_use(options->fleet_state, append_granted, text);
+	/* a time of 0 is too long ago for anything to be restored */
+	g_string_append_printf(
+		text, "\n" HOSTS_WORD " %u %" G_GINT64_FORMAT "\n%s",
+		sr_fleet_host_count(options->fleet_state),
+		is_known ? sr_clock_unix_ms(options->clock) : 0, granted->str);
+	g_string_free(granted, TRUE);
 	g_bytes_unref(payload);
 	return g_string_free_to_bytes(text);
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -143,13 +143,16 @@
  * this host has joined the others. */
 void sr_fleet_expect_hosts(sr_fleet_t *fleet, unsigned n);
 
-/** sr_fleet_foreach_use - call fn with what each pool on any host has granted,
- * as far as it is known. */
-void sr_fleet_foreach_use(const sr_fleet_t *fleet,
-			  void (*fn)(void *user, const char *account,
-				     unsigned pool,
-				     const sr_allowance_use_t *use),
-			  void *user);
+/**
+ * sr_fleet_foreach_use - call fn with what each pool on any host has granted
+ *
+ * Returns FALSE, without a call, if the use of too many hosts is not known.
+ */
+gboolean sr_fleet_foreach_use(const sr_fleet_t *fleet,
+			      void (*fn)(void *user, const char *account,
+					 unsigned pool,
+					 const sr_allowance_use_t *use),
+			      void *user);
 
 /** Key under which the duties are assigned to a host. */
 #define SR_FLEET_DUTIES_KEY "duties"
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -9,6 +9,9 @@
  * included in the total. */
 #define KNOWN_FRACTION_MIN 0.5
 
+/** The same for the use of pools: the holder of one may be any host. */
+#define USE_FRACTION_MIN 0.95
+
 /** work_t - engine time that the prompts of this host need at a service. */
 typedef struct {
 	double total_s; /* only grows */
@@ -194,16 +197,19 @@
 	return TRUE;
 }
 
-void sr_fleet_foreach_use(const sr_fleet_t *fleet,
-			  void (*fn)(void *user, const char *account,
-				     unsigned pool,
-				     const sr_allowance_use_t *use),
-			  void *user)
+gboolean sr_fleet_foreach_use(const sr_fleet_t *fleet,
+			      void (*fn)(void *user, const char *account,
+					 unsigned pool,
+					 const sr_allowance_use_t *use),
+			      void *user)
 {
 	const sr_load_sum_t *own;
 	const sr_load_sum_t *total = sr_load_exchange_total(
 		fleet->load_exchange, sr_fleet_now(fleet), &own);
 
-	if (total)
-		sr_load_sum_foreach_use(total, fn, user);
+	if (!total || sr_load_sum_hosts(total) <
+			      USE_FRACTION_MIN * sr_fleet_host_count(fleet))
+		return FALSE;
+	sr_load_sum_foreach_use(total, fn, user);
+	return TRUE;
 }
