--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -178,11 +178,16 @@
 		sr_gateway_instances(fleet->options.gateway);
 	sr_instance_change_t change =
 		sr_instances_register(instances, entry, sr_fleet_now(fleet));
+	char revision[24];
 
 	if (change == SR_INSTANCE_UNCHANGED)
 		return FALSE;
-	log_change(fleet, change_event(change, entry->draining), entry->name,
-		   entry->revision, source);
+	g_snprintf(revision, sizeof(revision), "%" G_GUINT64_FORMAT,
+		   entry->revision);
+	sr_log_event(fleet->options.log, SR_LOG_INFO,
+		     change_event(change, entry->draining), "what", entry->name,
+		     "service", entry->service, "software", entry->version,
+		     "version", revision, "source", source, NULL);
 	return TRUE;
 }
 
--- a/src/gateway/transaction_log.c
+++ b/src/gateway/transaction_log.c
@@ -37,7 +37,8 @@
 		     "account",
 		     transaction->account ? transaction->account->name : "",
 		     "status", code, "cause", cause, "instance",
-		     instance ? instance->name : "", "sent", sent, "ms",
+		     instance ? instance->name : "", "version",
+		     instance ? instance->version : "", "sent", sent, "ms",
 		     elapsed, "first_ms", first, "table", table, NULL);
 }
 
