Carry out roll-outs on the platform's entry hosts

What callers saw: a faulty version got a third to two fifths of its service's requests, as long as its instances lived (EXPOSURE); a good one was never completed.

Cause: orders of roll-outs were never read. Steps, evidence and recall existed for sassafrasd only; to the gateway an instance of a new version was an instance like any other. Ruled out: a share kept by each host for itself (no share at all), and late detection (nothing detected).

Change: each host divides its own requests between the versions by a trial (core/version_trial): a twentieth and half of the slack first, half and all of them in the last seconds before the time limit, and only while the evidence of enough hosts is recent, sufficient and unsuspicious. The outcomes by version and route are summed with the load of the hosts, so that a host sends and holds what its failure domain causes. Every host rolls back for itself; the holder of the duties writes the status under the lease, on the revision of the order. Failures are tested against a gross fault too, and over all routes together: with 25 requests/s a trial has some twenty requests.

Shown by: platform_rollout_test failed before.

--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -290,15 +290,20 @@
 	}
 }
 
+static gboolean is_own_key(const sr_evidence_t *evidence, const char *key)
+{
+	gsize length = strlen(evidence->node);
+
+	return strncmp(key, evidence->node, length) == 0 && key[length] == '/';
+}
+
 static gboolean is_peer_key(const sr_evidence_t *evidence, const char *key)
 {
-	gsize own_length = strlen(evidence->node);
 	unsigned n = 0;
 
 	for (const char *p = key; *p; p++)
 		n += *p == '/';
-	return n == 3 && !(strncmp(key, evidence->node, own_length) == 0 &&
-			   key[own_length] == '/');
+	return n == 3 && !is_own_key(evidence, key);
 }
 
 void sr_evidence_receive(sr_evidence_t *evidence, const char *key,
@@ -318,6 +323,33 @@
 		record->counters = received;
 }
 
+void sr_evidence_foreach_own(const sr_evidence_t *evidence,
+			     void (*fn)(void *user, const char *series,
+					const sr_evidence_counters_t *counters),
+			     void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, evidence->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const record_t *record = value;
+
+		if (is_own_key(evidence, record->key))
+			fn(user, record->series, &record->counters);
+	}
+}
+
+void sr_evidence_add(sr_evidence_counters_t *sum,
+		     const sr_evidence_counters_t *counters)
+{
+	guint32 *to = (guint32 *)sum;
+	const guint32 *from = (const guint32 *)counters;
+
+	for (unsigned i = 0; i < N_COUNTERS; i++)
+		to[i] += from[i];
+}
+
 void sr_evidence_total(const sr_evidence_t *evidence, const char *service,
 		       const char *version, const char *route,
 		       sr_evidence_counters_t *total)
@@ -325,15 +357,12 @@
 	char *series = g_strjoin("/", service, version, route, NULL);
 	const GPtrArray *records =
 		g_hash_table_lookup(evidence->by_series, series);
-	guint32 *to = (guint32 *)total;
 
 	memset(total, 0, sizeof(*total));
 	for (guint i = 0; records && i < records->len; i++) {
 		const record_t *record = records->pdata[i];
-		const guint32 *from = (const guint32 *)&record->counters;
 
-		for (unsigned j = 0; j < N_COUNTERS; j++)
-			to[j] += from[j];
+		sr_evidence_add(total, &record->counters);
 	}
 	g_free(series);
 }
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -90,6 +90,17 @@
 		       const char *version, const char *route,
 		       sr_evidence_counters_t *total);
 
+/** sr_evidence_foreach_own - call fn with each series of this node's counters,
+ * "service/version/route". */
+void sr_evidence_foreach_own(const sr_evidence_t *evidence,
+			     void (*fn)(void *user, const char *series,
+					const sr_evidence_counters_t *counters),
+			     void *user);
+
+/** sr_evidence_add - add counters to a sum. */
+void sr_evidence_add(sr_evidence_counters_t *sum,
+		     const sr_evidence_counters_t *counters);
+
 /** sr_evidence_request_count - requests of all groups. */
 guint32 sr_evidence_request_count(const sr_evidence_counters_t *counters);
 
--- a/src/core/load_sum.c
+++ b/src/core/load_sum.c
@@ -2,16 +2,21 @@
 
 #include <string.h>
 
-/** First character of a line with the work of a service, and of one with the
- * use of an account's pools. */
+/** First character of a line with the work of a service, of one with the use of
+ * an account's pools, and of one with evidence. */
 #define WORK_MARK '@'
 #define USE_MARK '$'
+#define EVIDENCE_MARK '#'
+
+/** Counters of a series, numbered in the order of their struct. */
+#define N_COUNTERS (sizeof(sr_evidence_counters_t) / sizeof(guint32))
 
 struct sr_load_sum {
 	unsigned n_hosts;
-	GHashTable *items; /* instance -> sr_load_item_t */
-	GHashTable *work;  /* service -> double *, busy instances */
-	GHashTable *uses;  /* pool, one digit, and account -> its use */
+	GHashTable *items;    /* instance -> sr_load_item_t */
+	GHashTable *work;     /* service -> double *, busy instances */
+	GHashTable *uses;     /* pool, one digit, and account -> its use */
+	GHashTable *evidence; /* series -> sr_evidence_counters_t */
 };
 
 sr_load_sum_t *sr_load_sum_new(void)
@@ -24,6 +29,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sum->uses =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sum->evidence =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return sum;
 }
 
@@ -34,6 +41,7 @@
 	g_hash_table_unref(sum->items);
 	g_hash_table_unref(sum->work);
 	g_hash_table_unref(sum->uses);
+	g_hash_table_unref(sum->evidence);
 	g_free(sum);
 }
 
@@ -109,6 +117,34 @@
 		fn(user, (char *)key + 1, (unsigned)(*(char *)key - '0'), use);
 }
 
+void sr_load_sum_add_evidence(sr_load_sum_t *sum, const char *series,
+			      const sr_evidence_counters_t *counters)
+{
+	sr_evidence_counters_t *known =
+		g_hash_table_lookup(sum->evidence, series);
+
+	if (!known) {
+		known = g_new0(sr_evidence_counters_t, 1);
+		g_hash_table_insert(sum->evidence, g_strdup(series), known);
+	}
+	sr_evidence_add(known, counters);
+}
+
+void sr_load_sum_foreach_evidence(
+	const sr_load_sum_t *sum,
+	void (*fn)(void *user, const char *series,
+		   const sr_evidence_counters_t *counters),
+	void *user)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sum->evidence);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		fn(user, key, value);
+}
+
 void sr_load_sum_add(sr_load_sum_t *sum, const sr_load_sum_t *other)
 {
 	GHashTableIter iter;
@@ -125,6 +161,9 @@
 	g_hash_table_iter_init(&iter, other->uses);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		add_use(sum, key, value);
+	g_hash_table_iter_init(&iter, other->evidence);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		sr_load_sum_add_evidence(sum, key, value);
 }
 
 sr_load_item_t sr_load_sum_item(const sr_load_sum_t *sum, const char *instance)
@@ -217,8 +256,28 @@
 	return g_string_free(line, FALSE);
 }
 
+/* "#SERIES COUNTER:VALUE...\n" with the counters that are not 0; the series is
+ * escaped as in a URI. */
+static char *evidence_line(const char *series,
+			   const sr_evidence_counters_t *counters)
+{
+	char *escaped = g_uri_escape_string(series, "/", FALSE);
+	GString *line = g_string_new(NULL);
+	const guint32 *values = (const guint32 *)counters;
+
+	g_string_append_printf(line, "%c%s", EVIDENCE_MARK, escaped);
+	for (gsize i = 0; i < N_COUNTERS; i++) {
+		if (values[i] > 0)
+			g_string_append_printf(line, " %" G_GSIZE_FORMAT ":%u",
+					       i, values[i]);
+	}
+	g_string_append_c(line, '\n');
+	g_free(escaped);
+	return g_string_free(line, FALSE);
+}
+
 /* A line is "@SERVICE WORK\n", "$POOL_AND_ACCOUNT GRANTED...\n", the latest
- * part first, or "INSTANCE IN_FLIGHT TOKENS\n". */
+ * part first, that of evidence_line(), or "INSTANCE IN_FLIGHT TOKENS\n". */
 GPtrArray *sr_load_sum_encode(const sr_load_sum_t *sum, gsize size_max,
 			      guint parts_max, unsigned *n_dropped)
 {
@@ -240,6 +299,10 @@
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		*n_dropped += !add_line(parts, use_line(key, value), size_max,
 					parts_max);
+	g_hash_table_iter_init(&iter, sum->evidence);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		*n_dropped += !add_line(parts, evidence_line(key, value),
+					size_max, parts_max);
 	for (guint i = 0; i < items->len; i++) {
 		const named_item_t *named =
 			&g_array_index(items, named_item_t, i);
@@ -255,11 +318,33 @@
 	return take_texts(parts);
 }
 
+/* Malformed counters are skipped. */
+static void decode_evidence(sr_load_sum_t *sum, char **fields)
+{
+	char *series = g_uri_unescape_string(fields[0] + 1, NULL);
+	sr_evidence_counters_t counters = { 0 };
+	guint32 *values = (guint32 *)&counters;
+
+	for (char **field = fields + 1; *field; field++) {
+		char *end;
+		guint64 index = g_ascii_strtoull(*field, &end, 10);
+
+		if (end > *field && *end == ':' && index < N_COUNTERS)
+			values[index] =
+				(guint32)g_ascii_strtoull(end + 1, NULL, 10);
+	}
+	if (series)
+		sr_load_sum_add_evidence(sum, series, &counters);
+	g_free(series);
+}
+
 static void decode_line(sr_load_sum_t *sum, char **fields)
 {
 	guint n = g_strv_length(fields);
 
-	if (n == 2 && fields[0][0] == WORK_MARK) {
+	if (n > 1 && fields[0][0] == EVIDENCE_MARK) {
+		decode_evidence(sum, fields);
+	} else if (n == 2 && fields[0][0] == WORK_MARK) {
 		sr_load_sum_add_work(sum, fields[0] + 1,
 				     g_ascii_strtod(fields[1], NULL));
 	} else if (n == 1 + SR_ALLOWANCE_PARTS && fields[0][0] == USE_MARK) {
--- a/src/core/load_sum.h
+++ b/src/core/load_sum.h
@@ -4,13 +4,15 @@
 #include <glib.h>
 
 #include "core/allowance.h"
+#include "core/evidence.h"
 
 /**
  * sr_load_sum_t - load of a group of entry hosts on the instances
  *
  * Holds the requests and prompt tokens that the hosts have in flight at each
  * instance, the engine work that their prompts cause at each service, what the
- * pools that they hold have granted, and the number of hosts that are included.
+ * pools that they hold have granted, the outcomes at the versions of services
+ * that are being moved, and the number of hosts that are included.
  * Sums of disjoint groups are added up, so that a host can know the load of all
  * without knowing the others one by one.
  *
@@ -53,6 +55,18 @@
 					const sr_allowance_use_t *use),
 			     void *user);
 
+/** sr_load_sum_add_evidence - add counters of a series, see
+ * sr_evidence_foreach_own(). */
+void sr_load_sum_add_evidence(sr_load_sum_t *sum, const char *series,
+			      const sr_evidence_counters_t *counters);
+
+/** sr_load_sum_foreach_evidence - call fn for each series. */
+void sr_load_sum_foreach_evidence(
+	const sr_load_sum_t *sum,
+	void (*fn)(void *user, const char *series,
+		   const sr_evidence_counters_t *counters),
+	void *user);
+
 /** sr_load_sum_add - add another sum, its hosts included. */
 void sr_load_sum_add(sr_load_sum_t *sum, const sr_load_sum_t *other);
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -1,6 +1,7 @@
 #include "core/placement.h"
 
 #include <math.h>
+#include <string.h>
 
 #include "base/rendezvous.h"
 
@@ -127,10 +128,49 @@
 	return sum;
 }
 
+static gboolean is_allowed_version(const sr_placement_request_t *request,
+				   const sr_instance_t *instance)
+{
+	switch (request->versions) {
+	case SR_PLACEMENT_ALL_VERSIONS:
+		break;
+	case SR_PLACEMENT_ONLY_VERSION:
+		return !strcmp(instance->version, request->version);
+	case SR_PLACEMENT_OTHER_VERSIONS:
+		return strcmp(instance->version, request->version) != 0;
+	}
+	return TRUE;
+}
+
+/* FALSE if max_instances usable instances of the version precede this one in an
+ * order that all hosts share. */
+static gboolean is_among_first(const sr_placement_request_t *request,
+			       const GPtrArray *list,
+			       const sr_instance_t *instance, sr_usec_t now)
+{
+	guint64 score;
+	unsigned n_before = 0;
+
+	if (request->versions != SR_PLACEMENT_ONLY_VERSION ||
+	    request->max_instances == 0)
+		return TRUE;
+	score = sr_rendezvous_score(instance->name, request->version);
+	for (guint i = 0; i < list->len; i++) {
+		const sr_instance_t *other = list->pdata[i];
+
+		n_before += is_allowed_version(request, other) &&
+			    sr_instance_is_usable(other, now) &&
+			    sr_rendezvous_score(other->name, request->version) >
+				    score;
+	}
+	return n_before < request->max_instances;
+}
+
 /* Returns the home instance of the prompt's shared prefix; NULL if none. */
-static const sr_instance_t *
-find_home(const GPtrArray *list, const sr_prompt_parts_t *prompt, sr_usec_t now)
+static const sr_instance_t *find_home(const sr_placement_request_t *request,
+				      const GPtrArray *list, sr_usec_t now)
 {
+	const sr_prompt_parts_t *prompt = request->prompt;
 	const sr_instance_t *home = NULL;
 	guint64 best = 0;
 	char key[24];
@@ -143,7 +183,8 @@
 		const sr_instance_t *instance = list->pdata[i];
 		guint64 score;
 
-		if (!sr_instance_is_usable(instance, now))
+		if (!sr_instance_is_usable(instance, now) ||
+		    !is_allowed_version(request, instance))
 			continue;
 		score = sr_rendezvous_score(instance->name, key);
 		if (!home || score > best) {
@@ -245,10 +286,13 @@
 } candidate_filter_t;
 
 static gboolean is_candidate(const sr_placement_request_t *request,
+			     const GPtrArray *list,
 			     const sr_instance_t *instance,
 			     candidate_filter_t filter, sr_usec_t now)
 {
-	if (was_tried(request, instance->id))
+	if (was_tried(request, instance->id) ||
+	    !is_allowed_version(request, instance) ||
+	    !is_among_first(request, list, instance, now))
 		return FALSE;
 	return filter == CANDIDATES_ALL ? sr_instance_is_present(instance) :
 					  sr_instance_is_usable(instance, now);
@@ -282,7 +326,7 @@
 					  candidate_filter_t filter,
 					  sr_usec_t now)
 {
-	const sr_instance_t *home = find_home(list, request->prompt, now);
+	const sr_instance_t *home = find_home(request, list, now);
 	/* The start is random; otherwise all hosts would select the first of
 	 * several equal instances. */
 	guint first = (guint)(request->jitter * list->len);
@@ -292,7 +336,7 @@
 		sr_instance_t *instance = list->pdata[(i + first) % list->len];
 		sr_placement_choice_t choice;
 
-		if (!is_candidate(request, instance, filter, now))
+		if (!is_candidate(request, list, instance, filter, now))
 			continue;
 		choice = evaluate(placement, request, instance,
 				  instance == home, now);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -61,6 +61,13 @@
 	const char *failure_domain; /* of this entry host */
 } sr_placement_t;
 
+/** sr_placement_versions_t - which versions of a service are candidates. */
+typedef enum {
+	SR_PLACEMENT_ALL_VERSIONS,
+	SR_PLACEMENT_ONLY_VERSION,
+	SR_PLACEMENT_OTHER_VERSIONS,
+} sr_placement_versions_t;
+
 /** sr_placement_request_t - the request; all pointers are borrowed. */
 typedef struct {
 	const char *service;
@@ -70,6 +77,11 @@
 	const guint32 *tried; /* ids of instances to exclude */
 	unsigned n_tried;
 	double jitter; /* random, 0 to 1; selects among equal instances */
+	sr_placement_versions_t versions;
+	const char *version; /* that versions refers to */
+	/* instances of the version that are candidates, the same ones on all
+	 * hosts; 0 for no limit */
+	unsigned max_instances;
 } sr_placement_request_t;
 
 /** sr_placement_choice_t - the selected instance and what it is expected to
--- a/src/core/rollout_analysis.c
+++ b/src/core/rollout_analysis.c
@@ -26,6 +26,8 @@
 #define FAULTY_RATE_FACTOR 3.0
 #define FAULTY_FAILURE_RATE_INCREASE 0.04
 #define FAULTY_SLOW_RATE_INCREASE 0.25
+/** The same for a gross fault. */
+#define GROSS_FAILURE_RATE_INCREASE 0.3
 #define FAULTY_RATE_MAX 0.95
 
 /** Smallest difference between the expected and the faulty rate that can be
@@ -72,12 +74,18 @@
 {
 	double n_answers = baseline_answer_count(analysis);
 	double n_below = 0;
+	unsigned needed = analysis->slow_baseline_min > 0 ?
+				  analysis->slow_baseline_min :
+				  SLOW_BASELINE_MIN;
+	unsigned margin = analysis->slow_margin;
 
-	if (analysis->slow_bucket > 0 || n_answers < SLOW_BASELINE_MIN)
+	if (analysis->slow_bucket > 0 || n_answers < needed)
 		return;
 	while (analysis->slow_bucket + 1 < SR_EVIDENCE_N_BUCKETS &&
-	       n_below < SLOW_QUANTILE * n_answers)
+	       (n_below < SLOW_QUANTILE * n_answers || margin > 0)) {
+		margin -= n_below >= SLOW_QUANTILE * n_answers;
 		n_below += analysis->old_latency[analysis->slow_bucket++];
+	}
 	analysis->baseline_slow_rate = 1 - n_below / n_answers;
 }
 
@@ -148,6 +156,31 @@
 		    FAULTY_RATE_MAX);
 }
 
+/* The steps of the period's failures against a faulty rate. */
+static sr_rollout_sums_t failure_steps(const period_t *period, double expected,
+				       double faulty)
+{
+	double n = sum_groups(period->n_requests);
+	double n_events = sum_groups(period->failures);
+	sr_rollout_sums_t steps = {
+		.overall = log_likelihood_ratio(n_events, n, expected, faulty),
+	};
+
+	for (int i = 0; i < SR_EVIDENCE_N_GROUPS; i++)
+		steps.without[i] = log_likelihood_ratio(
+			n_events - period->failures[i],
+			n - period->n_requests[i], expected, faulty);
+	return steps;
+}
+
+static void add_steps(sr_rollout_sums_t *sums, const sr_rollout_sums_t *steps)
+{
+	sums->overall = fmax(0, sums->overall + steps->overall);
+	for (int i = 0; i < SR_EVIDENCE_N_GROUPS; i++)
+		sums->without[i] =
+			fmax(0, sums->without[i] + steps->without[i]);
+}
+
 static void test_failures(sr_rollout_analysis_t *analysis,
 			  const period_t *old_period,
 			  const period_t *new_period)
@@ -156,25 +189,17 @@
 		&analysis->peak_failure_rate, analysis->baseline_failure_rate,
 		sum_groups(old_period->failures),
 		sum_groups(old_period->n_requests), BASELINE_FAILURE_RATE_MIN);
-	double faulty = faulty_rate(expected, FAULTY_FAILURE_RATE_INCREASE);
-
-	for (int i = 0; i < SR_EVIDENCE_N_GROUPS; i++) {
-		double n = sum_groups(new_period->n_requests) -
-			   new_period->n_requests[i];
-		double n_events = sum_groups(new_period->failures) -
-				  new_period->failures[i];
-
-		analysis->failure_sums[i] =
-			fmax(0, analysis->failure_sums[i] +
-					log_likelihood_ratio(n_events, n,
-							     expected, faulty));
+	const double faulty[SR_ROLLOUT_FAULTS] = {
+		faulty_rate(expected, FAULTY_FAILURE_RATE_INCREASE),
+		faulty_rate(expected, GROSS_FAILURE_RATE_INCREASE),
+	};
+
+	for (int i = 0; i < SR_ROLLOUT_FAULTS; i++) {
+		analysis->failure_steps[i] =
+			failure_steps(new_period, expected, faulty[i]);
+		add_steps(&analysis->failure_sums[i],
+			  &analysis->failure_steps[i]);
 	}
-	analysis->overall_failure_sum = fmax(
-		0,
-		analysis->overall_failure_sum +
-			log_likelihood_ratio(sum_groups(new_period->failures),
-					     sum_groups(new_period->n_requests),
-					     expected, faulty));
 	update_baseline(&analysis->baseline_failure_rate,
 			sum_groups(old_period->failures),
 			sum_groups(old_period->n_requests));
@@ -189,11 +214,9 @@
 			      old_period->n_answered, BASELINE_SLOW_RATE_MIN);
 	double faulty = faulty_rate(expected, FAULTY_SLOW_RATE_INCREASE);
 
-	analysis->slow_sum =
-		fmax(0, analysis->slow_sum +
-				log_likelihood_ratio(new_period->n_slow,
-						     new_period->n_answered,
-						     expected, faulty));
+	analysis->slow_step = log_likelihood_ratio(
+		new_period->n_slow, new_period->n_answered, expected, faulty);
+	analysis->slow_sum = fmax(0, analysis->slow_sum + analysis->slow_step);
 	update_baseline(&analysis->baseline_slow_rate, old_period->n_slow,
 			old_period->n_answered);
 }
@@ -203,23 +226,59 @@
  * recent requests is not left out, since too few would remain; the overall sum,
  * divided by SINGLE_GROUP_DIVISOR, is used in its place.
  */
-static double min_failure_sum(const sr_rollout_analysis_t *analysis)
+static double lowest_sum(const sr_rollout_analysis_t *analysis,
+			 const sr_rollout_sums_t *sums)
 {
-	double lowest = analysis->overall_failure_sum;
+	double lowest = sums->overall;
 	double n_recent = sum_groups(analysis->recent_requests);
 
 	for (int i = 0; i < SR_EVIDENCE_N_GROUPS; i++) {
-		double sum = analysis->failure_sums[i];
+		double sum = sums->without[i];
 
 		if (n_recent - analysis->recent_requests[i] <
 		    OTHER_GROUPS_MIN * n_recent)
-			sum = analysis->overall_failure_sum /
-			      SINGLE_GROUP_DIVISOR;
+			sum = sums->overall / SINGLE_GROUP_DIVISOR;
 		lowest = fmin(lowest, sum);
 	}
 	return lowest;
 }
 
+/* Of the fault that the failures resemble most. */
+static double failure_sum(const sr_rollout_analysis_t *analysis)
+{
+	double highest = 0;
+
+	for (int i = 0; i < SR_ROLLOUT_FAULTS; i++)
+		highest = fmax(highest, lowest_sum(analysis,
+						   &analysis->failure_sums[i]));
+	return highest;
+}
+
+static void add_period_requests(sr_rollout_analysis_t *analysis)
+{
+	analysis->n_new_requests +=
+		(guint32)sum_groups(analysis->period_requests);
+	for (int i = 0; i < SR_EVIDENCE_N_GROUPS; i++)
+		analysis->recent_requests[i] =
+			analysis->recent_requests[i] * RECENT_DECAY +
+			analysis->period_requests[i];
+}
+
+static sr_verdict_t verdict_of(const sr_rollout_analysis_t *analysis)
+{
+	double fault_threshold =
+		FAULT_THRESHOLD + log(1 + analysis->n_new_requests);
+
+	if (failure_sum(analysis) >= fault_threshold)
+		return SR_VERDICT_FAILING;
+	if (analysis->slow_sum >= fault_threshold)
+		return SR_VERDICT_SLOW;
+	if (failure_sum(analysis) >= SUSPECT_THRESHOLD ||
+	    analysis->slow_sum >= SUSPECT_THRESHOLD)
+		return SR_VERDICT_SUSPECT;
+	return SR_VERDICT_HEALTHY;
+}
+
 static void store_counters(sr_rollout_analysis_t *analysis,
 			   const sr_evidence_counters_t *old_version,
 			   const sr_evidence_counters_t *new_version)
@@ -241,7 +300,6 @@
 		old_version, &analysis->old_counters, analysis->slow_bucket);
 	period_t new_period = period_between(
 		new_version, &analysis->new_counters, analysis->slow_bucket);
-	double fault_threshold;
 
 	if (!analysis->started) {
 		/* Requests before the rollout only set the baseline. */
@@ -252,22 +310,43 @@
 		store_counters(analysis, old_version, new_version);
 		return SR_VERDICT_HEALTHY;
 	}
-	analysis->n_new_requests += (guint32)sum_groups(new_period.n_requests);
-	for (int i = 0; i < SR_EVIDENCE_N_GROUPS; i++)
-		analysis->recent_requests[i] =
-			analysis->recent_requests[i] * RECENT_DECAY +
-			new_period.n_requests[i];
+	memcpy(analysis->period_requests, new_period.n_requests,
+	       sizeof(analysis->period_requests));
+	add_period_requests(analysis);
 	test_failures(analysis, &old_period, &new_period);
 	if (analysis->slow_bucket > 0)
 		test_latency(analysis, &old_period, &new_period);
 	store_counters(analysis, old_version, new_version);
-	fault_threshold = FAULT_THRESHOLD + log(1 + analysis->n_new_requests);
-	if (min_failure_sum(analysis) >= fault_threshold)
-		return SR_VERDICT_FAILING;
-	if (analysis->slow_sum >= fault_threshold)
-		return SR_VERDICT_SLOW;
-	if (min_failure_sum(analysis) >= SUSPECT_THRESHOLD ||
-	    analysis->slow_sum >= SUSPECT_THRESHOLD)
-		return SR_VERDICT_SUSPECT;
-	return SR_VERDICT_HEALTHY;
+	return verdict_of(analysis);
+}
+
+sr_verdict_t
+sr_rollout_analysis_pool(sr_rollout_analysis_t *pool,
+			 const sr_rollout_analysis_t *const *routes,
+			 unsigned n_routes)
+{
+	double slow_step = 0;
+
+	memset(pool->failure_steps, 0, sizeof(pool->failure_steps));
+	memset(pool->period_requests, 0, sizeof(pool->period_requests));
+	for (unsigned r = 0; r < n_routes; r++) {
+		const sr_rollout_analysis_t *route = routes[r];
+
+		slow_step += route->slow_step;
+		for (int i = 0; i < SR_EVIDENCE_N_GROUPS; i++) {
+			pool->period_requests[i] += route->period_requests[i];
+			for (int j = 0; j < SR_ROLLOUT_FAULTS; j++)
+				pool->failure_steps[j].without[i] +=
+					route->failure_steps[j].without[i];
+		}
+		for (int j = 0; j < SR_ROLLOUT_FAULTS; j++)
+			pool->failure_steps[j].overall +=
+				route->failure_steps[j].overall;
+	}
+	add_period_requests(pool);
+	for (int j = 0; j < SR_ROLLOUT_FAULTS; j++)
+		add_steps(&pool->failure_sums[j], &pool->failure_steps[j]);
+	pool->slow_step = slow_step;
+	pool->slow_sum = fmax(0, pool->slow_sum + slow_step);
+	return verdict_of(pool);
 }
--- a/src/core/rollout_analysis.h
+++ b/src/core/rollout_analysis.h
@@ -14,12 +14,31 @@
  * to the new one. The sums never fall below zero, so that a fault that appears
  * late is detected as fast as one that appears at once.
  *
+ * Failures are tested against a moderate and against a gross fault, which shows
+ * in a few requests.
+ *
  * The test of failures runs once for each group of upstreams with that group
  * left out, and the lowest sum decides, so that a single faulty host does not
  * cause a rollback. While almost all requests go to one group, it is not left
  * out and a higher sum is required instead.
  */
+
+/** Faults that failures are tested against: moderate, gross. */
+#define SR_ROLLOUT_FAULTS 2
+
+/** sr_rollout_sums_t - sums of log-likelihood ratios of one fault. */
 typedef struct {
+	double without[SR_EVIDENCE_N_GROUPS]; /* without this group */
+	double overall;			      /* of all groups */
+} sr_rollout_sums_t;
+
+typedef struct {
+	/* set before the first update: buckets above the quantile of the old
+	 * version from which an answer is slow, and answers needed to
+	 * determine it; 0 for the default */
+	unsigned slow_margin;
+	unsigned slow_baseline_min;
+
 	/* counters at the end of the previous period */
 	sr_evidence_counters_t old_counters;
 	sr_evidence_counters_t new_counters;
@@ -32,10 +51,14 @@
 	double peak_failure_rate;
 	double peak_slow_rate;
 
-	double failure_sums[SR_EVIDENCE_N_GROUPS]; /* without this group */
-	double overall_failure_sum;		   /* of all groups */
+	sr_rollout_sums_t failure_sums[SR_ROLLOUT_FAULTS];
 	double slow_sum;
 
+	/* of the last period */
+	sr_rollout_sums_t failure_steps[SR_ROLLOUT_FAULTS];
+	double slow_step;
+	double period_requests[SR_EVIDENCE_N_GROUPS];
+
 	/* requests of the new version, decaying */
 	double recent_requests[SR_EVIDENCE_N_GROUPS];
 	/* answers of the old version, those before the first update included */
@@ -63,4 +86,15 @@
 			   const sr_evidence_counters_t *old_version,
 			   const sr_evidence_counters_t *new_version);
 
+/**
+ * sr_rollout_analysis_pool - add up the last periods of routes
+ *
+ * Detects a fault of all routes in fewer requests than on each of them, whose
+ * rates may differ. pool is an analysis that is not updated otherwise.
+ */
+sr_verdict_t
+sr_rollout_analysis_pool(sr_rollout_analysis_t *pool,
+			 const sr_rollout_analysis_t *const *routes,
+			 unsigned n_routes);
+
 #endif
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -347,7 +347,10 @@
 	for (guint i = 0; i < table->services->len; i++) {
 		const sr_gateway_service_t *service = table->services->pdata[i];
 
-		if (service->scaling)
+		if (service->scaling &&
+		    !sr_rollouts_blocks_orders(
+			    sr_fleet_rollouts(duties->options.fleet_state),
+			    service->name))
 			order_instances(duties, service);
 	}
 }
@@ -378,6 +381,7 @@
 	if (current_time(duties) >= duties->retry_at)
 		send_reports(duties);
 	send_orders(duties);
+	sr_rollouts_perform(sr_fleet_rollouts(duties->options.fleet_state));
 }
 
 sr_duties_t *sr_duties_new(const sr_duties_options_t *options)
--- a/src/fleet/duties.h
+++ b/src/fleet/duties.h
@@ -10,7 +10,7 @@
 
 /**
  * sr_duties_t - the duties that one entry host performs for all: reporting the
- * usage to the platform and ordering instances
+ * usage to the platform, ordering instances and ending roll-outs
  *
  * The host that holds the lease of an object of the platform performs them,
  * under the epoch of the lease. A host that has just started, or has lost the
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -24,6 +24,9 @@
  * accounts are updated. */
 #define SLOW_TICK SR_SEC
 
+/** Interval at which the evidence on versions is analysed. */
+#define ROLLOUT_TICK (500 * SR_MSEC)
+
 /** Time that the platform has to send a table that peers have announced
  * before it is fetched from a peer; also the pause between two fetches. */
 #define FETCH_DELAY (300 * SR_MSEC)
@@ -267,6 +270,11 @@
 	case SR_RUMOUR_SHARD_OWNER:
 		receive_duty_holder(fleet, rumour);
 		break;
+	case SR_RUMOUR_ROLLOUT:
+		sr_rollouts_receive(fleet->rollouts, rumour->key,
+				    rumour->version, rumour->value,
+				    rumour->size);
+		break;
 	default: /* kinds of src/daemon, and SR_RUMOUR_DOMAIN_SIZE, which
 		  * domain_sizes.c reads by sr_gossip_foreach_rumour() */
 		break;
@@ -403,6 +411,10 @@
 		sr_usage_exchange_send(fleet);
 		sr_pool_requests_tick(fleet);
 	}
+	if (now >= fleet->next_rollout_tick_at) {
+		fleet->next_rollout_tick_at = now + ROLLOUT_TICK;
+		sr_rollouts_tick(fleet->rollouts);
+	}
 	sr_gossip_tick(fleet->gossip, now);
 	check_behind(fleet, now);
 }
@@ -463,6 +475,48 @@
 		sr_fleet_add_seed(fleet, options->seeds->pdata[i]);
 }
 
+static unsigned count_hosts(void *user)
+{
+	return sr_fleet_sharing_hosts(user);
+}
+
+static const sr_load_sum_t *load_total(void *user, gboolean *is_known)
+{
+	return sr_load_report_total(user, is_known);
+}
+
+static void publish_rollout(void *user, const char *key, guint64 version,
+			    const char *value)
+{
+	publish(user, SR_RUMOUR_ROLLOUT, key, version, value, 0);
+}
+
+static void write_rollout_status(void *user, const sr_rollout_order_t *order)
+{
+	const sr_fleet_t *fleet = user;
+
+	fleet->options.write_rollout_status(fleet->options.user, order);
+}
+
+static void create_rollouts(sr_fleet_t *fleet)
+{
+	const sr_rollouts_options_t options = {
+		.node = fleet->options.node,
+		.exposure = fleet->options.exposure,
+		.clock = fleet->options.clock,
+		.log = fleet->options.log,
+		.gateway = fleet->options.gateway,
+		.seed = fleet->options.seed + 7,
+		.host_count = count_hosts,
+		.load_total = load_total,
+		.publish = publish_rollout,
+		.write_status = write_rollout_status,
+		.user = fleet,
+	};
+
+	fleet->rollouts = sr_rollouts_new(&options);
+}
+
 sr_fleet_t *sr_fleet_new(const sr_fleet_options_t *options, char **problem)
 {
 	sr_fleet_t *fleet = g_new0(sr_fleet_t, 1);
@@ -480,6 +534,7 @@
 	sr_usage_exchange_init(fleet);
 	sr_pool_requests_init(fleet);
 	create_gossip(fleet);
+	create_rollouts(fleet);
 	sr_load_report_init(fleet);
 	on_tick(fleet);
 	return fleet;
@@ -497,6 +552,7 @@
 	sr_load_report_clear(fleet);
 	sr_members_free(fleet->members);
 	sr_usage_exchange_clear(fleet);
+	sr_rollouts_free(fleet->rollouts);
 	g_clear_pointer(&fleet->table_text, g_bytes_unref);
 	g_free(fleet->duty_holder);
 	g_free(fleet->owner_id);
@@ -516,6 +572,11 @@
 	return fleet->domain_usage;
 }
 
+sr_rollouts_t *sr_fleet_rollouts(const sr_fleet_t *fleet)
+{
+	return fleet->rollouts;
+}
+
 const char *sr_fleet_owner_id(const sr_fleet_t *fleet)
 {
 	return fleet->owner_id;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -8,6 +8,7 @@
 #include "core/instances.h"
 #include "core/route_table.h"
 #include "core/usage_windows.h"
+#include "fleet/rollouts.h"
 #include "gateway/gateway.h"
 
 /**
@@ -22,8 +23,9 @@
  */
 typedef struct sr_fleet sr_fleet_t;
 
-/** Feeds of the platform's objects: the configuration, the instances. */
-#define SR_STORE_FEEDS 2
+/** Feeds of the platform's objects: the configuration, the instances, the
+ * orders of roll-outs. */
+#define SR_STORE_FEEDS 3
 
 /** sr_store_notice_t - sent by a host that watches the platform to the hosts of
  * its failure domain. */
@@ -49,6 +51,10 @@
 	guint64 seed; /* of the random choices */
 	/* parses a route table; returns a new reference, NULL if malformed */
 	sr_route_table_t *(*decode)(GBytes *text);
+	sr_version_exposure_t exposure; /* of faulty versions */
+	/* writes the status of a roll-out, see sr_rollouts_options_t */
+	void (*write_rollout_status)(void *user,
+				     const sr_rollout_order_t *order);
 	/* peers have newer data than the platform has sent to this host */
 	void (*behind)(void *user);
 	/* another host of the failure domain has sent a notice */
@@ -154,6 +160,9 @@
 					 const sr_allowance_use_t *use),
 			      void *user);
 
+/** sr_fleet_rollouts - the orders of roll-outs; borrowed. */
+sr_rollouts_t *sr_fleet_rollouts(const sr_fleet_t *fleet);
+
 /** Key under which the duties are assigned to a host. */
 #define SR_FLEET_DUTIES_KEY "duties"
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -41,6 +41,8 @@
 	sr_load_exchange_t *load_exchange;
 	GHashTable *engine_work; /* service -> work_t */
 	gboolean is_load_known;	 /* as logged last */
+	sr_rollouts_t *rollouts;
+	sr_usec_t next_rollout_tick_at;
 	/* pools of accounts; pool_requests.c */
 	sr_list_t pool_requests;    /* without a reply yet */
 	guint64 n_pool_requests;    /* sent so far; the id of the last one */
@@ -85,6 +87,11 @@
  * the gateway's table of instances; call at the interval of the exchange. */
 void sr_load_report_tick(sr_fleet_t *fleet);
 
+/** sr_load_report_total - the latest load of all hosts, NULL if there is none;
+ * is_known is FALSE if it includes too few of them. */
+const sr_load_sum_t *sr_load_report_total(const sr_fleet_t *fleet,
+					  gboolean *is_known);
+
 /* demand_gossip.c: demand of client accounts */
 
 /** sr_demand_gossip_publish - call about once a second. */
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -80,6 +80,7 @@
 	sr_gateway_foreach_prefill(fleet->options.gateway, add_work, &context);
 	sr_allowance_foreach_use(sr_gateway_allowance(fleet->options.gateway),
 				 sr_fleet_now(fleet), add_use, &context);
+	sr_rollouts_add_evidence(fleet->rollouts, sum);
 	for (guint i = 0; i < all->len; i++) {
 		const sr_instance_t *instance = all->pdata[i];
 		const sr_load_item_t item = {
@@ -151,6 +152,17 @@
 	       n_included >= KNOWN_FRACTION_MIN * sr_fleet_host_count(fleet);
 }
 
+const sr_load_sum_t *sr_load_report_total(const sr_fleet_t *fleet,
+					  gboolean *is_known)
+{
+	const sr_load_sum_t *own;
+	const sr_load_sum_t *total = sr_load_exchange_total(
+		fleet->load_exchange, sr_fleet_now(fleet), &own);
+
+	*is_known = total && is_enough(fleet, sr_load_sum_hosts(total));
+	return total ? total : own;
+}
+
 /* Logs when the load of enough hosts becomes known, or stops being known. */
 static void log_known(sr_fleet_t *fleet)
 {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -199,6 +199,7 @@
 			       on_sweep_timer, gateway);
 	sr_list_for_each_safe (link, &gateway->sessions)
 		sr_session_sweep(sr_session_of_link(link), now);
+	sr_transactions_sweep(gateway);
 	sr_connection_pool_sweep(gateway->connection_pool, now);
 	advance_stop(gateway, now);
 }
@@ -327,6 +328,19 @@
 		   ((sr_gateway_service_state_t *)value)->prefill_s);
 }
 
+void sr_gateway_set_version_trial(sr_gateway_t *gateway, const char *service,
+				  sr_version_trial_t *trial)
+{
+	sr_gateway_service_state(gateway, service)->trial = trial;
+}
+
+sr_usec_t sr_gateway_response_time(sr_gateway_t *gateway, const char *service)
+{
+	return (sr_usec_t)(sr_gateway_service_state(gateway, service)
+				   ->speed.duration_s *
+			   SR_SEC);
+}
+
 void sr_gateway_set_host_count(sr_gateway_t *gateway, unsigned n)
 {
 	GHashTableIter iter;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,8 +8,10 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "core/allowance.h"
+#include "core/evidence.h"
 #include "core/instances.h"
 #include "core/route_table.h"
+#include "core/version_trial.h"
 #include "gateway/dialect.h"
 
 /**
@@ -54,6 +56,10 @@
 	/* An instance has executed a request of the account, or may have;
 	 * called once per request. May be NULL. */
 	void (*request_executed)(void *user, const char *account);
+	/* An attempt at an instance has ended, or has shown how fast it is; may
+	 * be NULL. */
+	void (*attempt_observed)(void *user,
+				 const sr_observation_t *observation);
 	/* Requests an amount from the account's allowance pool; done is called
 	 * once, possibly from inside this call. NULL if there are no pools. */
 	void (*take_from_pool)(void *user, const char *account, double amount,
@@ -113,6 +119,14 @@
 					   double prefill_s),
 				void *user);
 
+/** sr_gateway_set_version_trial - divides the requests for a service between
+ * its versions; the trial is borrowed until it is replaced, NULL ends it. */
+void sr_gateway_set_version_trial(sr_gateway_t *gateway, const char *service,
+				  sr_version_trial_t *trial);
+
+/** sr_gateway_response_time - average duration of a service's responses. */
+sr_usec_t sr_gateway_response_time(sr_gateway_t *gateway, const char *service);
+
 /** sr_gateway_set_host_count - sets the number of entry hosts that share the
  * retry budget and the allowances. */
 void sr_gateway_set_host_count(sr_gateway_t *gateway, unsigned n);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -22,7 +22,8 @@
 typedef struct {
 	sr_engine_speed_t speed; /* measured, for placement */
 	sr_retry_budget_t retry_budget;
-	double prefill_s; /* see sr_gateway_foreach_prefill() */
+	double prefill_s;	   /* see sr_gateway_foreach_prefill() */
+	sr_version_trial_t *trial; /* borrowed; NULL for none */
 } sr_gateway_service_state_t;
 
 /** sr_gateway_metrics_t - counters of the metrics page; borrowed */
@@ -155,6 +156,10 @@
 			  const sr_message_t *request, sr_usec_t started_at,
 			  sr_transaction_t **transaction_out);
 
+/** sr_transactions_sweep - observes the speed of unfinished requests; to be
+ * called periodically. */
+void sr_transactions_sweep(sr_gateway_t *gateway);
+
 /** sr_transaction_caller_disconnected - cancels and frees the transaction. */
 void sr_transaction_caller_disconnected(sr_transaction_t *transaction);
 
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -18,8 +18,7 @@
 #define STOP_TIME_MIN SR_SEC
 #define STOP_DURATION_FACTOR 4
 
-/* Called for every event; only the first of an attempt has an effect. */
-static void record_first_event(sr_transaction_t *transaction)
+static void record_event(sr_transaction_t *transaction)
 {
 	sr_gateway_service_state_t *state = sr_gateway_service_state(
 		transaction->gateway, transaction->service);
@@ -37,6 +36,7 @@
 	transaction->prefill_backlog = -1;
 	sr_transaction_release_prefill(transaction);
 	sr_transaction_report_execution(transaction);
+	transaction->n_events++;
 }
 
 void sr_transaction_on_stream_data(sr_transaction_t *transaction,
@@ -53,7 +53,7 @@
 		return;
 	}
 	while (sr_event_parser_next(transaction->event_parser, &event)) {
-		record_first_event(transaction);
+		record_event(transaction);
 		if (event.has_id && transaction->has_last_event &&
 		    event.id <= transaction->last_event)
 			continue;
@@ -75,6 +75,33 @@
 	return transaction->route->priority;
 }
 
+/* Selects among the versions that the trial of a new one allows. A part of the
+ * requests that the new version can't take goes to the others. */
+static sr_placement_choice_t choose_version(sr_transaction_t *transaction,
+					    const sr_placement_t *placement,
+					    sr_placement_request_t *request,
+					    sr_version_trial_t *trial)
+{
+	sr_usec_t now = sr_transaction_now(transaction);
+	const GPtrArray *instances = sr_instances_of_service(
+		placement->instances, transaction->service);
+	sr_placement_choice_t choice = { 0 };
+
+	request->version = sr_version_trial_target(trial);
+	if (sr_version_trial_picks_new(
+		    trial, now,
+		    transaction->n_sent + transaction->n_unsent == 0)) {
+		request->versions = SR_PLACEMENT_ONLY_VERSION;
+		request->max_instances = sr_version_trial_max_instances(
+			trial, now, instances ? instances->len : 0);
+		choice = sr_placement_choose(placement, request, now);
+	}
+	if (choice.instance)
+		return choice;
+	request->versions = SR_PLACEMENT_OTHER_VERSIONS;
+	return sr_placement_choose(placement, request, now);
+}
+
 static sr_placement_choice_t choose_instance(sr_transaction_t *transaction)
 {
 	sr_gateway_t *gateway = transaction->gateway;
@@ -85,7 +112,9 @@
 		.index = gateway->prefix_index,
 		.failure_domain = gateway->options.failure_domain,
 	};
-	const sr_placement_request_t request = {
+	sr_version_trial_t *trial =
+		sr_gateway_service_state(gateway, transaction->service)->trial;
+	sr_placement_request_t request = {
 		.service = transaction->service,
 		.is_engine = service && service->is_engine,
 		.prompt = &transaction->prompt,
@@ -98,6 +127,8 @@
 		.jitter = g_rand_double(gateway->rng),
 	};
 
+	if (trial)
+		return choose_version(transaction, &placement, &request, trial);
 	return sr_placement_choose(&placement, &request,
 				   sr_transaction_now(transaction));
 }
@@ -190,6 +221,10 @@
 	instance->pending_prompt_tokens += transaction->prefill_tokens;
 	transaction->prefill_backlog = instance->pending_prompt_tokens;
 	transaction->sent_at = now;
+	transaction->n_events = 0;
+	transaction->is_observed = FALSE;
+	if (state->trial)
+		sr_version_trial_sent(state->trial, instance->version);
 	g_array_append_val(transaction->tried_instances, instance->id);
 	sr_prefix_index_add_sent(transaction->gateway->prefix_index, now,
 				 instance->id, transaction->prompt.blocks,
@@ -401,6 +436,7 @@
 	outcome = outcome_for_stream(transaction, outcome);
 	sr_counter_add(transaction->gateway->metrics.attempts[outcome], 1);
 	update_ejection(transaction, instance, outcome);
+	sr_transaction_observe_end(transaction, outcome);
 	if (outcome != SR_ATTEMPT_NOT_SENT && outcome != SR_ATTEMPT_REJECTED) {
 		transaction->may_have_run = TRUE;
 		if (transaction->route->kind != SR_ROUTE_STREAM)
@@ -418,6 +454,7 @@
 void sr_transaction_caller_disconnected(sr_transaction_t *transaction)
 {
 	sr_counter_add(transaction->gateway->metrics.callers_left, 1);
+	sr_transaction_observe_incomplete(transaction);
 	sr_transaction_log_end(transaction, "caller-left", 0,
 			       "connection closed by the caller");
 	sr_transaction_free(transaction);
@@ -430,6 +467,7 @@
 			sr_attempt_is_sent(transaction->attempt);
 
 	transaction->deadline_timer = NULL;
+	sr_transaction_observe_deadline(transaction);
 	if (transaction->is_streaming) {
 		sr_transaction_abort(transaction, "deadline exceeded");
 	} else if (sent || transaction->may_have_run) {
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -38,6 +38,8 @@
 	/* The instance's pending_prompt_tokens after sending; -1 after the
 	 * first event. */
 	double prefill_backlog;
+	unsigned n_events;    /* of the current attempt */
+	gboolean is_observed; /* by options.attempt_observed */
 	/* All attempts. */
 	GArray *tried_instances; /* guint32, instance ids */
 	unsigned n_sent;	 /* attempts written to a connection */
@@ -115,6 +117,20 @@
 /** sr_transaction_free - cancels the current attempt and all timers. */
 void sr_transaction_free(sr_transaction_t *transaction);
 
+/* transaction_observe.c: evidence on the versions of a service */
+
+/** sr_transaction_observe_end - the current attempt ended. */
+void sr_transaction_observe_end(sr_transaction_t *transaction,
+				sr_attempt_outcome_t outcome);
+
+/** sr_transaction_observe_deadline - the request's deadline passed before the
+ * current attempt ended. */
+void sr_transaction_observe_deadline(sr_transaction_t *transaction);
+
+/** sr_transaction_observe_incomplete - call while the current attempt goes on,
+ * so that a slow response shows before its end. */
+void sr_transaction_observe_incomplete(sr_transaction_t *transaction);
+
 /* transaction_log.c: log events and metrics */
 
 /** sr_transaction_log_end - logs the end; status is 0 without a response. */
--- /dev/null
+++ b/src/gateway/transaction_observe.c
@@ -0,0 +1,94 @@
+#include "gateway/transaction.h"
+
+/** Time after which a response that isn't complete shows its speed. */
+#define INCOMPLETE_TIME (2 * SR_SEC)
+
+static void observe(sr_transaction_t *transaction, sr_outcome_t outcome,
+		    sr_usec_t latency)
+{
+	const sr_gateway_options_t *options = &transaction->gateway->options;
+	const sr_instance_t *instance =
+		sr_attempt_instance(transaction->attempt);
+	const sr_observation_t observation = {
+		.service = transaction->service,
+		.version = instance->version,
+		.route = transaction->route->name,
+		.upstream = instance->name,
+		.failure_domain = instance->failure_domain,
+		.outcome = outcome,
+		.first_byte = latency,
+	};
+
+	if (options->attempt_observed)
+		options->attempt_observed(options->user, &observation);
+	transaction->is_observed = TRUE;
+}
+
+/* Time of the response, for a stream by the number of its events. Without the
+ * time that reading the prompt is expected to take: a new instance has none of
+ * it cached. */
+static sr_usec_t observed_latency(const sr_transaction_t *transaction)
+{
+	sr_usec_t elapsed =
+		sr_transaction_now(transaction) - transaction->sent_at;
+	sr_usec_t expected =
+		(sr_usec_t)(transaction->expected_first_event_s * SR_SEC);
+
+	if (transaction->route->kind != SR_ROUTE_STREAM)
+		return elapsed;
+	return MAX(elapsed - expected, 0) / MAX(transaction->n_events, 1);
+}
+
+/* An instance is slow for a while after its start, whatever its version. */
+static void observe_speed(sr_transaction_t *transaction)
+{
+	const sr_instance_t *instance =
+		sr_attempt_instance(transaction->attempt);
+
+	if (!transaction->is_observed &&
+	    instance->cold_until <= transaction->sent_at)
+		observe(transaction, SR_OUTCOME_ANSWERED,
+			observed_latency(transaction));
+}
+
+void sr_transaction_observe_end(sr_transaction_t *transaction,
+				sr_attempt_outcome_t outcome)
+{
+	switch (outcome) {
+	case SR_ATTEMPT_ANSWERED:
+		observe_speed(transaction);
+		break;
+	case SR_ATTEMPT_FAILED:
+		observe(transaction, SR_OUTCOME_FAILED, 0);
+		break;
+	case SR_ATTEMPT_NOT_SENT:
+	case SR_ATTEMPT_BROKEN:
+	case SR_ATTEMPT_TRUNCATED:
+		observe(transaction, SR_OUTCOME_CONNECTION_ERROR, 0);
+		break;
+	case SR_ATTEMPT_REJECTED:
+		break;
+	}
+}
+
+void sr_transaction_observe_deadline(sr_transaction_t *transaction)
+{
+	if (transaction->attempt && sr_attempt_is_sent(transaction->attempt) &&
+	    !transaction->is_observed)
+		observe(transaction, SR_OUTCOME_FAILED, 0);
+}
+
+void sr_transactions_sweep(sr_gateway_t *gateway)
+{
+	sr_list_for_each_safe (link, &gateway->transactions)
+		sr_transaction_observe_incomplete(
+			sr_list_entry(link, sr_transaction_t, link));
+}
+
+void sr_transaction_observe_incomplete(sr_transaction_t *transaction)
+{
+	if (transaction->attempt && sr_attempt_is_sent(transaction->attempt) &&
+	    sr_transaction_now(transaction) - transaction->sent_at >=
+		    INCOMPLETE_TIME)
+		observe_speed(transaction);
+}
--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -185,7 +185,8 @@
 	"\"bounds\":{\"stop_ms\":8000,\"retry_ratio\":0.2,\"retry_slack\":58,"
 	"\"allowance_window_s\":8,\"allowance_overage\":0.1,"
 	"\"allowance_slack\":190000,\"usage_window_s\":5,\"usage_due_s\":10,"
-	"\"lease_ms\":3000,\"apply_ms\":4000,\"drain_ms\":2000}}";
+	"\"lease_ms\":3000,\"apply_ms\":4000,\"drain_ms\":2000,"
+	"\"exposure_share\":0.1,\"exposure_slack\":50}}";
 
 static void test_settings(void **state)
 {
--- a/test/platform_rollout_test.c
+++ b/test/platform_rollout_test.c
@@ -169,13 +169,43 @@
 					 SOUP_MEMORY_COPY, text, strlen(text));
 }
 
-static gboolean on_watch_end(gpointer message)
+/** held_watch_t - a watch without events; its caller may leave before the end.
+ */
+typedef struct {
+	SoupServerMessage *message;
+	gboolean is_gone;
+} held_watch_t;
+
+static void on_watch_gone(SoupServerMessage *message, gpointer user)
 {
-	soup_server_message_unpause(message);
-	g_object_unref(message);
+	(void)message;
+	((held_watch_t *)user)->is_gone = TRUE;
+}
+
+static gboolean on_watch_end(gpointer user)
+{
+	held_watch_t *watch = user;
+
+	g_signal_handlers_disconnect_by_data(watch->message, watch);
+	if (!watch->is_gone)
+		soup_server_message_unpause(watch->message);
+	g_object_unref(watch->message);
+	g_free(watch);
 	return G_SOURCE_REMOVE;
 }
 
+static void hold_watch(SoupServerMessage *message)
+{
+	held_watch_t *watch = g_new0(held_watch_t, 1);
+
+	watch->message = g_object_ref(message);
+	g_signal_connect(message, "disconnected", G_CALLBACK(on_watch_gone),
+			 watch);
+	g_signal_connect(message, "finished", G_CALLBACK(on_watch_gone), watch);
+	soup_server_message_pause(message);
+	g_timeout_add(WATCH_HOLD_MS, on_watch_end, watch);
+}
+
 static void on_get(bed_t *bed, SoupServerMessage *message, const char *key,
 		   GHashTable *query)
 {
@@ -198,11 +228,8 @@
 	json_object_object_add(body, "current_rev",
 			       json_object_new_int64(bed->revision));
 	respond(message, 200, body);
-	if (watch && json_object_array_length(items) == 0) {
-		soup_server_message_pause(message);
-		g_timeout_add(WATCH_HOLD_MS, on_watch_end,
-			      g_object_ref(message));
-	}
+	if (watch && json_object_array_length(items) == 0)
+		hold_watch(message);
 	json_object_put(body);
 }
 
@@ -334,7 +361,8 @@
 		"\"allowance_window_s\":8,\"allowance_overage\":0.1,"
 		"\"allowance_slack\":190000,\"usage_window_s\":5,"
 		"\"usage_due_s\":10,\"lease_ms\":1000,\"apply_ms\":2000,"
-		"\"drain_ms\":2000}}",
+		"\"drain_ms\":2000,\"exposure_share\":0.1,"
+		"\"exposure_slack\":50}}",
 		unused_port(), unused_port(), unused_port(), unused_port(),
 		store, store);
 	GPtrArray *findings = sr_findings_new();
