Keep the start of a roll-out over the kill of all hosts

Peers keep the start of an order, but none was left, and the platform's object has no time. The holder of the duties now writes orders into the payload of its lease, which every host reads once at its start.

--- a/src/core/version_trial.c
+++ b/src/core/version_trial.c
@@ -10,6 +10,11 @@
 #define TRIAL_SHARE_FRACTION 0.5
 #define TRIAL_SLACK_FRACTION 0.5
 
+/** Age of an order from which the slack counts as used, by other hosts or by
+ * this one before it was restarted, and the part that may be used once more. */
+#define SLACK_AGE_MAX (2 * SR_SEC)
+#define LATE_SLACK_FRACTION 0.5
+
 /** Largest part of the requests while the slack is used. */
 #define SLACK_USE_SHARE 0.25
 
@@ -89,6 +94,8 @@
 	trial->duration = options->duration;
 	trial->full_time = FULL_TIME_MIN;
 	trial->exposure = options->exposure;
+	if (options->now - options->started_at > SLACK_AGE_MAX)
+		slack *= LATE_SLACK_FRACTION;
 	/* rounded at random, so that the sum over hosts is the slack */
 	trial->credit =
 		floor(slack / MAX(options->n_hosts, 1) + options->jitter);
@@ -126,6 +133,8 @@
 void sr_version_trial_started_earlier(sr_version_trial_t *trial,
 				      sr_usec_t started_at)
 {
+	if (trial->started_at - started_at > SLACK_AGE_MAX)
+		trial->credit *= LATE_SLACK_FRACTION;
 	trial->started_at = MIN(trial->started_at, started_at);
 }
 
--- a/src/core/version_trial.h
+++ b/src/core/version_trial.h
@@ -41,6 +41,7 @@
 	const char *service;
 	const char *target; /* the new version */
 	sr_usec_t started_at;
+	sr_usec_t now;
 	sr_usec_t duration; /* from started_at to the time limit */
 	sr_version_exposure_t exposure;
 	unsigned n_hosts; /* that divide the slack */
@@ -67,8 +68,8 @@
 /** sr_version_trial_reason - of the roll-back, for operators; "" if none. */
 const char *sr_version_trial_reason(const sr_version_trial_t *trial);
 
-/** sr_version_trial_started_earlier - another host knows of an earlier start.
- */
+/** sr_version_trial_started_earlier - the order is known to have begun earlier;
+ * its slack counts as used if that was long before. */
 void sr_version_trial_started_earlier(sr_version_trial_t *trial,
 				      sr_usec_t started_at);
 
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -36,8 +36,8 @@
 #define RETRY_DELAY (500 * SR_MSEC)
 
 /** Lines of the lease's payload after those of the usage reports: the number of
- * entry hosts with the time of writing in Unix milliseconds, and what each pool
- * of an account had granted then. */
+ * entry hosts with the time of writing in Unix milliseconds, what each pool of
+ * an account had granted then, and the orders of roll-outs. */
 #define HOSTS_WORD "hosts"
 #define GRANTED_WORD "granted"
 
@@ -197,6 +197,10 @@
 			 !strcmp(words[0], GRANTED_WORD) &&
 			 age <= RESTORE_AGE_MAX)
 			restore_granted(duties, words, age);
+		else
+			sr_rollouts_restore(
+				sr_fleet_rollouts(duties->options.fleet_state),
+				words);
 		g_strfreev(words);
 	}
 	g_strfreev(lines);
@@ -232,6 +236,7 @@
 		text, "\n" HOSTS_WORD " %u %" G_GINT64_FORMAT "\n%s",
 		sr_fleet_host_count(options->fleet_state),
 		is_known ? sr_clock_unix_ms(options->clock) : 0, granted->str);
+	sr_rollouts_save(sr_fleet_rollouts(options->fleet_state), text);
 	g_string_free(granted, TRUE);
 	g_bytes_unref(payload);
 	return g_string_free_to_bytes(text);
--- a/src/fleet/rollouts.c
+++ b/src/fleet/rollouts.c
@@ -175,6 +175,7 @@
 		.service = service,
 		.target = target,
 		.started_at = current_time(rollouts) - MAX(age_ms, 0) * SR_MSEC,
+		.now = current_time(rollouts),
 		.duration = duration,
 		.exposure = rollouts->options.exposure,
 		.n_hosts = rollouts->options.host_count(rollouts->options.user),
@@ -297,6 +298,54 @@
 	g_strfreev(names);
 }
 
+void sr_rollouts_save(const sr_rollouts_t *rollouts, GString *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, rollouts->orders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const rollout_t *rollout = value;
+		char *service =
+			g_uri_escape_string(rollout->service, NULL, FALSE);
+		char *target =
+			g_uri_escape_string(rollout->target, NULL, FALSE);
+
+		g_string_append_printf(
+			out,
+			SR_ROLLOUTS_SAVED_WORD " %s %s %d %" G_GINT64_FORMAT
+					       " %" G_GINT64_FORMAT
+					       " %" G_GUINT64_FORMAT "\n",
+			service, target,
+			(int)sr_version_trial_phase(rollout->trial),
+			rollout->start_unix_ms, rollout->duration / SR_MSEC,
+			rollout->revision);
+		g_free(target);
+		g_free(service);
+	}
+}
+
+void sr_rollouts_restore(sr_rollouts_t *rollouts, char **words)
+{
+	char *service;
+	char *target;
+	guint64 phase;
+
+	if (g_strv_length(words) != 7 ||
+	    strcmp(words[0], SR_ROLLOUTS_SAVED_WORD) != 0 ||
+	    !g_ascii_string_to_unsigned(words[3], 10, 0,
+					SR_VERSION_TRIAL_ROLLED_BACK, &phase,
+					NULL))
+		return;
+	service = g_uri_unescape_string(words[1], NULL);
+	target = g_uri_unescape_string(words[2], NULL);
+	if (service && target)
+		receive(rollouts, service, target,
+			(sr_version_trial_phase_t)phase, words + 4);
+	g_free(target);
+	g_free(service);
+}
+
 void sr_rollouts_observe(sr_rollouts_t *rollouts,
 			 const sr_observation_t *observation)
 {
