--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "core/ejection.h"
+#include "core/instance_notices.h"
 
 /**
  * The registered upstream instances of the gateway: their registry entries and
@@ -49,6 +50,7 @@
 	sr_usec_t cold_until;
 	sr_usec_t terminates_at; /* 0 if unknown */
 	sr_ejection_t ejection;
+	sr_instance_notices_t notices;
 	unsigned references;
 	/* load of this entry host */
 	unsigned in_flight;
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -179,6 +179,9 @@
 	switch (classify_head(attempt)) {
 	case HEAD_MATCHES:
 		attempt->is_head_verified = TRUE;
+		sr_gateway_read_notices(attempt->options.gateway,
+					attempt->options.instance,
+					sr_parser_message(attempt->parser));
 		return TRUE;
 	case HEAD_OF_OTHER_REQUEST:
 		attempt->is_out_of_sync = TRUE;
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -22,8 +22,9 @@
 	const char *urgency;	     /* of requests to engines; 0 goes first */
 	unsigned urgency_max;	     /* largest value, the least urgent */
 	/* Response headers from instances. */
-	const char *signature; /* required in responses below status 400 */
-	const char *not_run;   /* the request was not executed */
+	const char *signature;	/* required in responses below status 400 */
+	const char *not_run;	/* the request was not executed */
+	const char *rate_limit; /* requests/s that the instance takes */
 	/* Request headers that are removed from callers' requests because only
 	 * this system may set them; NULL-terminated. */
 	const char *const *reserved;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -204,6 +204,12 @@
 /** sr_attempt_instance - borrowed. */
 sr_instance_t *sr_attempt_instance(const sr_attempt_t *attempt);
 
+/* notice.c: what instances say of themselves in their responses */
+
+/** sr_gateway_read_notices - applies the head of a response. */
+void sr_gateway_read_notices(sr_gateway_t *gateway, sr_instance_t *instance,
+			     const sr_message_t *response);
+
 /* connection_pool.c: idle connections to instances */
 
 sr_connection_pool_t *sr_connection_pool_new(sr_gateway_t *gateway);
