--- /dev/null
+++ b/test/platform_notice_test.c
@@ -0,0 +1,70 @@
+/* What instances say of themselves, at an entry host of the platform. */
+#include "platform_bed.h"
+
+/** Bound of the platform on the requests of an instance that names a limit: in
+ * a window, a multiple of what the limit allows and a number on top. */
+#define LIMIT_WINDOW_US (4 * G_USEC_PER_SEC)
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
+
+/** Time after the first naming from which the bound holds. */
+#define LIMIT_SETTLE_US (3 * G_USEC_PER_SEC)
+
+static bed_t *bed_with_notice(const char *name, const char *value)
+{
+	bed_t *bed = bed_new();
+
+	register_upstream(bed, 1);
+	run_for(bed, 300);
+	bed->upstreams[0].notice_name = name;
+	bed->upstreams[0].notice_value = value;
+	return bed;
+}
+
+static gint64 time_at(const upstream_t *upstream, guint i)
+{
+	return g_array_index(upstream->times, gint64, i);
+}
+
+/* Requests from a time on, for a while. */
+static unsigned count_requests(const upstream_t *upstream, gint64 from,
+			       gint64 duration)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < upstream->times->len; i++)
+		n += time_at(upstream, i) >= from &&
+		     time_at(upstream, i) < from + duration;
+	return n;
+}
+
+/* Guards against LIMIT of 2026-12-04: an instance that names a limit got its
+ * part of the requests, whatever the limit. */
+static void test_limit_of_an_instance_is_kept(void **state)
+{
+	bed_t *bed = bed_with_notice("Server-Limit", "1");
+	const upstream_t *upstream = &bed->upstreams[0];
+	double allowed = LIMIT_FACTOR * 1 * 4 + LIMIT_SLACK;
+
+	(void)state;
+	send_requests(bed, 9000);
+	assert_true(upstream->times->len > 0);
+	for (guint i = 0; i < upstream->times->len; i++) {
+		gint64 from = time_at(upstream, i);
+
+		if (from >= time_at(upstream, 0) + LIMIT_SETTLE_US)
+			assert_true(count_requests(upstream, from,
+						   LIMIT_WINDOW_US) <= allowed);
+	}
+	assert_int_equal(bed->n_ok, bed->n_sent);
+	bed_free(bed);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_limit_of_an_instance_is_kept),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
