Keep the rate limits that instances name

Cause: the limit was not read, so placement gave the instance what its load suggested.

Change: core/instance_notices keeps what an instance has said. A few hosts of the instance's own failure domain, which all know each other, divide its limit by token buckets; the number of hosts is bounded so that all buckets together stay within the tolerance. The other hosts hand their requests to other instances at once. The news spreads as a rumour. A caller that must be refused is told when the next request may go.

--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -32,7 +32,9 @@
 typedef enum {
 	SR_RUMOUR_CONFIG,     /* key "", version = generation, value = digest */
 	SR_RUMOUR_HOST_STATE, /* key = host of an upstream or entry host; value
-			       * = leaving, absent or replaced */
+			       * = leaving, absent or replaced; among entry
+			       * hosts of a gateway key = instance, value =
+			       * what it has said of itself */
 	SR_RUMOUR_RECALL,     /* key = "service/version"; never withdrawn */
 	SR_RUMOUR_SHARD_OWNER, /* version = epoch; key = "domain/shard" and
 				* value = "node address", or for the duties of
--- a/src/core/instance_notices.c
+++ b/src/core/instance_notices.c
@@ -1,15 +1,116 @@
 #include "core/instance_notices.h"
 
-unsigned sr_instance_notices_hear(sr_instance_notices_t *notices,
-				  const sr_notice_t *notice)
+/** Tolerance of the platform: in a window of four seconds an instance may get
+ * one and a half times what its limit allows, and five requests more. What the
+ * limit itself doesn't use of that is held by the buckets. */
+#define WINDOW_S 4.0
+#define TOLERANCE_FACTOR 1.5
+#define TOLERANCE_REQUESTS 5.0
+
+/** Part of it that is used; the rest is for requests of hosts that have not
+ * heard of the limit. */
+#define TOLERANCE_USED 0.7
+
+/** Rate at which an instance that takes nothing is still tried, so that the end
+ * of its limit is noticed. */
+#define RATE_MIN 0.05
+
+static double rate_of(double rate_limit)
+{
+	return MAX(rate_limit, RATE_MIN);
+}
+
+/* Requests that all buckets together may hold. */
+static double capacity_of_all(double rate_limit)
+{
+	return TOLERANCE_USED *
+	       ((TOLERANCE_FACTOR - 1) * WINDOW_S * rate_of(rate_limit) +
+		TOLERANCE_REQUESTS);
+}
+
+unsigned sr_instance_notices_max_hosts(double rate_limit)
+{
+	return (unsigned)MAX(capacity_of_all(rate_limit), 1);
+}
+
+static double capacity(const sr_instance_notices_t *notices)
+{
+	return MAX(capacity_of_all(notices->rate_limit) / notices->n_sharing,
+		   1);
+}
+
+static double tokens_at(const sr_instance_notices_t *notices, sr_usec_t now)
+{
+	double rate = rate_of(notices->rate_limit) / notices->n_sharing;
+	double elapsed_s = (double)(now - notices->refilled_at) / SR_SEC;
+
+	return MIN(notices->tokens + rate * elapsed_s, capacity(notices));
+}
+
+static void refill(sr_instance_notices_t *notices, sr_usec_t now)
 {
-	unsigned changes = SR_NOTICE_UNCHANGED;
+	if (notices->n_sharing > 0)
+		notices->tokens = tokens_at(notices, now);
+	notices->refilled_at = now;
+}
 
-	if (notices->is_limited != notice->has_rate_limit ||
-	    (notice->has_rate_limit &&
-	     notices->rate_limit != notice->rate_limit))
-		changes |= SR_NOTICE_LIMIT_CHANGED;
+unsigned sr_instance_notices_hear(sr_instance_notices_t *notices,
+				  const sr_notice_t *notice, sr_usec_t now)
+{
+	if (notices->is_limited == notice->has_rate_limit &&
+	    (!notice->has_rate_limit ||
+	     notices->rate_limit == notice->rate_limit))
+		return SR_NOTICE_UNCHANGED;
+	if (notices->is_limited) {
+		refill(notices, now);
+	} else {
+		notices->n_sharing = 1;
+		notices->tokens = 0;
+		notices->refilled_at = now;
+	}
 	notices->is_limited = notice->has_rate_limit;
 	notices->rate_limit = notice->has_rate_limit ? notice->rate_limit : 0;
-	return changes;
+	return SR_NOTICE_LIMIT_CHANGED;
+}
+
+void sr_instance_notices_set_sharing(sr_instance_notices_t *notices, unsigned n,
+				     sr_usec_t now)
+{
+	if (!notices->is_limited || notices->n_sharing == n)
+		return;
+	refill(notices, now);
+	notices->n_sharing = n;
+	if (n > 0)
+		notices->tokens = MIN(notices->tokens, capacity(notices));
+}
+
+gboolean sr_instance_notices_allow(const sr_instance_notices_t *notices,
+				   sr_usec_t now)
+{
+	return sr_instance_notices_opens_in(notices, now) == 0;
+}
+
+sr_usec_t sr_instance_notices_opens_in(const sr_instance_notices_t *notices,
+				       sr_usec_t now)
+{
+	double missing;
+
+	if (!notices->is_limited)
+		return 0;
+	if (notices->n_sharing == 0)
+		return -1;
+	missing = 1 - tokens_at(notices, now);
+	if (missing <= 0)
+		return 0;
+	return (sr_usec_t)(missing * notices->n_sharing /
+			   rate_of(notices->rate_limit) * SR_SEC) +
+	       1;
+}
+
+void sr_instance_notices_sent(sr_instance_notices_t *notices, sr_usec_t now)
+{
+	if (!notices->is_limited || notices->n_sharing == 0)
+		return;
+	refill(notices, now);
+	notices->tokens -= 1;
 }
--- a/src/core/instance_notices.h
+++ b/src/core/instance_notices.h
@@ -7,10 +7,14 @@
 
 /**
  * sr_instance_notices_t - what an upstream instance has said of itself in its
- * responses
+ * responses, and what this host may therefore send to it
  *
  * Embedded in the instance and zero-initialised; a restarted instance is a new
  * one, and nothing of the earlier one applies to it.
+ *
+ * A rate limit is divided evenly among a few hosts by token buckets. Their
+ * number is bounded, so that each bucket can hold a request and all of them
+ * together stay within the tolerance.
  */
 
 /** sr_notice_t - what one response says. */
@@ -21,7 +25,10 @@
 
 typedef struct {
 	gboolean is_limited;
-	double rate_limit; /* requests/s */
+	double rate_limit;  /* requests/s */
+	unsigned n_sharing; /* hosts that divide the limit; 0: not this one */
+	double tokens;	    /* requests that this host may send, at... */
+	sr_usec_t refilled_at;
 } sr_instance_notices_t;
 
 /** sr_notice_change_t - effects of a notice, as bits. */
@@ -30,9 +37,33 @@
 	SR_NOTICE_LIMIT_CHANGED = 1 << 0,
 } sr_notice_change_t;
 
-/** sr_instance_notices_hear - apply the notice of a response; returns a set of
- * sr_notice_change_t. A limit that is no longer named ends. */
+/**
+ * sr_instance_notices_hear - apply the notice of a response
+ *
+ * Returns a set of sr_notice_change_t. A limit that is no longer named ends. A
+ * new one is this host's alone until sr_instance_notices_set_sharing().
+ */
 unsigned sr_instance_notices_hear(sr_instance_notices_t *notices,
-				  const sr_notice_t *notice);
+				  const sr_notice_t *notice, sr_usec_t now);
+
+/** sr_instance_notices_max_hosts - hosts that a limit may be divided among. */
+unsigned sr_instance_notices_max_hosts(double rate_limit);
+
+/** sr_instance_notices_set_sharing - set the number of hosts that divide the
+ * limit; 0 if this host is none of them. */
+void sr_instance_notices_set_sharing(sr_instance_notices_t *notices, unsigned n,
+				     sr_usec_t now);
+
+/** sr_instance_notices_allow - whether a request may be sent. */
+gboolean sr_instance_notices_allow(const sr_instance_notices_t *notices,
+				   sr_usec_t now);
+
+/** sr_instance_notices_opens_in - time until a request may be sent, 0 if it may
+ * be at once; negative if that can't be told. */
+sr_usec_t sr_instance_notices_opens_in(const sr_instance_notices_t *notices,
+				       sr_usec_t now);
+
+/** sr_instance_notices_sent - count a request. */
+void sr_instance_notices_sent(sr_instance_notices_t *notices, sr_usec_t now);
 
 #endif
--- a/src/core/instances.c
+++ b/src/core/instances.c
@@ -221,6 +221,26 @@
 	return instances->all;
 }
 
+sr_usec_t sr_instances_opens_in(const sr_instances_t *instances,
+				const char *service, sr_usec_t now)
+{
+	const GPtrArray *list = sr_instances_of_service(instances, service);
+	sr_usec_t earliest = 0;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const sr_instance_t *instance = list->pdata[i];
+		sr_usec_t opens_in =
+			sr_instance_notices_opens_in(&instance->notices, now);
+
+		if (!sr_instance_is_present(instance) || opens_in < 0)
+			continue;
+		if (opens_in == 0)
+			return 0;
+		earliest = earliest > 0 ? MIN(earliest, opens_in) : opens_in;
+	}
+	return earliest;
+}
+
 gboolean sr_instance_is_present(const sr_instance_t *instance)
 {
 	return !instance->is_removed && !instance->draining;
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -118,6 +118,11 @@
 /** sr_instance_is_usable - present and not ejected. */
 gboolean sr_instance_is_usable(const sr_instance_t *instance, sr_usec_t now);
 
+/** sr_instances_opens_in - time until a present instance of the service takes a
+ * request from this host again; 0 if one does, or if that can't be told. */
+sr_usec_t sr_instances_opens_in(const sr_instances_t *instances,
+				const char *service, sr_usec_t now);
+
 /** sr_instance_ref - returns instance with a new reference. */
 sr_instance_t *sr_instance_ref(sr_instance_t *instance);
 
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -166,7 +166,8 @@
 	return n_before < request->max_instances;
 }
 
-/* Returns the home instance of the prompt's shared prefix; NULL if none. */
+/* Returns the home instance of the prompt's shared prefix; NULL if none. One
+ * that takes few requests is no home. */
 static const sr_instance_t *find_home(const sr_placement_request_t *request,
 				      const GPtrArray *list, sr_usec_t now)
 {
@@ -184,6 +185,7 @@
 		guint64 score;
 
 		if (!sr_instance_is_usable(instance, now) ||
+		    instance->notices.is_limited ||
 		    !is_allowed_version(request, instance))
 			continue;
 		score = sr_rendezvous_score(instance->name, key);
@@ -291,6 +293,7 @@
 			     candidate_filter_t filter, sr_usec_t now)
 {
 	if (was_tried(request, instance->id) ||
+	    !sr_instance_notices_allow(&instance->notices, now) ||
 	    !is_allowed_version(request, instance) ||
 	    !is_among_first(request, list, instance, now))
 		return FALSE;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -49,8 +49,8 @@
  * incarnation; the incarnation is in the bits above. */
 #define SEQUENCE_BITS 20
 
-static void publish(sr_fleet_t *fleet, sr_rumour_kind_t kind, const char *key,
-		    guint64 version, const char *text, sr_usec_t ttl)
+void sr_fleet_publish(sr_fleet_t *fleet, sr_rumour_kind_t kind, const char *key,
+		      guint64 version, const char *text, sr_usec_t ttl)
 {
 	const sr_rumour_t rumour = {
 		.kind = kind,
@@ -70,7 +70,7 @@
 	guint64 version =
 		(fleet->incarnation << SEQUENCE_BITS) + ++fleet->n_published;
 
-	publish(fleet, kind, key, version, text, ttl);
+	sr_fleet_publish(fleet, kind, key, version, text, ttl);
 }
 
 static void log_change(const sr_fleet_t *fleet, const char *event,
@@ -97,8 +97,8 @@
 		g_clear_pointer(&fleet->table_text, g_bytes_unref);
 		fleet->table_text = g_bytes_ref(text);
 		fleet->table_version = table->version;
-		publish(fleet, SR_RUMOUR_ROUTE_TABLE, "", table->version, "",
-			0);
+		sr_fleet_publish(fleet, SR_RUMOUR_ROUTE_TABLE, "",
+				 table->version, "", 0);
 		log_change(fleet, "table-in-force", "table", table->version,
 			   source);
 	}
@@ -191,6 +191,8 @@
 		     change_event(change, entry->draining), "what", entry->name,
 		     "service", entry->service, "software", entry->version,
 		     "version", revision, "source", source, NULL);
+	if (change != SR_INSTANCE_UPDATED)
+		sr_notice_gossip_restore(fleet, entry->name);
 	return TRUE;
 }
 
@@ -212,8 +214,8 @@
 		MAX(fleet->platform_revision, entry->revision);
 	apply_registration(fleet, entry, "platform");
 	if (text)
-		publish(fleet, SR_RUMOUR_INSTANCE, entry->name,
-			entry->revision * 2, text, 0);
+		sr_fleet_publish(fleet, SR_RUMOUR_INSTANCE, entry->name,
+				 entry->revision * 2, text, 0);
 	g_free(text);
 }
 
@@ -222,7 +224,8 @@
 {
 	fleet->platform_revision = MAX(fleet->platform_revision, revision);
 	apply_removal(fleet, name, revision, "platform");
-	publish(fleet, SR_RUMOUR_INSTANCE, name, revision * 2 + 1, "", 0);
+	sr_fleet_publish(fleet, SR_RUMOUR_INSTANCE, name, revision * 2 + 1, "",
+			 0);
 }
 
 static void receive_instance(sr_fleet_t *fleet, const sr_rumour_t *rumour)
@@ -270,6 +273,9 @@
 	case SR_RUMOUR_SHARD_OWNER:
 		receive_duty_holder(fleet, rumour);
 		break;
+	case SR_RUMOUR_HOST_STATE:
+		sr_notice_gossip_receive(fleet, rumour);
+		break;
 	case SR_RUMOUR_ROLLOUT:
 		sr_rollouts_receive(fleet->rollouts, rumour->key,
 				    rumour->version, rumour->value,
@@ -409,6 +415,7 @@
 		sr_gateway_set_host_count(fleet->options.gateway,
 					  sr_fleet_sharing_hosts(fleet));
 		sr_usage_exchange_send(fleet);
+		sr_notice_gossip_tick(fleet);
 		sr_pool_requests_tick(fleet);
 	}
 	if (now >= fleet->next_rollout_tick_at) {
@@ -488,7 +495,7 @@
 static void publish_rollout(void *user, const char *key, guint64 version,
 			    const char *value)
 {
-	publish(user, SR_RUMOUR_ROLLOUT, key, version, value, 0);
+	sr_fleet_publish(user, SR_RUMOUR_ROLLOUT, key, version, value, 0);
 }
 
 static void write_rollout_status(void *user, const sr_rollout_order_t *order)
@@ -618,13 +625,13 @@
 {
 	g_free(fleet->duty_holder);
 	fleet->duty_holder = g_strdup(fleet->options.peer_address);
-	publish(fleet, SR_RUMOUR_SHARD_OWNER, SR_FLEET_DUTIES_KEY, epoch,
-		fleet->options.peer_address, 0);
+	sr_fleet_publish(fleet, SR_RUMOUR_SHARD_OWNER, SR_FLEET_DUTIES_KEY,
+			 epoch, fleet->options.peer_address, 0);
 }
 
 void sr_fleet_announce_report(sr_fleet_t *fleet, guint64 window)
 {
-	publish(fleet, SR_RUMOUR_REPORTED, "", window + 1, "", 0);
+	sr_fleet_publish(fleet, SR_RUMOUR_REPORTED, "", window + 1, "", 0);
 }
 
 guint64 sr_fleet_reported_windows(const sr_fleet_t *fleet)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -160,6 +160,10 @@
 					 const sr_allowance_use_t *use),
 			      void *user);
 
+/** sr_fleet_publish_notices - tell the other hosts what an instance has said of
+ * itself, and divide its limit among them. */
+void sr_fleet_publish_notices(sr_fleet_t *fleet, sr_instance_t *instance);
+
 /** sr_fleet_rollouts - the orders of roll-outs; borrowed. */
 sr_rollouts_t *sr_fleet_rollouts(const sr_fleet_t *fleet);
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -2,6 +2,7 @@
 #define SR_FLEET_FLEET_INTERNAL_H
 
 #include "base/list.h"
+#include "base/rendezvous.h"
 #include "core/gossip.h"
 #include "daemon/members.h"
 #include "fleet/fleet.h"
@@ -69,6 +70,11 @@
  * than are known in the first moments after a start. */
 unsigned sr_fleet_sharing_hosts(const sr_fleet_t *fleet);
 
+/** sr_fleet_publish - gossip a value; of two values of a key the one with the
+ * higher version wins. ttl as in sr_gossip_put(). */
+void sr_fleet_publish(sr_fleet_t *fleet, sr_rumour_kind_t kind, const char *key,
+		      guint64 version, const char *text, sr_usec_t ttl);
+
 /**
  * sr_fleet_publish_own - gossip a value that only this host publishes
  *
@@ -111,6 +117,17 @@
 gboolean sr_pool_requests_receive(sr_fleet_t *fleet, const guint8 *data,
 				  gsize size);
 
+/* notice_gossip.c: what instances say of themselves */
+
+/** sr_notice_gossip_tick - update which hosts divide the limits of instances;
+ * call once a second. */
+void sr_notice_gossip_tick(sr_fleet_t *fleet);
+void sr_notice_gossip_receive(sr_fleet_t *fleet, const sr_rumour_t *rumour);
+
+/** sr_notice_gossip_restore - apply to an instance that was added what peers
+ * have said of it. */
+void sr_notice_gossip_restore(sr_fleet_t *fleet, const char *instance);
+
 /* store_notice.c: notices of the hosts that watch the platform */
 
 /** sr_store_notice_receive - FALSE if the datagram is not of this kind. */
--- a/src/fleet/rollouts.h
+++ b/src/fleet/rollouts.h
@@ -76,11 +76,12 @@
 /** First word of a line of sr_rollouts_save(). */
 #define SR_ROLLOUTS_SAVED_WORD "rollout"
 
-/** sr_rollouts_save - append a line for each order, for hosts that start when no
- * other host is left that knows them. */
+/** sr_rollouts_save - append a line for each order, for hosts that start when
+ * no other host is left that knows them. */
 void sr_rollouts_save(const sr_rollouts_t *rollouts, GString *out);
 
-/** sr_rollouts_restore - apply the words of a saved line; others are ignored. */
+/** sr_rollouts_restore - apply the words of a saved line; others are ignored.
+ */
 void sr_rollouts_restore(sr_rollouts_t *rollouts, char **words);
 
 /** sr_rollouts_observe - an attempt at an instance has ended. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,6 +60,9 @@
 	 * be NULL. */
 	void (*attempt_observed)(void *user,
 				 const sr_observation_t *observation);
+	/* An instance has said something new of itself in a response; may be
+	 * NULL. */
+	void (*instance_noticed)(void *user, sr_instance_t *instance);
 	/* Requests an amount from the account's allowance pool; done is called
 	 * once, possibly from inside this call. NULL if there are no pools. */
 	void (*take_from_pool)(void *user, const char *account, double amount,
@@ -119,6 +122,11 @@
 					   double prefill_s),
 				void *user);
 
+/** sr_gateway_apply_notice - apply what an instance has said of itself in a
+ * response to another host. */
+void sr_gateway_apply_notice(sr_gateway_t *gateway, sr_instance_t *instance,
+			     const sr_notice_t *notice);
+
 /** sr_gateway_set_version_trial - divides the requests for a service between
  * its versions; the trial is borrowed until it is replaced, NULL ends it. */
 void sr_gateway_set_version_trial(sr_gateway_t *gateway, const char *service,
--- a/src/gateway/notice.c
+++ b/src/gateway/notice.c
@@ -1,5 +1,11 @@
+#include <string.h>
+
 #include "gateway/internal.h"
 
+/** Where a notice comes from, for the log. */
+#define SOURCE_RESPONSE "response"
+#define SOURCE_PEER "peer"
+
 /** Largest rate limit that is accepted, in requests/s; one that is higher
  * limits nothing that a host could send. */
 #define RATE_LIMIT_MAX 1e6
@@ -29,18 +35,35 @@
 		     "rate_per_s", rate, "source", source, NULL);
 }
 
+static void apply(sr_gateway_t *gateway, sr_instance_t *instance,
+		  const sr_notice_t *notice, const char *source)
+{
+	unsigned changes = sr_instance_notices_hear(&instance->notices, notice,
+						    sr_gateway_now(gateway));
+
+	if (changes & SR_NOTICE_LIMIT_CHANGED)
+		log_limit(gateway, instance, source);
+	if (changes && !strcmp(source, SOURCE_RESPONSE) &&
+	    gateway->options.instance_noticed)
+		gateway->options.instance_noticed(gateway->options.user,
+						  instance);
+}
+
+void sr_gateway_apply_notice(sr_gateway_t *gateway, sr_instance_t *instance,
+			     const sr_notice_t *notice)
+{
+	apply(gateway, instance, notice, SOURCE_PEER);
+}
+
 void sr_gateway_read_notices(sr_gateway_t *gateway, sr_instance_t *instance,
 			     const sr_message_t *response)
 {
 	const sr_dialect_t *dialect = gateway->options.dialect;
 	sr_notice_t notice = { 0 };
-	unsigned changes;
 
 	if (dialect->rate_limit)
 		notice.has_rate_limit = read_rate_limit(
 			sr_headers_get(response->headers, dialect->rate_limit),
 			&notice.rate_limit);
-	changes = sr_instance_notices_hear(&instance->notices, &notice);
-	if (changes & SR_NOTICE_LIMIT_CHANGED)
-		log_limit(gateway, instance, "response");
+	apply(gateway, instance, &notice, SOURCE_RESPONSE);
 }
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -213,6 +213,7 @@
 	sr_usec_t now = sr_transaction_now(transaction);
 
 	instance->in_flight++;
+	sr_instance_notices_sent(&instance->notices, now);
 	sr_ejection_begin(&instance->ejection, now);
 	transaction->expected_first_event_s = choice->first_event_s;
 	transaction->prefill_tokens = choice->uncached_tokens;
@@ -258,6 +259,16 @@
 			 "could not open a connection to the instance");
 }
 
+/* When an instance of the service takes requests again. */
+static sr_usec_t time_to_return(const sr_transaction_t *transaction)
+{
+	sr_usec_t opens_in = sr_instances_opens_in(
+		transaction->gateway->instances, transaction->service,
+		sr_transaction_now(transaction));
+
+	return MAX(opens_in, SR_TRANSACTION_RETRY_AFTER);
+}
+
 static void start_attempt(sr_transaction_t *transaction)
 {
 	sr_placement_choice_t choice = choose_instance(transaction);
@@ -271,7 +282,7 @@
 			sr_transaction_refuse(
 				transaction, SR_ERR_NO_UPSTREAM,
 				"no usable instance of the service",
-				SR_TRANSACTION_RETRY_AFTER);
+				time_to_return(transaction));
 		return;
 	}
 	if (transaction->n_sent + transaction->n_unsent == 0 &&
--- /dev/null
+++ b/test/instance_notices_test.c
@@ -0,0 +1,177 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "core/instance_notices.h"
+
+/* All hosts of a failure domain send to an instance whenever they may. */
+
+#define HOSTS_MAX 40
+#define TICK (20 * SR_MSEC)
+#define TICKS_PER_S 50
+#define RUN_TICKS (40 * TICKS_PER_S)
+#define WINDOW_TICKS (4 * TICKS_PER_S)
+#define TOLERANCE_FACTOR 1.5
+#define TOLERANCE_REQUESTS 5
+
+typedef struct {
+	sr_instance_notices_t notices[HOSTS_MAX];
+	unsigned n_hosts;
+	unsigned sent[RUN_TICKS];
+	sr_usec_t now;
+} domain_t;
+
+static void set_sharing(domain_t *domain)
+{
+	unsigned most =
+		sr_instance_notices_max_hosts(domain->notices[0].rate_limit);
+
+	for (unsigned i = 0; i < domain->n_hosts; i++)
+		sr_instance_notices_set_sharing(
+			&domain->notices[i],
+			i < most ? MIN(most, domain->n_hosts) : 0, domain->now);
+}
+
+static void hear_limit(domain_t *domain, double limit)
+{
+	const sr_notice_t notice = { .has_rate_limit = TRUE,
+				     .rate_limit = limit };
+
+	for (unsigned i = 0; i < domain->n_hosts; i++)
+		sr_instance_notices_hear(&domain->notices[i], &notice,
+					 domain->now);
+	set_sharing(domain);
+}
+
+static void run_ticks(domain_t *domain, unsigned from, unsigned to)
+{
+	for (unsigned tick = from; tick < to; tick++) {
+		domain->now += TICK;
+		for (unsigned i = 0; i < domain->n_hosts; i++) {
+			if (!sr_instance_notices_allow(&domain->notices[i],
+						       domain->now))
+				continue;
+			sr_instance_notices_sent(&domain->notices[i],
+						 domain->now);
+			domain->sent[tick]++;
+		}
+	}
+}
+
+static unsigned sum_window(const domain_t *domain, unsigned from)
+{
+	unsigned n = 0;
+
+	for (unsigned i = from; i < from + WINDOW_TICKS && i < RUN_TICKS; i++)
+		n += domain->sent[i];
+	return n;
+}
+
+static void assert_within(const domain_t *domain, unsigned from, unsigned to,
+			  double limit)
+{
+	for (unsigned i = from; i + WINDOW_TICKS <= to; i++)
+		assert_true(sum_window(domain, i) <=
+			    TOLERANCE_FACTOR * 4 * limit + TOLERANCE_REQUESTS);
+}
+
+/* Guards against LIMIT of 2026-12-04: the limit holds for all hosts together,
+ * whatever their number, and is used. */
+static void test_hosts_divide_a_limit(void **state)
+{
+	static const double limits[] = { 0.25, 1, 3, 20 };
+	static const unsigned sizes[] = { 1, 3, 12, 40 };
+
+	(void)state;
+	for (gsize l = 0; l < G_N_ELEMENTS(limits); l++) {
+		for (gsize s = 0; s < G_N_ELEMENTS(sizes); s++) {
+			domain_t domain = { .n_hosts = sizes[s],
+					    .now = SR_SEC };
+			unsigned n = 0;
+
+			hear_limit(&domain, limits[l]);
+			run_ticks(&domain, 0, RUN_TICKS);
+			assert_within(&domain, 0, RUN_TICKS, limits[l]);
+			for (unsigned i = 0; i < RUN_TICKS; i++)
+				n += domain.sent[i];
+			assert_true(n >= 0.8 * limits[l] * 40 - 1);
+		}
+	}
+}
+
+/* A pause fills the buckets of all hosts, which then send at once. */
+static void test_pause_saves_up_little(void **state)
+{
+	domain_t domain = { .n_hosts = 40, .now = SR_SEC };
+
+	(void)state;
+	hear_limit(&domain, 1);
+	domain.now += 600 * SR_SEC;
+	run_ticks(&domain, 0, RUN_TICKS);
+	assert_within(&domain, 0, RUN_TICKS, 1);
+}
+
+static void test_lowered_limit_binds_at_once(void **state)
+{
+	domain_t domain = { .n_hosts = 9, .now = SR_SEC };
+
+	(void)state;
+	hear_limit(&domain, 20);
+	run_ticks(&domain, 0, RUN_TICKS / 2);
+	hear_limit(&domain, 1);
+	run_ticks(&domain, RUN_TICKS / 2, RUN_TICKS);
+	assert_within(&domain, RUN_TICKS / 2, RUN_TICKS, 1);
+}
+
+static void test_fewer_hosts_get_larger_parts(void **state)
+{
+	domain_t domain = { .n_hosts = 4, .now = SR_SEC };
+
+	(void)state;
+	hear_limit(&domain, 1);
+	run_ticks(&domain, 0, RUN_TICKS / 2);
+	domain.n_hosts = 2;
+	set_sharing(&domain);
+	run_ticks(&domain, RUN_TICKS / 2, RUN_TICKS);
+	assert_within(&domain, 0, RUN_TICKS, 1);
+}
+
+static void test_limit_that_is_not_named_ends(void **state)
+{
+	sr_instance_notices_t notices = { 0 };
+	const sr_notice_t limited = { .has_rate_limit = TRUE, .rate_limit = 1 };
+	const sr_notice_t nothing = { 0 };
+
+	(void)state;
+	assert_int_equal(sr_instance_notices_hear(&notices, &nothing, SR_SEC),
+			 SR_NOTICE_UNCHANGED);
+	assert_int_equal(sr_instance_notices_hear(&notices, &limited, SR_SEC),
+			 SR_NOTICE_LIMIT_CHANGED);
+	assert_int_equal(sr_instance_notices_hear(&notices, &limited, SR_SEC),
+			 SR_NOTICE_UNCHANGED);
+	assert_false(sr_instance_notices_allow(&notices, SR_SEC));
+	assert_int_equal(sr_instance_notices_opens_in(&notices, SR_SEC),
+			 SR_SEC + 1);
+	sr_instance_notices_set_sharing(&notices, 0, SR_SEC);
+	assert_false(sr_instance_notices_allow(&notices, 100 * SR_SEC));
+	assert_true(sr_instance_notices_opens_in(&notices, SR_SEC) < 0);
+	assert_int_equal(sr_instance_notices_hear(&notices, &nothing, SR_SEC),
+			 SR_NOTICE_LIMIT_CHANGED);
+	assert_true(sr_instance_notices_allow(&notices, SR_SEC));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_hosts_divide_a_limit),
+		cmocka_unit_test(test_pause_saves_up_little),
+		cmocka_unit_test(test_lowered_limit_binds_at_once),
+		cmocka_unit_test(test_fewer_hosts_get_larger_parts),
+		cmocka_unit_test(test_limit_that_is_not_named_ends),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
