Send nothing to an instance whose responses say that it is leaving

The word now counts like the registry's, until the instance restarts, and spreads as a rumour at once. What runs there goes on.

platform_notice_test: 105 requests came later than 2 s after the first such response before, none now.

--- a/src/core/instance_notices.c
+++ b/src/core/instance_notices.c
@@ -54,8 +54,8 @@
 	notices->refilled_at = now;
 }
 
-unsigned sr_instance_notices_hear(sr_instance_notices_t *notices,
-				  const sr_notice_t *notice, sr_usec_t now)
+static unsigned hear_limit(sr_instance_notices_t *notices,
+			   const sr_notice_t *notice, sr_usec_t now)
 {
 	if (notices->is_limited == notice->has_rate_limit &&
 	    (!notice->has_rate_limit ||
@@ -73,6 +73,18 @@
 	return SR_NOTICE_LIMIT_CHANGED;
 }
 
+unsigned sr_instance_notices_hear(sr_instance_notices_t *notices,
+				  const sr_notice_t *notice, sr_usec_t now)
+{
+	unsigned changes = hear_limit(notices, notice, now);
+
+	if (notice->leaving && !notices->leaving) {
+		notices->leaving = TRUE;
+		changes |= SR_NOTICE_LEAVING;
+	}
+	return changes;
+}
+
 void sr_instance_notices_set_sharing(sr_instance_notices_t *notices, unsigned n,
 				     sr_usec_t now)
 {
--- a/src/core/instance_notices.h
+++ b/src/core/instance_notices.h
@@ -19,11 +19,13 @@
 
 /** sr_notice_t - what one response says. */
 typedef struct {
+	gboolean leaving; /* it takes no new requests */
 	gboolean has_rate_limit;
 	double rate_limit; /* requests/s that it takes from all hosts */
 } sr_notice_t;
 
 typedef struct {
+	gboolean leaving; /* until the end of the instance */
 	gboolean is_limited;
 	double rate_limit;  /* requests/s */
 	unsigned n_sharing; /* hosts that divide the limit; 0: not this one */
@@ -35,6 +37,7 @@
 typedef enum {
 	SR_NOTICE_UNCHANGED = 0,
 	SR_NOTICE_LIMIT_CHANGED = 1 << 0,
+	SR_NOTICE_LEAVING = 1 << 1,
 } sr_notice_change_t;
 
 /**
--- a/src/core/instances.c
+++ b/src/core/instances.c
@@ -243,7 +243,8 @@
 
 gboolean sr_instance_is_present(const sr_instance_t *instance)
 {
-	return !instance->is_removed && !instance->draining;
+	return !instance->is_removed && !instance->draining &&
+	       !instance->notices.leaving;
 }
 
 gboolean sr_instance_is_usable(const sr_instance_t *instance, sr_usec_t now)
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -112,7 +112,8 @@
 /** sr_instances_all - registered ones, of sr_instance_t; borrowed. */
 const GPtrArray *sr_instances_all(const sr_instances_t *instances);
 
-/** sr_instance_is_present - registered and not draining. */
+/** sr_instance_is_present - registered and not leaving, by its registration or
+ * its responses. */
 gboolean sr_instance_is_present(const sr_instance_t *instance);
 
 /** sr_instance_is_usable - present and not ejected. */
--- a/src/fleet/notice_gossip.c
+++ b/src/fleet/notice_gossip.c
@@ -57,7 +57,7 @@
 	}
 }
 
-/* Value "START_MS LIMIT"; the version is the time of the response. */
+/* Value "START_MS LIMIT LEAVING"; the version is the time of the response. */
 void sr_fleet_publish_notices(sr_fleet_t *fleet, sr_instance_t *instance)
 {
 	char limit[G_ASCII_DTOSTR_BUF_SIZE] = NO_LIMIT;
@@ -66,8 +66,9 @@
 	if (instance->notices.is_limited)
 		g_ascii_dtostr(limit, sizeof(limit),
 			       instance->notices.rate_limit);
-	value = g_strdup_printf("%" G_GINT64_FORMAT " %s",
-				instance->start_unix_ms, limit);
+	value = g_strdup_printf("%" G_GINT64_FORMAT " %s %d",
+				instance->start_unix_ms, limit,
+				instance->notices.leaving);
 	update_sharing(fleet, instance);
 	sr_fleet_publish(fleet, SR_RUMOUR_HOST_STATE, instance->name,
 			 (guint64)sr_clock_unix_ms(fleet->options.clock), value,
@@ -84,6 +85,7 @@
 		return; /* of an earlier instance of the name */
 	notice.rate_limit = g_ascii_strtod(words[1], &end);
 	notice.has_rate_limit = end > words[1] && *end == '\0';
+	notice.leaving = !strcmp(words[2], "1");
 	sr_gateway_apply_notice(fleet->options.gateway, instance, &notice);
 	update_sharing(fleet, instance);
 }
@@ -95,7 +97,7 @@
 	char *text = g_strndup((const char *)rumour->value, rumour->size);
 	char **words = g_strsplit(text, " ", -1);
 
-	if (instance && g_strv_length(words) == 2)
+	if (instance && g_strv_length(words) == 3)
 		apply(fleet, instance, words);
 	g_strfreev(words);
 	g_free(text);
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -24,6 +24,7 @@
 	/* Response headers from instances. */
 	const char *signature;	/* required in responses below status 400 */
 	const char *not_run;	/* the request was not executed */
+	const char *leaving;	/* "1" if the instance is leaving */
 	const char *rate_limit; /* requests/s that the instance takes */
 	/* Request headers that are removed from callers' requests because only
 	 * this system may set them; NULL-terminated. */
--- a/src/gateway/notice.c
+++ b/src/gateway/notice.c
@@ -35,6 +35,14 @@
 		     "rate_per_s", rate, "source", source, NULL);
 }
 
+static void log_leaving(const sr_gateway_t *gateway,
+			const sr_instance_t *instance, const char *source)
+{
+	sr_log_event(gateway->options.log, SR_LOG_INFO, "instance-says-leaving",
+		     "what", instance->name, "service", instance->service,
+		     "source", source, NULL);
+}
+
 static void apply(sr_gateway_t *gateway, sr_instance_t *instance,
 		  const sr_notice_t *notice, const char *source)
 {
@@ -43,6 +51,8 @@
 
 	if (changes & SR_NOTICE_LIMIT_CHANGED)
 		log_limit(gateway, instance, source);
+	if (changes & SR_NOTICE_LEAVING)
+		log_leaving(gateway, instance, source);
 	if (changes && !strcmp(source, SOURCE_RESPONSE) &&
 	    gateway->options.instance_noticed)
 		gateway->options.instance_noticed(gateway->options.user,
@@ -61,6 +71,10 @@
 	const sr_dialect_t *dialect = gateway->options.dialect;
 	sr_notice_t notice = { 0 };
 
+	if (dialect->leaving)
+		notice.leaving = !g_strcmp0(
+			sr_headers_get(response->headers, dialect->leaving),
+			"1");
 	if (dialect->rate_limit)
 		notice.has_rate_limit = read_rate_limit(
 			sr_headers_get(response->headers, dialect->rate_limit),
--- a/test/instance_notices_test.c
+++ b/test/instance_notices_test.c
@@ -163,6 +163,20 @@
 	assert_true(sr_instance_notices_allow(&notices, SR_SEC));
 }
 
+static void test_leaving_lasts(void **state)
+{
+	sr_instance_notices_t notices = { 0 };
+	const sr_notice_t leaving = { .leaving = TRUE };
+	const sr_notice_t nothing = { 0 };
+
+	(void)state;
+	assert_int_equal(sr_instance_notices_hear(&notices, &leaving, SR_SEC),
+			 SR_NOTICE_LEAVING);
+	assert_int_equal(sr_instance_notices_hear(&notices, &nothing, SR_SEC),
+			 SR_NOTICE_UNCHANGED);
+	assert_true(notices.leaving);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -171,6 +185,7 @@
 		cmocka_unit_test(test_lowered_limit_binds_at_once),
 		cmocka_unit_test(test_fewer_hosts_get_larger_parts),
 		cmocka_unit_test(test_limit_that_is_not_named_ends),
+		cmocka_unit_test(test_leaving_lasts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform_notice_test.c
+++ b/test/platform_notice_test.c
@@ -10,6 +10,9 @@
 /** Time after the first naming from which the bound holds. */
 #define LIMIT_SETTLE_US (3 * G_USEC_PER_SEC)
 
+/** Time after which a leaving instance must get nothing. */
+#define DRAIN_US (2 * G_USEC_PER_SEC)
+
 static bed_t *bed_with_notice(const char *name, const char *value)
 {
 	bed_t *bed = bed_new();
@@ -60,10 +63,29 @@
 	bed_free(bed);
 }
 
+/* Guards against DRAIN by responses: an instance that says that it is leaving
+ * got requests until the registry said so. */
+static void test_leaving_instance_gets_no_request(void **state)
+{
+	bed_t *bed = bed_with_notice("Server-Leaving", "1");
+	const upstream_t *upstream = &bed->upstreams[0];
+
+	(void)state;
+	send_requests(bed, 4000);
+	assert_true(upstream->times->len > 0);
+	assert_int_equal(count_requests(upstream,
+					time_at(upstream, 0) + DRAIN_US,
+					G_MAXINT32),
+			 0);
+	assert_int_equal(bed->n_ok, bed->n_sent);
+	bed_free(bed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_limit_of_an_instance_is_kept),
+		cmocka_unit_test(test_leaving_instance_gets_no_request),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
