Spare an instance for the time that it names with a 503

The host sends nothing until the time is over, and up to a tenth of it longer, at random, so that hosts don't return at once; other routes and resumed streams are bound as well, since the instance is no candidate. A caller that finds no other instance is told when the earliest one returns.

--- a/src/core/instance_notices.c
+++ b/src/core/instance_notices.c
@@ -78,6 +78,11 @@
 {
 	unsigned changes = hear_limit(notices, notice, now);
 
+	if (notice->back_off > 0 &&
+	    now + notice->back_off > notices->back_off_until) {
+		notices->back_off_until = now + notice->back_off;
+		changes |= SR_NOTICE_BACK_OFF;
+	}
 	if (notice->leaving && !notices->leaving) {
 		notices->leaving = TRUE;
 		changes |= SR_NOTICE_LEAVING;
@@ -102,8 +107,8 @@
 	return sr_instance_notices_opens_in(notices, now) == 0;
 }
 
-sr_usec_t sr_instance_notices_opens_in(const sr_instance_notices_t *notices,
-				       sr_usec_t now)
+static sr_usec_t limit_opens_in(const sr_instance_notices_t *notices,
+				sr_usec_t now)
 {
 	double missing;
 
@@ -119,6 +124,16 @@
 	       1;
 }
 
+sr_usec_t sr_instance_notices_opens_in(const sr_instance_notices_t *notices,
+				       sr_usec_t now)
+{
+	sr_usec_t by_limit = limit_opens_in(notices, now);
+
+	if (by_limit < 0)
+		return by_limit;
+	return MAX(by_limit, notices->back_off_until - now);
+}
+
 void sr_instance_notices_sent(sr_instance_notices_t *notices, sr_usec_t now)
 {
 	if (!notices->is_limited || notices->n_sharing == 0)
--- a/src/core/instance_notices.h
+++ b/src/core/instance_notices.h
@@ -21,7 +21,8 @@
 typedef struct {
 	gboolean leaving; /* it takes no new requests */
 	gboolean has_rate_limit;
-	double rate_limit; /* requests/s that it takes from all hosts */
+	double rate_limit;  /* requests/s that it takes from all hosts */
+	sr_usec_t back_off; /* it wants nothing from this host for so long */
 } sr_notice_t;
 
 typedef struct {
@@ -31,6 +32,7 @@
 	unsigned n_sharing; /* hosts that divide the limit; 0: not this one */
 	double tokens;	    /* requests that this host may send, at... */
 	sr_usec_t refilled_at;
+	sr_usec_t back_off_until; /* of this host only */
 } sr_instance_notices_t;
 
 /** sr_notice_change_t - effects of a notice, as bits. */
@@ -38,6 +40,7 @@
 	SR_NOTICE_UNCHANGED = 0,
 	SR_NOTICE_LIMIT_CHANGED = 1 << 0,
 	SR_NOTICE_LEAVING = 1 << 1,
+	SR_NOTICE_BACK_OFF = 1 << 2, /* concerns this host only */
 } sr_notice_change_t;
 
 /**
--- a/src/gateway/notice.c
+++ b/src/gateway/notice.c
@@ -2,6 +2,11 @@
 
 #include "gateway/internal.h"
 
+/** Longest time for which an instance may turn this host away, and the part by
+ * which hosts return later at random, so that they don't all come at once. */
+#define BACK_OFF_MAX_S 300.0
+#define BACK_OFF_JITTER 0.1
+
 /** Where a notice comes from, for the log. */
 #define SOURCE_RESPONSE "response"
 #define SOURCE_PEER "peer"
@@ -35,6 +40,37 @@
 		     "rate_per_s", rate, "source", source, NULL);
 }
 
+/* Of a response with status 503; 0 without a valid time. */
+static sr_usec_t read_back_off(sr_gateway_t *gateway,
+			       const sr_message_t *response)
+{
+	const char *text = sr_headers_get(response->headers, "Retry-After");
+	double jitter = 1 + BACK_OFF_JITTER * g_rand_double(gateway->rng);
+	double seconds;
+	char *end;
+
+	if (response->status != 503 || !text)
+		return 0;
+	seconds = g_ascii_strtod(text, &end);
+	if (end == text || *end != '\0' || !(seconds > 0))
+		return 0;
+	return (sr_usec_t)(MIN(seconds, BACK_OFF_MAX_S) * jitter * SR_SEC);
+}
+
+static void log_back_off(const sr_gateway_t *gateway,
+			 const sr_instance_t *instance)
+{
+	char ms[24];
+
+	g_snprintf(
+		ms, sizeof(ms), "%" G_GINT64_FORMAT,
+		(instance->notices.back_off_until - sr_gateway_now(gateway)) /
+			SR_MSEC);
+	sr_log_event(gateway->options.log, SR_LOG_INFO, "instance-back-off",
+		     "what", instance->name, "service", instance->service, "ms",
+		     ms, NULL);
+}
+
 static void log_leaving(const sr_gateway_t *gateway,
 			const sr_instance_t *instance, const char *source)
 {
@@ -53,7 +89,10 @@
 		log_limit(gateway, instance, source);
 	if (changes & SR_NOTICE_LEAVING)
 		log_leaving(gateway, instance, source);
-	if (changes && !strcmp(source, SOURCE_RESPONSE) &&
+	if (changes & SR_NOTICE_BACK_OFF)
+		log_back_off(gateway, instance);
+	if ((changes & ~SR_NOTICE_BACK_OFF) &&
+	    !strcmp(source, SOURCE_RESPONSE) &&
 	    gateway->options.instance_noticed)
 		gateway->options.instance_noticed(gateway->options.user,
 						  instance);
@@ -79,5 +118,6 @@
 		notice.has_rate_limit = read_rate_limit(
 			sr_headers_get(response->headers, dialect->rate_limit),
 			&notice.rate_limit);
+	notice.back_off = read_back_off(gateway, response);
 	apply(gateway, instance, &notice, SOURCE_RESPONSE);
 }
--- a/test/instance_notices_test.c
+++ b/test/instance_notices_test.c
@@ -177,6 +177,25 @@
 	assert_true(notices.leaving);
 }
 
+static void test_back_off_is_kept_to_its_end(void **state)
+{
+	sr_instance_notices_t notices = { 0 };
+	const sr_notice_t longer = { .back_off = 5 * SR_SEC };
+	const sr_notice_t shorter = { .back_off = SR_SEC };
+	const sr_notice_t nothing = { 0 };
+
+	(void)state;
+	assert_int_equal(sr_instance_notices_hear(&notices, &longer, SR_SEC),
+			 SR_NOTICE_BACK_OFF);
+	assert_int_equal(sr_instance_notices_hear(&notices, &shorter, SR_SEC),
+			 SR_NOTICE_UNCHANGED);
+	sr_instance_notices_hear(&notices, &nothing, SR_SEC);
+	assert_false(sr_instance_notices_allow(&notices, 5 * SR_SEC));
+	assert_int_equal(sr_instance_notices_opens_in(&notices, 4 * SR_SEC),
+			 2 * SR_SEC);
+	assert_true(sr_instance_notices_allow(&notices, 6 * SR_SEC));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -186,6 +205,7 @@
 		cmocka_unit_test(test_fewer_hosts_get_larger_parts),
 		cmocka_unit_test(test_limit_that_is_not_named_ends),
 		cmocka_unit_test(test_leaving_lasts),
+		cmocka_unit_test(test_back_off_is_kept_to_its_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform_notice_test.c
+++ b/test/platform_notice_test.c
@@ -13,6 +13,11 @@
 /** Time after which a leaving instance must get nothing. */
 #define DRAIN_US (2 * G_USEC_PER_SEC)
 
+/** Requests that an instance which has turned a host away may get from it
+ * within the time that it named, and the time until that counts. */
+#define BACK_OFF_REQUESTS 2
+#define BACK_OFF_SETTLE_US (G_USEC_PER_SEC / 2)
+
 static bed_t *bed_with_notice(const char *name, const char *value)
 {
 	bed_t *bed = bed_new();
@@ -81,11 +86,40 @@
 	bed_free(bed);
 }
 
+/* Guards against BUDGET by responses: an instance that turned a host away for a
+ * time got its part of the requests all the same. */
+static void test_instance_is_spared_for_the_time_that_it_names(void **state)
+{
+	bed_t *bed = bed_with_notice("Retry-After", "3");
+	upstream_t *upstream = &bed->upstreams[0];
+	gint64 turned_away;
+	unsigned n_after = 0;
+
+	(void)state;
+	upstream->turns_away = TRUE;
+	send_requests(bed, 1000);
+	assert_true(upstream->times->len > 0);
+	turned_away = time_at(upstream, upstream->times->len - 1);
+	upstream->turns_away = FALSE;
+	upstream->notice_name = NULL;
+	send_requests(bed, 4500);
+	n_after = count_requests(upstream, turned_away + BACK_OFF_SETTLE_US,
+				 3 * G_USEC_PER_SEC - BACK_OFF_SETTLE_US);
+	assert_true(n_after <= BACK_OFF_REQUESTS);
+	/* it takes part again afterwards */
+	assert_true(time_at(upstream, upstream->times->len - 1) >
+		    turned_away + 3 * G_USEC_PER_SEC);
+	assert_int_equal(bed->n_ok, bed->n_sent);
+	bed_free(bed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_limit_of_an_instance_is_kept),
 		cmocka_unit_test(test_leaving_instance_gets_no_request),
+		cmocka_unit_test(
+			test_instance_is_spared_for_the_time_that_it_names),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
