End roll-outs earlier before the limit; write no status of a removed order

It is written 1.2 s before at the latest.

A removed order was rolled back and its status written for good, to an object that is gone; test_removed_order_is_rolled_back failed before.

Attempts are counted by version while an order is known.

--- a/src/core/version_trial.c
+++ b/src/core/version_trial.c
@@ -27,15 +27,16 @@
 /** Time with all requests before the time limit, as a multiple of the average
  * response time, at least, and at most as a part of the order's time. */
 #define FULL_RESPONSE_TIMES 3
-#define FULL_TIME_MIN (1800 * SR_MSEC)
+#define FULL_TIME_MIN (2200 * SR_MSEC)
 #define FULL_TIME_FRACTION_MAX 0.25
 
 /** Time with all requests before the order may be completed: every host takes
  * the step within it. */
 #define FULL_TIME_SETTLE (800 * SR_MSEC)
 
-/** Time left before the limit in which the status is written at the latest. */
-#define FINISH_MARGIN (900 * SR_MSEC)
+/** Time before the limit at which the order is ended at the latest: a slow
+ * store takes some hundreds of milliseconds for the status. */
+#define FINISH_MARGIN (1200 * SR_MSEC)
 
 /** Answers of the new version that are needed for a larger share. */
 #define ANSWERS_MIN 10
--- a/src/fleet/rollouts.c
+++ b/src/fleet/rollouts.c
@@ -243,6 +243,7 @@
 	if (!rollout ||
 	    sr_version_trial_phase(rollout->trial) != SR_VERSION_TRIAL_MOVING)
 		return;
+	rollout->revision = 0; /* there is no status to write any more */
 	end_order(rollouts, rollout, SR_VERSION_TRIAL_ROLLED_BACK,
 		  "the order was taken back");
 }
--- a/src/gateway/transaction_observe.c
+++ b/src/gateway/transaction_observe.c
@@ -3,6 +3,30 @@
 /** Time after which a response that isn't complete shows its speed. */
 #define INCOMPLETE_TIME (2 * SR_SEC)
 
+/* While a service is moved to another version. */
+static void count_by_version(sr_gateway_t *gateway,
+			     const sr_observation_t *observation)
+{
+	static const char *const outcomes[] = {
+		[SR_OUTCOME_ANSWERED] = "answered",
+		[SR_OUTCOME_FAILED] = "failed",
+		[SR_OUTCOME_CONNECTION_ERROR] = "connection-error",
+	};
+	char *labels =
+		sr_metrics_labels("service", observation->service, "version",
+				  observation->version, "outcome",
+				  outcomes[observation->outcome], NULL);
+
+	sr_counter_add(sr_metrics_counter(
+			       gateway->options.metrics,
+			       "sassafras_gateway_version_attempts_total",
+			       "attempts by version, while an order to move "
+			       "the service is known",
+			       labels),
+		       1);
+	g_free(labels);
+}
+
 static void observe(sr_transaction_t *transaction, sr_outcome_t outcome,
 		    sr_usec_t latency)
 {
@@ -21,6 +45,9 @@
 
 	if (options->attempt_observed)
 		options->attempt_observed(options->user, &observation);
+	if (sr_gateway_service_state(transaction->gateway, transaction->service)
+		    ->trial)
+		count_by_version(transaction->gateway, &observation);
 	transaction->is_observed = TRUE;
 }
 
--- a/test/rollouts_test.c
+++ b/test/rollouts_test.c
@@ -184,6 +184,21 @@
 	fixture_free(fixture);
 }
 
+/* Guards against writing the status of an object that is gone, again and again.
+ */
+static void test_removed_order_is_rolled_back(void **state)
+{
+	fixture_t *fixture = fixture_new();
+
+	(void)state;
+	set_order(fixture, "v2", SR_ROLLOUT_STATUS_IN_PROGRESS, 5);
+	sr_rollouts_remove_order(fixture->rollouts, "s");
+	assert_saved(fixture, "rollout s v2 2 ");
+	sr_rollouts_perform(fixture->rollouts);
+	assert_string_equal(fixture->written->str, "");
+	fixture_free(fixture);
+}
+
 static void test_malformed_rumours_are_ignored(void **state)
 {
 	fixture_t *fixture = fixture_new();
@@ -234,6 +249,7 @@
 		cmocka_unit_test(test_end_of_an_order_is_not_taken_back),
 		cmocka_unit_test(test_stored_completion_is_final),
 		cmocka_unit_test(test_later_order_replaces_the_one_before),
+		cmocka_unit_test(test_removed_order_is_rolled_back),
 		cmocka_unit_test(test_malformed_rumours_are_ignored),
 		cmocka_unit_test(test_start_of_an_order_outlives_all_hosts),
 	};
