Prove roll-outs under kills and cuts; complete only what all hosts have proved

sassafras-prove has a model of roll-outs on a gateway (trial): 9, 75 or 195 hosts, good and faulty versions, kills, cuts, freezes, bursts, a grey old instance.

--- a/src/core/rollout_analysis.c
+++ b/src/core/rollout_analysis.c
@@ -50,8 +50,14 @@
 /** Decay of the peak rates per period. */
 #define PEAK_DECAY 0.8
 
-/** Weight of the previous baseline rate, in requests. */
-#define BASELINE_WEIGHT 200.0
+/** Decay of old_requests and old_failures per period. */
+#define OLD_DECAY 0.95
+
+/** Largest weight of the previous baseline rate, in requests: later ones change
+ * it as in a moving average. */
+#define BASELINE_WEIGHT_MAX 200.0
+/** Weight of a failure rate of zero before any request. */
+#define BASELINE_PRIOR 5.0
 
 /** Weight of the baseline in the rate of a period, in requests: a few failures
  * among a few requests are no higher rate. */
@@ -91,6 +97,7 @@
 		n_below += analysis->old_latency[analysis->slow_bucket++];
 	}
 	analysis->baseline_slow_rate = 1 - n_below / n_answers;
+	analysis->slow_weight = MIN(n_answers, BASELINE_WEIGHT_MAX);
 }
 
 static period_t period_between(const sr_evidence_counters_t *now,
@@ -122,11 +129,45 @@
 	return sum;
 }
 
+static void remember_old(sr_rollout_analysis_t *analysis,
+			 const period_t *period)
+{
+	for (int i = 0; i < SR_EVIDENCE_N_GROUPS; i++) {
+		analysis->old_requests[i] =
+			analysis->old_requests[i] * OLD_DECAY +
+			period->n_requests[i];
+		analysis->old_failures[i] =
+			analysis->old_failures[i] * OLD_DECAY +
+			period->failures[i];
+	}
+}
+
+/* The group of the old version that failed most in earlier periods, which says
+ * nothing of the present one; -1 if too few requests remain without it. */
+static int worst_group(const sr_rollout_analysis_t *analysis)
+{
+	const double *failures = analysis->old_failures;
+	const double *requests = analysis->old_requests;
+	int worst = 0;
+
+	for (int i = 1; i < SR_EVIDENCE_N_GROUPS; i++) {
+		if (failures[i] > failures[worst])
+			worst = i;
+	}
+	if (failures[worst] <= 0 ||
+	    sum_groups(requests) - requests[worst] < requests[worst])
+		return -1;
+	return worst;
+}
+
 /* Weighted mean of the period's rate and the previous baseline. */
-static void update_baseline(double *baseline, double n_events, double n)
+static void update_baseline(double *baseline, double *weight, double n_events,
+			    double n)
 {
-	*baseline = (n_events + *baseline * BASELINE_WEIGHT) /
-		    (n + BASELINE_WEIGHT);
+	double before = MAX(*weight, BASELINE_PRIOR);
+
+	*baseline = (n_events + *baseline * before) / (n + before);
+	*weight = MIN(before + n, BASELINE_WEIGHT_MAX);
 }
 
 /*
@@ -190,15 +231,20 @@
 			  const period_t *old_period,
 			  const period_t *new_period)
 {
+	int worst = worst_group(analysis);
+	double n_old = sum_groups(old_period->n_requests) -
+		       (worst < 0 ? 0 : old_period->n_requests[worst]);
+	double n_failures = sum_groups(old_period->failures) -
+			    (worst < 0 ? 0 : old_period->failures[worst]);
 	double expected = expected_rate(
 		&analysis->peak_failure_rate, analysis->baseline_failure_rate,
-		sum_groups(old_period->failures),
-		sum_groups(old_period->n_requests), BASELINE_FAILURE_RATE_MIN);
+		n_failures, n_old, BASELINE_FAILURE_RATE_MIN);
 	const double faulty[SR_ROLLOUT_FAULTS] = {
 		faulty_rate(expected, FAULTY_FAILURE_RATE_INCREASE),
 		faulty_rate(expected, GROSS_FAILURE_RATE_INCREASE),
 	};
 
+	remember_old(analysis, old_period);
 	for (int i = 0; i < SR_ROLLOUT_FAULTS; i++) {
 		analysis->failure_steps[i] =
 			failure_steps(new_period, expected, faulty[i]);
@@ -206,8 +252,7 @@
 			  &analysis->failure_steps[i]);
 	}
 	update_baseline(&analysis->baseline_failure_rate,
-			sum_groups(old_period->failures),
-			sum_groups(old_period->n_requests));
+			&analysis->failure_weight, n_failures, n_old);
 }
 
 static void test_latency(sr_rollout_analysis_t *analysis,
@@ -222,8 +267,8 @@
 	analysis->slow_step = log_likelihood_ratio(
 		new_period->n_slow, new_period->n_answered, expected, faulty);
 	analysis->slow_sum = fmax(0, analysis->slow_sum + analysis->slow_step);
-	update_baseline(&analysis->baseline_slow_rate, old_period->n_slow,
-			old_period->n_answered);
+	update_baseline(&analysis->baseline_slow_rate, &analysis->slow_weight,
+			old_period->n_slow, old_period->n_answered);
 }
 
 /*
@@ -259,6 +304,11 @@
 	return highest;
 }
 
+double sr_rollout_analysis_suspicion(const sr_rollout_analysis_t *analysis)
+{
+	return fmax(failure_sum(analysis), analysis->slow_sum);
+}
+
 static void add_period_requests(sr_rollout_analysis_t *analysis)
 {
 	analysis->n_new_requests +=
@@ -278,8 +328,7 @@
 		return SR_VERDICT_FAILING;
 	if (analysis->slow_sum >= fault_threshold)
 		return SR_VERDICT_SLOW;
-	if (failure_sum(analysis) >= SUSPECT_THRESHOLD ||
-	    analysis->slow_sum >= SUSPECT_THRESHOLD)
+	if (sr_rollout_analysis_suspicion(analysis) >= SUSPECT_THRESHOLD)
 		return SR_VERDICT_SUSPECT;
 	return SR_VERDICT_HEALTHY;
 }
@@ -309,6 +358,7 @@
 	if (!analysis->started) {
 		/* Requests before the rollout only set the baseline. */
 		update_baseline(&analysis->baseline_failure_rate,
+				&analysis->failure_weight,
 				sum_groups(old_period.failures),
 				sum_groups(old_period.n_requests));
 		analysis->started = TRUE;
--- a/src/core/rollout_analysis.h
+++ b/src/core/rollout_analysis.h
@@ -8,6 +8,9 @@
 /**
  * sr_rollout_analysis_t - compares a new version with the old one on one route
  *
+ * A single group of the old version that fails far more often than the others
+ * is left out of the expected rate.
+ *
  * There is one sequential test (CUSUM of log-likelihood ratios) of failures and
  * one of slow answers. The expected rate is the old version's on the same route
  * in the same period, so that a disturbance of both versions is not attributed
@@ -46,6 +49,9 @@
 	/* smoothed rates of the old version */
 	double baseline_failure_rate;
 	double baseline_slow_rate;
+	/* requests that these rest on, up to a maximum */
+	double failure_weight;
+	double slow_weight;
 	unsigned slow_bucket; /* first bucket of slow answers, 0 if unset */
 	/* highest recent rates of the old version, decaying */
 	double peak_failure_rate;
@@ -59,6 +65,10 @@
 	double slow_step;
 	double period_requests[SR_EVIDENCE_N_GROUPS];
 
+	/* of the old version, decaying */
+	double old_requests[SR_EVIDENCE_N_GROUPS];
+	double old_failures[SR_EVIDENCE_N_GROUPS];
+
 	/* requests of the new version, decaying */
 	double recent_requests[SR_EVIDENCE_N_GROUPS];
 	/* answers of the old version, those before the first update included */
@@ -86,6 +96,10 @@
 			   const sr_evidence_counters_t *old_version,
 			   const sr_evidence_counters_t *new_version);
 
+/** sr_rollout_analysis_suspicion - the highest sum of the tests, which are 0 or
+ * more; it falls with each request without a fault. */
+double sr_rollout_analysis_suspicion(const sr_rollout_analysis_t *analysis);
+
 /**
  * sr_rollout_analysis_pool - add up the last periods of routes
  *
--- a/src/core/version_trial.c
+++ b/src/core/version_trial.c
@@ -18,28 +18,52 @@
 /** Largest part of the requests while the slack is used. */
 #define SLACK_USE_SHARE 0.25
 
-/** Share between the trial and all requests, and how long it is given: for most
- * of the time that a fault takes to show, at least. */
+/** Share between the trial and all requests. It is given for as long as the
+ * bound allows, since most of the evidence comes from it. */
 #define HALF_SHARE 0.5
-#define HALF_TIME_FRACTION 0.12
 #define HALF_TIME_MIN (1500 * SR_MSEC)
+#define HALF_TIME_FRACTION_MAX 0.3
+
+/** Part of the bound that is used before all requests are given, if this host
+ * knows of all requests of the order, and if it was started during it. */
+#define BOUND_USED 0.8
+#define LATE_BOUND_USED 0.55
 
 /** Time with all requests before the time limit, as a multiple of the average
  * response time, at least, and at most as a part of the order's time. */
 #define FULL_RESPONSE_TIMES 3
-#define FULL_TIME_MIN (2200 * SR_MSEC)
+#define FULL_TIME_MIN (2600 * SR_MSEC)
 #define FULL_TIME_FRACTION_MAX 0.25
 
 /** Time with all requests before the order may be completed: every host takes
  * the step within it. */
-#define FULL_TIME_SETTLE (800 * SR_MSEC)
+#define FULL_TIME_SETTLE (600 * SR_MSEC)
 
-/** Time before the limit at which the order is ended at the latest: a slow
- * store takes some hundreds of milliseconds for the status. */
+/** Time before the limit at which the order is ended, so that as much evidence
+ * as possible is there, and until which requests at old instances are waited
+ * for. A slow store takes some hundreds of milliseconds for the status. */
 #define FINISH_MARGIN (1200 * SR_MSEC)
+#define FINISH_MARGIN_MIN (800 * SR_MSEC)
+
+/** Answers of the new version that are needed for half and for all requests. */
+#define HALF_ANSWERS_MIN 10
+#define FULL_ANSWERS_MIN 20
+/** For all requests, if the host was started during the order: what it knew
+ * before is lost. */
+#define LATE_FULL_ANSWERS_MIN 32
+
+/** The same on each route that has at least this part of the old version's
+ * requests since the order. */
+#define ROUTE_ANSWERS_MIN 5
+#define ROUTE_SHARE_MIN 0.1
+
+/** Time at half of the requests without suspicion before all of them are given:
+ * some faults show under load only. */
+#define HALF_OBSERVED_MIN SR_SEC
 
-/** Answers of the new version that are needed for a larger share. */
-#define ANSWERS_MIN 10
+/** Suspicion on any route from which no larger share is given. A share that is
+ * given lasts until the analysis calls the version suspect. */
+#define ADVANCE_SUSPICION_MAX 2.5
 
 /** Age at which evidence is too old for a larger share. */
 #define EVIDENCE_AGE_MAX (2 * SR_SEC)
@@ -62,14 +86,25 @@
 typedef struct {
 	sr_rollout_analysis_t analysis;
 	sr_verdict_t verdict;
+	gboolean is_counted;
+	guint32 n_old_before; /* requests of the old version at the first count
+			       */
+	guint32 n_old;	      /* since then */
 } route_t;
 
+typedef enum {
+	STAGE_TRIAL,
+	STAGE_HALF,
+	STAGE_FULL,
+} stage_t;
+
 struct sr_version_trial {
 	char *service;
 	char *target;
 	char *reason;
 	sr_usec_t started_at;
 	sr_usec_t duration;
+	gboolean is_late;    /* this host heard of the order late */
 	sr_usec_t full_time; /* with all requests before the time limit */
 	sr_version_exposure_t exposure;
 	sr_version_trial_phase_t phase;
@@ -78,7 +113,11 @@
 	sr_rollout_analysis_t all_routes;
 	sr_verdict_t verdict; /* on all routes together */
 	GHashTable *routes;   /* name -> route_t */
-	gboolean is_proved;   /* by the last evaluation */
+	stage_t stage;	      /* by the last evaluation */
+	sr_usec_t stage_since;
+	sr_usec_t half_observed; /* time at half or more without suspicion */
+	guint32 n_requests;	 /* of all versions since the order */
+	guint32 n_new;		 /* of the new one */
 	sr_usec_t evaluated_at;
 };
 
@@ -95,7 +134,8 @@
 	trial->duration = options->duration;
 	trial->full_time = FULL_TIME_MIN;
 	trial->exposure = options->exposure;
-	if (options->now - options->started_at > SLACK_AGE_MAX)
+	trial->is_late = options->now - options->started_at > SLACK_AGE_MAX;
+	if (trial->is_late)
 		slack *= LATE_SLACK_FRACTION;
 	/* rounded at random, so that the sum over hosts is the slack */
 	trial->credit =
@@ -134,6 +174,8 @@
 void sr_version_trial_started_earlier(sr_version_trial_t *trial,
 				      sr_usec_t started_at)
 {
+	trial->is_late = trial->is_late ||
+			 trial->started_at - started_at > SLACK_AGE_MAX;
 	if (trial->started_at - started_at > SLACK_AGE_MAX)
 		trial->credit *= LATE_SLACK_FRACTION;
 	trial->started_at = MIN(trial->started_at, started_at);
@@ -163,24 +205,12 @@
 		MIN(MAX(FULL_RESPONSE_TIMES * time, FULL_TIME_MIN), most);
 }
 
-static sr_usec_t half_time(const sr_version_trial_t *trial)
-{
-	return MAX((sr_usec_t)(HALF_TIME_FRACTION * (double)trial->duration),
-		   HALF_TIME_MIN);
-}
-
 /* When all requests move to the new version. */
 static sr_usec_t full_at(const sr_version_trial_t *trial)
 {
 	return trial->started_at + trial->duration - trial->full_time;
 }
 
-static gboolean may_advance(const sr_version_trial_t *trial, sr_usec_t now)
-{
-	return trial->is_proved &&
-	       now - trial->evaluated_at <= EVIDENCE_AGE_MAX;
-}
-
 double sr_version_trial_share(const sr_version_trial_t *trial, sr_usec_t now)
 {
 	double smallest = TRIAL_SHARE_FRACTION * trial->exposure.share;
@@ -193,9 +223,17 @@
 	case SR_VERSION_TRIAL_MOVING:
 		break;
 	}
-	if (!may_advance(trial, now) || now < full_at(trial) - half_time(trial))
+	if (now - trial->evaluated_at > EVIDENCE_AGE_MAX)
 		return smallest;
-	return now < full_at(trial) ? HALF_SHARE : 1;
+	switch (trial->stage) {
+	case STAGE_TRIAL:
+		break;
+	case STAGE_HALF:
+		return HALF_SHARE;
+	case STAGE_FULL:
+		return 1;
+	}
+	return smallest;
 }
 
 gboolean sr_version_trial_picks_new(sr_version_trial_t *trial, sr_usec_t now,
@@ -263,6 +301,14 @@
 		before->latency[i] = MIN(before->latency[i], now->latency[i]);
 }
 
+static void count_old(route_t *route, guint32 n)
+{
+	if (!route->is_counted || n < route->n_old_before)
+		route->n_old_before = n;
+	route->is_counted = TRUE;
+	route->n_old = n - route->n_old_before;
+}
+
 static gboolean is_fault(sr_verdict_t verdict)
 {
 	return verdict == SR_VERDICT_FAILING || verdict == SR_VERDICT_SLOW;
@@ -290,6 +336,7 @@
 {
 	route_t *route = get_route(trial, evidence->route);
 
+	count_old(route, sr_evidence_request_count(&evidence->old_version));
 	lower_counters(&route->analysis.old_counters, &evidence->old_version);
 	lower_counters(&route->analysis.new_counters, &evidence->new_version);
 	route->verdict = sr_rollout_analysis_update(&route->analysis,
@@ -301,7 +348,20 @@
 	return &route->analysis;
 }
 
-static gboolean is_suspected(const sr_version_trial_t *trial)
+static double suspicion(const sr_version_trial_t *trial)
+{
+	double highest = sr_rollout_analysis_suspicion(&trial->all_routes);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, trial->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		highest = fmax(highest, sr_rollout_analysis_suspicion(
+						&((route_t *)value)->analysis));
+	return highest;
+}
+
+static gboolean is_suspect(const sr_version_trial_t *trial)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -314,10 +374,102 @@
 	return trial->verdict != SR_VERDICT_HEALTHY;
 }
 
+/* Whether each route with many requests has been answered often enough. */
+static gboolean has_tried_routes(const sr_version_trial_t *trial)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double n_old = 0;
+
+	g_hash_table_iter_init(&iter, trial->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n_old += ((route_t *)value)->n_old;
+	g_hash_table_iter_init(&iter, trial->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const route_t *route = value;
+
+		if (route->n_old >= ROUTE_SHARE_MIN * n_old &&
+		    route->analysis.n_new_requests < ROUTE_ANSWERS_MIN)
+			return FALSE;
+	}
+	return TRUE;
+}
+
+/* Time at half of the requests that the bound allows, by the rate so far. */
+static sr_usec_t half_time(const sr_version_trial_t *trial, sr_usec_t now)
+{
+	double elapsed_s = (double)(now - trial->started_at) / SR_SEC;
+	double rate = trial->n_requests / MAX(elapsed_s, 1);
+	double bound = trial->exposure.slack + trial->exposure.share * rate *
+						       (double)trial->duration /
+						       SR_SEC;
+	double used = trial->is_late ? LATE_BOUND_USED : BOUND_USED;
+	double left = MAX(used * bound - trial->n_new, 0);
+	sr_usec_t most =
+		(sr_usec_t)(HALF_TIME_FRACTION_MAX * (double)trial->duration);
+
+	if (rate <= 0)
+		return most;
+	return (sr_usec_t)CLAMP(left / (HALF_SHARE * rate) * SR_SEC,
+				(double)MIN(HALF_TIME_MIN, most), (double)most);
+}
+
+static void count_requests(sr_version_trial_t *trial)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	trial->n_new = trial->all_routes.n_new_requests;
+	trial->n_requests = trial->n_new;
+	g_hash_table_iter_init(&iter, trial->routes);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		trial->n_requests += ((route_t *)value)->n_old;
+}
+
+/* The highest stage that the time and the answers allow. */
+static stage_t highest_stage(const sr_version_trial_t *trial, sr_usec_t now)
+{
+	guint32 n = trial->all_routes.n_new_requests;
+	guint32 n_full =
+		trial->is_late ? LATE_FULL_ANSWERS_MIN : FULL_ANSWERS_MIN;
+
+	if (now >= full_at(trial) && n >= n_full &&
+	    trial->half_observed >= HALF_OBSERVED_MIN &&
+	    has_tried_routes(trial))
+		return STAGE_FULL;
+	if (n >= HALF_ANSWERS_MIN &&
+	    (trial->stage >= STAGE_HALF ||
+	     now >= full_at(trial) - half_time(trial, now)))
+		return STAGE_HALF;
+	return STAGE_TRIAL;
+}
+
+static stage_t next_stage(const sr_version_trial_t *trial, sr_usec_t now,
+			  gboolean is_known)
+{
+	stage_t highest = highest_stage(trial, now);
+
+	if (!is_known || is_suspect(trial))
+		return STAGE_TRIAL;
+	if (highest > trial->stage && suspicion(trial) > ADVANCE_SUSPICION_MAX)
+		return trial->stage;
+	return highest;
+}
+
+/* Adds the time since the last evaluation. */
+static void observe_half(sr_version_trial_t *trial, sr_usec_t now)
+{
+	if (is_suspect(trial))
+		trial->half_observed = 0;
+	else if (trial->stage >= STAGE_HALF)
+		trial->half_observed += now - trial->evaluated_at;
+}
+
 void sr_version_trial_evaluate(sr_version_trial_t *trial, sr_usec_t now,
 			       const GArray *routes, gboolean is_known)
 {
 	GPtrArray *analyses = g_ptr_array_new();
+	stage_t stage;
 
 	for (guint i = 0; i < routes->len; i++) {
 		const sr_version_route_evidence_t *evidence =
@@ -334,24 +486,37 @@
 	if (is_fault(trial->verdict))
 		roll_back_for(trial, trial->verdict, NULL,
 			      trial->all_routes.n_new_requests);
+	count_requests(trial);
+	observe_half(trial, now);
 	trial->evaluated_at = now;
-	trial->is_proved = is_known && !is_suspected(trial) &&
-			   trial->all_routes.n_new_requests >= ANSWERS_MIN;
+	stage = next_stage(trial, now, is_known);
+	if (stage != trial->stage)
+		trial->stage_since = now;
+	trial->stage = stage;
+}
+
+gboolean sr_version_trial_is_full(const sr_version_trial_t *trial,
+				  sr_usec_t now)
+{
+	return trial->phase == SR_VERSION_TRIAL_MOVING &&
+	       sr_version_trial_share(trial, now) >= 1;
 }
 
 sr_version_trial_decision_t
 sr_version_trial_decide(const sr_version_trial_t *trial, sr_usec_t now,
-			double old_in_flight)
+			const sr_version_trial_fleet_t *fleet)
 {
-	sr_usec_t due = trial->started_at + trial->duration - FINISH_MARGIN;
+	sr_usec_t left = trial->started_at + trial->duration - now;
+	gboolean is_last_moment = left <= FINISH_MARGIN_MIN;
 
-	if (trial->phase != SR_VERSION_TRIAL_MOVING)
+	if (trial->phase != SR_VERSION_TRIAL_MOVING || left > FINISH_MARGIN)
 		return SR_VERSION_TRIAL_WAIT;
-	if (sr_version_trial_share(trial, now) < 1)
-		return now >= due ? SR_VERSION_TRIAL_GIVE_UP :
-				    SR_VERSION_TRIAL_WAIT;
-	if (now - full_at(trial) < FULL_TIME_SETTLE)
+	if (!sr_version_trial_is_full(trial, now) || !fleet->all_are_full)
+		return is_last_moment ? SR_VERSION_TRIAL_GIVE_UP :
+					SR_VERSION_TRIAL_WAIT;
+	if (now - trial->stage_since < FULL_TIME_SETTLE)
 		return SR_VERSION_TRIAL_WAIT;
-	return old_in_flight == 0 || now >= due ? SR_VERSION_TRIAL_FINISH :
-						  SR_VERSION_TRIAL_WAIT;
+	return fleet->old_in_flight == 0 || is_last_moment ?
+		       SR_VERSION_TRIAL_FINISH :
+		       SR_VERSION_TRIAL_WAIT;
 }
--- a/src/core/version_trial.h
+++ b/src/core/version_trial.h
@@ -126,10 +126,21 @@
 	SR_VERSION_TRIAL_GIVE_UP, /* roll it back: it is not proved in time */
 } sr_version_trial_decision_t;
 
-/** sr_version_trial_decide - old_in_flight is the number of unfinished requests
- * at old instances, of all hosts; negative if it is not known. */
+/** sr_version_trial_is_full - whether this host gives the new version all of
+ * its requests and the order hasn't ended. */
+gboolean sr_version_trial_is_full(const sr_version_trial_t *trial,
+				  sr_usec_t now);
+
+/** sr_version_trial_fleet_t - what the holder of the duties knows of the hosts
+ * that it can reach. */
+typedef struct {
+	gboolean all_are_full; /* see sr_version_trial_is_full() */
+	double old_in_flight;  /* unfinished requests at old instances; negative
+				* if they are not known */
+} sr_version_trial_fleet_t;
+
 sr_version_trial_decision_t
 sr_version_trial_decide(const sr_version_trial_t *trial, sr_usec_t now,
-			double old_in_flight);
+			const sr_version_trial_fleet_t *fleet);
 
 #endif
--- a/src/fleet/rollouts.c
+++ b/src/fleet/rollouts.c
@@ -5,6 +5,10 @@
 /** Label of the evidence on all versions but the target of an order. */
 #define OLD_VERSIONS "-"
 
+/** In place of a version and a route: the number of hosts that give the new
+ * version all requests. */
+#define FULL_HOSTS "="
+
 /** Time after which a status that the platform doesn't show is written again.
  */
 #define WRITE_INTERVAL (600 * SR_MSEC)
@@ -379,13 +383,37 @@
 	g_strfreev(names);
 }
 
+static char *full_hosts_series(const char *service)
+{
+	return g_strjoin("/", service, FULL_HOSTS, FULL_HOSTS, NULL);
+}
+
+static void add_full_host(const sr_rollouts_t *rollouts, sr_load_sum_t *sum)
+{
+	static const sr_evidence_counters_t one = { .requests = { 1 } };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, rollouts->orders);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const rollout_t *rollout = value;
+		char *series = full_hosts_series(rollout->service);
+
+		if (sr_version_trial_is_full(rollout->trial,
+					     current_time(rollouts)))
+			sr_load_sum_add_evidence(sum, series, &one);
+		g_free(series);
+	}
+}
+
 void sr_rollouts_add_evidence(const sr_rollouts_t *rollouts, sr_load_sum_t *sum)
 {
 	add_context_t context = { rollouts, sum };
 
-	if (g_hash_table_size(rollouts->orders) > 0)
-		sr_evidence_foreach_own(rollouts->evidence, add_series,
-					&context);
+	if (g_hash_table_size(rollouts->orders) == 0)
+		return;
+	sr_evidence_foreach_own(rollouts->evidence, add_series, &context);
+	add_full_host(rollouts, sum);
 }
 
 typedef struct {
@@ -400,7 +428,7 @@
 	char **names = g_strsplit(series, "/", 3);
 	sr_version_route_evidence_t *evidence;
 
-	if (g_strv_length(names) != 3 ||
+	if (g_strv_length(names) != 3 || !strcmp(names[1], FULL_HOSTS) ||
 	    strcmp(names[0], context->rollout->service) != 0) {
 		g_strfreev(names);
 		return;
@@ -481,21 +509,16 @@
 	}
 }
 
-/* Unfinished requests of all hosts at the old instances; negative if they are
- * not known. */
+/* Unfinished requests of all hosts at the old instances. */
 static double old_in_flight(const sr_rollouts_t *rollouts,
-			    const rollout_t *rollout)
+			    const rollout_t *rollout,
+			    const sr_load_sum_t *total)
 {
 	const GPtrArray *list = sr_instances_of_service(
 		sr_gateway_instances(rollouts->options.gateway),
 		rollout->service);
-	gboolean is_known;
-	const sr_load_sum_t *total =
-		rollouts->options.load_total(rollouts->options.user, &is_known);
 	double n = 0;
 
-	if (!total || !is_known)
-		return -1;
 	for (guint i = 0; list && i < list->len; i++) {
 		const sr_instance_t *instance = list->pdata[i];
 
@@ -507,10 +530,45 @@
 	return n;
 }
 
+typedef struct {
+	char *series;
+	guint32 n;
+} count_context_t;
+
+static void count_full(void *user, const char *series,
+		       const sr_evidence_counters_t *counters)
+{
+	count_context_t *context = user;
+
+	if (!strcmp(series, context->series))
+		context->n = sr_evidence_request_count(counters);
+}
+
+/* What the total says of the hosts that are included in it. */
+static sr_version_trial_fleet_t fleet_state(const sr_rollouts_t *rollouts,
+					    const rollout_t *rollout)
+{
+	gboolean is_known;
+	const sr_load_sum_t *total =
+		rollouts->options.load_total(rollouts->options.user, &is_known);
+	count_context_t context = { full_hosts_series(rollout->service), 0 };
+	sr_version_trial_fleet_t state = { .old_in_flight = -1 };
+
+	if (total && is_known) {
+		sr_load_sum_foreach_evidence(total, count_full, &context);
+		state.all_are_full = context.n >= sr_load_sum_hosts(total);
+		state.old_in_flight = old_in_flight(rollouts, rollout, total);
+	}
+	g_free(context.series);
+	return state;
+}
+
 static void decide(sr_rollouts_t *rollouts, rollout_t *rollout)
 {
+	const sr_version_trial_fleet_t state = fleet_state(rollouts, rollout);
+
 	switch (sr_version_trial_decide(rollout->trial, current_time(rollouts),
-					old_in_flight(rollouts, rollout))) {
+					&state)) {
 	case SR_VERSION_TRIAL_WAIT:
 		break;
 	case SR_VERSION_TRIAL_FINISH:
--- a/test/prove/main.c
+++ b/test/prove/main.c
@@ -15,6 +15,7 @@
 	&prove_config_model,
 	&prove_dispatch_model,
 	&prove_rollout_model,
+	&prove_trial_model,
 	/* end */
 	NULL,
 };
--- a/test/prove/prove.h
+++ b/test/prove/prove.h
@@ -42,5 +42,6 @@
 extern const prove_model_t prove_config_model;
 extern const prove_model_t prove_dispatch_model;
 extern const prove_model_t prove_rollout_model;
+extern const prove_model_t prove_trial_model;
 
 #endif
--- a/test/version_trial_test.c
+++ b/test/version_trial_test.c
@@ -153,12 +153,17 @@
 static void decide(fleet_t *fleet, unsigned tick)
 {
 	sr_version_trial_t *holder = fleet->trials[fleet->options.n_hosts - 1];
+	sr_version_trial_fleet_t state = { .all_are_full = TRUE };
 	gboolean ends = FALSE;
 
 	for (unsigned i = fleet->options.n_cut; i < fleet->options.n_hosts; i++)
 		ends = ends || sr_version_trial_phase(fleet->trials[i]) ==
 				       SR_VERSION_TRIAL_ROLLED_BACK;
-	switch (sr_version_trial_decide(holder, fleet->now, 0)) {
+	for (unsigned i = fleet->options.n_cut; i < fleet->options.n_hosts; i++)
+		state.all_are_full =
+			state.all_are_full &&
+			sr_version_trial_is_full(fleet->trials[i], fleet->now);
+	switch (sr_version_trial_decide(holder, fleet->now, &state)) {
 	case SR_VERSION_TRIAL_WAIT:
 		break;
 	case SR_VERSION_TRIAL_FINISH:
@@ -363,13 +368,14 @@
 {
 	sr_version_trial_t *trial = new_trial();
 	sr_usec_t late = SR_SEC + DURATION - 500 * SR_MSEC;
+	const sr_version_trial_fleet_t fleet = { .all_are_full = TRUE };
 	GArray *nothing =
 		g_array_new(FALSE, FALSE, sizeof(sr_version_route_evidence_t));
 
 	(void)state;
 	sr_version_trial_evaluate(trial, late, nothing, TRUE);
 	assert_true(sr_version_trial_share(trial, late) <= EXPOSURE_SHARE);
-	assert_int_equal(sr_version_trial_decide(trial, late, 0),
+	assert_int_equal(sr_version_trial_decide(trial, late, &fleet),
 			 SR_VERSION_TRIAL_GIVE_UP);
 	g_array_unref(nothing);
 	sr_version_trial_free(trial);
