--- a/test/prove/trial_model.c
+++ b/test/prove/trial_model.c
@@ -84,7 +84,7 @@
 
 static unsigned random_below(model_t *model, unsigned n)
 {
-	return (unsigned)(prove_random(&model->random) % n);
+	return (unsigned)(prove_random(&model->random) % MAX(n, 1));
 }
 
 static void fail(model_t *model, const char *what)
