Take the rate of an order from when this host heard of it

A host that was started during an order divided its requests by the time since the order began, and so thought the service slower than it is.

--- a/src/core/version_trial.c
+++ b/src/core/version_trial.c
@@ -103,6 +103,7 @@
 	char *target;
 	char *reason;
 	sr_usec_t started_at;
+	sr_usec_t known_since; /* to this host */
 	sr_usec_t duration;
 	gboolean is_late;    /* this host heard of the order late */
 	sr_usec_t full_time; /* with all requests before the time limit */
@@ -131,6 +132,7 @@
 	trial->target = g_strdup(options->target);
 	trial->reason = g_strdup("");
 	trial->started_at = options->started_at;
+	trial->known_since = options->now;
 	trial->duration = options->duration;
 	trial->full_time = FULL_TIME_MIN;
 	trial->exposure = options->exposure;
@@ -398,7 +400,7 @@
 /* Time at half of the requests that the bound allows, by the rate so far. */
 static sr_usec_t half_time(const sr_version_trial_t *trial, sr_usec_t now)
 {
-	double elapsed_s = (double)(now - trial->started_at) / SR_SEC;
+	double elapsed_s = (double)(now - trial->known_since) / SR_SEC;
 	double rate = trial->n_requests / MAX(elapsed_s, 1);
 	double bound = trial->exposure.slack + trial->exposure.share * rate *
 						       (double)trial->duration /
