--- a/test/version_trial_test.c
+++ b/test/version_trial_test.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "core/load_sum.h"
+#include "core/rollout_analysis.h"
 #include "core/version_trial.h"
 
 /* A service is moved to a new version by all hosts of a fleet. The hosts know
@@ -348,6 +349,32 @@
 	assert_exposure(&result);
 }
 
+/* A fault of all routes shows in fewer requests than on each of them. */
+static void test_routes_are_analysed_together(void **state)
+{
+	sr_rollout_analysis_t routes[ROUTES] = { 0 };
+	sr_rollout_analysis_t pool = { 0 };
+	const sr_rollout_analysis_t *list[ROUTES];
+	sr_evidence_counters_t old_version = { .requests = { 50, 50 } };
+	sr_evidence_counters_t new_version = { 0 };
+
+	(void)state;
+	for (unsigned r = 0; r < ROUTES; r++) {
+		list[r] = &routes[r];
+		sr_rollout_analysis_update(&routes[r], &old_version,
+					   &new_version);
+	}
+	new_version.requests[0] = new_version.requests[1] = 2;
+	new_version.failures[0] = new_version.failures[1] = 2;
+	for (unsigned r = 0; r < ROUTES; r++)
+		assert_int_not_equal(sr_rollout_analysis_update(&routes[r],
+								&old_version,
+								&new_version),
+				     SR_VERDICT_FAILING);
+	assert_int_equal(sr_rollout_analysis_pool(&pool, list, ROUTES),
+			 SR_VERDICT_FAILING);
+}
+
 static sr_version_trial_t *new_trial(void)
 {
 	const sr_version_trial_options_t options = {
@@ -434,6 +461,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_faulty_versions_keep_the_bound),
 		cmocka_unit_test(test_good_versions_complete_in_time),
+		cmocka_unit_test(test_routes_are_analysed_together),
 		cmocka_unit_test(test_grey_old_instance_hides_no_fault),
 		cmocka_unit_test(test_cut_hosts_keep_the_smallest_share),
 		cmocka_unit_test(test_thin_evidence_completes_nothing),
