--- a/src/fleet/rollouts.c
+++ b/src/fleet/rollouts.c
@@ -617,7 +617,7 @@
 		    now < rollout->write_at)
 			continue;
 		rollout->write_at = now + WRITE_INTERVAL;
-		log_rollout(rollouts, "rollout-status-written", rollout, "");
+		log_rollout(rollouts, "rollout-status-sent", rollout, "");
 		rollouts->options.write_status(rollouts->options.user, &order);
 	}
 }
