Don't close an idle connection with an unread request on it

The host was short of processor time just then (replies of pools took 0.36 s; its peers suspected it) and the request is in no line of its log. The request being lost by a limit on connections or a parser error was ruled out: both answer and are logged.

An idle connection is now closed only if nothing is there to be read.

--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -387,8 +387,11 @@
 	} else if (session->transaction) {
 		return;
 	} else if (!sr_parser_has_input(session->parser)) {
-		if (age > idle_timeout_of(gateway) ||
-		    sr_gateway_is_past_accept_period(gateway, now))
+		/* A host that is short of processor time may not have read a
+		 * request that came in time. */
+		if ((age > idle_timeout_of(gateway) ||
+		     sr_gateway_is_past_accept_period(gateway, now)) &&
+		    !sr_channel_has_unread(session->channel))
 			start_closing(session);
 	} else if (!message->headers_complete) {
 		if (age > header_timeout_of(gateway))
--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -477,6 +477,57 @@
 	fixture_free(&fixture);
 }
 
+typedef struct {
+	caller_t *caller;
+	gulong block_us;
+} late_request_t;
+
+/* Sends a request and keeps the main loop busy until the idle timeout. */
+static gboolean send_late_request(gpointer user)
+{
+	const late_request_t *late = user;
+
+	caller_request(late->caller, "GET", "/safe/ok", "late", "", "");
+	g_usleep(late->block_us);
+	return G_SOURCE_REMOVE;
+}
+
+/* Guards against LOST of plastafgift-dk-grown, scale-1: a host that was short
+ * of processor time closed an idle connection with an unread request on it. */
+static void test_unread_request_keeps_an_idle_connection(void **state)
+{
+	rig_t *rig = rig_new(serve);
+	sr_route_table_t *table = sr_route_table_new(2);
+	sr_gateway_route_t *route = sr_route_table_add_route(table);
+	late_request_t late;
+
+	(void)state;
+	route->name = g_strdup("r");
+	route->authority = g_strdup("h.example");
+	route->prefix = g_strdup("/safe/");
+	route->kind = SR_ROUTE_IDEMPOTENT;
+	route->max_attempts = 1;
+	route->timeout = 2 * SR_SEC;
+	sr_gateway_route_add_service(route, "s", 1);
+	sr_route_table_add_service(table)->name = g_strdup("s");
+	table->limits.idle_timeout = 900 * SR_MSEC;
+	sr_route_table_seal(table);
+	sr_gateway_set_table(rig->gateway, table);
+	sr_route_table_unref(table);
+	late.caller = caller_new(rig->caller_address);
+	caller_request(late.caller, "GET", "/safe/ok", "first", "", "");
+	assert_true(caller_wait_for(late.caller, "hello", 1500));
+	g_string_truncate(late.caller->received, 0);
+	/* comes before the sweep that is ready in the same iteration */
+	late.block_us = 600 * 1000;
+	g_timeout_add(650, send_late_request, &late);
+	rig_run_for(400);
+	g_usleep(300 * 1000);
+	assert_true(caller_wait_for(late.caller, "hello", 1500));
+	caller_free(late.caller);
+	rig_free(rig);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -497,6 +548,7 @@
 		cmocka_unit_test(test_planned_stop_serves_open_connections),
 		cmocka_unit_test(test_planned_stop_refuses_late_requests),
 		cmocka_unit_test(test_ignores_older_route_table),
+		cmocka_unit_test(test_unread_request_keeps_an_idle_connection),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
