--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -492,8 +492,8 @@
 	return G_SOURCE_REMOVE;
 }
 
-/* Guards against LOST of plastafgift-dk-grown, scale-1: a host that was short
- * of processor time closed an idle connection with an unread request on it. */
+/* Guards against a lost request: a host that was short of processor time closed
+ * an idle connection with an unread request on it. */
 static void test_unread_request_keeps_an_idle_connection(void **state)
 {
 	rig_t *rig = rig_new(serve);
