Count and log control messages left out at a size limit

Rumours over the size limit were dropped without a trace; lines of load that fit no part, now also evidence of roll-outs, and messages that the peer module refuses were counted but shown nowhere on the platform's binary. They have a counter on the metrics address and one line a second and kind at most.

fleet_drops_test fails without the call of the tick.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -60,7 +60,9 @@
 		.size = strlen(text),
 	};
 
-	if (rumour.size <= SR_RUMOUR_VALUE_MAX)
+	if (rumour.size > SR_RUMOUR_VALUE_MAX)
+		fleet->n_large_rumours++;
+	else
 		sr_gossip_put(fleet->gossip, sr_fleet_now(fleet), &rumour, ttl);
 }
 
@@ -416,6 +418,7 @@
 					  sr_fleet_sharing_hosts(fleet));
 		sr_usage_exchange_send(fleet);
 		sr_notice_gossip_tick(fleet);
+		sr_fleet_drops_tick(fleet);
 		sr_pool_requests_tick(fleet);
 	}
 	if (now >= fleet->next_rollout_tick_at) {
@@ -541,6 +544,7 @@
 	sr_usage_exchange_init(fleet);
 	sr_pool_requests_init(fleet);
 	create_gossip(fleet);
+	sr_fleet_drops_init(fleet);
 	create_rollouts(fleet);
 	sr_load_report_init(fleet);
 	on_tick(fleet);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/metrics.h"
 #include "core/instances.h"
 #include "core/route_table.h"
 #include "core/usage_windows.h"
@@ -47,6 +48,7 @@
 	sr_usec_t usage_window; /* length; 0 if usage is not counted */
 	sr_clock_t *clock;
 	sr_log_t *log;
+	sr_metrics_t *metrics;
 	sr_gateway_t *gateway;
 	guint64 seed; /* of the random choices */
 	/* parses a route table; returns a new reference, NULL if malformed */
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -11,6 +11,9 @@
 
 /** Shared by the source files of sr_fleet_t only. */
 
+/** Number of kinds of drops, see sr_fleet_drop_t. */
+#define SR_FLEET_DROPS 3
+
 struct sr_fleet {
 	sr_fleet_options_t options;
 	char *owner_id; /* "NODE@INCARNATION" */
@@ -53,6 +56,9 @@
 	char *duty_holder;	    /* peer address; NULL if not known */
 	sr_usec_t next_size_at;
 	sr_usec_t next_slow_tick_at;
+	/* control messages left out; drops.c */
+	sr_counter_t *dropped[SR_FLEET_DROPS];
+	guint64 n_large_rumours;
 	/* counts of other hosts; usage_exchange.c */
 	guint64 n_usage_sends;
 	GHashTable *usage_last_received; /* owner id -> sr_usec_t */
@@ -84,6 +90,21 @@
 void sr_fleet_publish_own(sr_fleet_t *fleet, sr_rumour_kind_t kind,
 			  const char *key, const char *text, sr_usec_t ttl);
 
+/* drops.c: control messages that were left out at a size limit */
+
+/** sr_fleet_drop_t - kinds of them. */
+typedef enum {
+	SR_FLEET_DROP_RUMOUR,	 /* a value over SR_RUMOUR_VALUE_MAX */
+	SR_FLEET_DROP_LOAD_LINE, /* of a sum of load with too many parts */
+	SR_FLEET_DROP_MESSAGE,	 /* refused by the peer module */
+} sr_fleet_drop_t;
+
+void sr_fleet_drops_init(sr_fleet_t *fleet);
+
+/** sr_fleet_drops_tick - count and log what was left out since the last call;
+ * call once a second. */
+void sr_fleet_drops_tick(sr_fleet_t *fleet);
+
 /* load_report.c: load at instances and engine work */
 
 void sr_load_report_init(sr_fleet_t *fleet);
