--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -26,6 +26,7 @@
 				   * last activity before it */
 	sr_usec_t close_deadline; /* of the lingering close; 0 if open */
 	gboolean close_after_response;
+	gboolean is_ignoring;	/* bytes came after the shutdown */
 	gboolean is_processing; /* in process_input() */
 	gboolean is_paused;	/* because of MAX_PIPELINED_BYTES */
 	gboolean is_freed;	/* sr_session_free() was called */
@@ -303,13 +304,35 @@
 	unref(session);
 }
 
+/* What a caller sends after the shutdown can't be answered any more. */
+static void log_ignored(sr_session_t *session, gsize size)
+{
+	char closed_ms[24];
+	char bytes[24];
+
+	if (session->is_ignoring)
+		return;
+	session->is_ignoring = TRUE;
+	g_snprintf(closed_ms, sizeof(closed_ms), "%" G_GINT64_FORMAT,
+		   (sr_gateway_now(session->gateway) - session->close_deadline +
+		    LINGER_TIMEOUT) /
+			   SR_MSEC);
+	g_snprintf(bytes, sizeof(bytes), "%" G_GSIZE_FORMAT, size);
+	sr_log_event(
+		session->gateway->options.log, SR_LOG_INFO, "input-after-close",
+		"closed_ms", closed_ms, "bytes", bytes, "cause",
+		session->close_after_response ? "announced" : "idle", NULL);
+}
+
 static void on_received(void *user, const guint8 *data, gsize size)
 {
 	sr_session_t *session = user;
 	sr_gateway_t *gateway = session->gateway;
 
-	if (session->close_deadline > 0)
+	if (session->close_deadline > 0) {
+		log_ignored(session, size);
 		return;
+	}
 	g_byte_array_append(session->input, data, (guint)size);
 	session->buffered_bytes += size;
 	gateway->buffered_bytes += size;
