--- a/src/core/load_sum.c
+++ b/src/core/load_sum.c
@@ -55,27 +55,31 @@
 	return sum->n_hosts;
 }
 
+/* The value of a key, zeroes if it is new. */
+static gpointer get_value(GHashTable *table, const char *key, gsize size)
+{
+	gpointer value = g_hash_table_lookup(table, key);
+
+	if (!value) {
+		value = g_malloc0(size);
+		g_hash_table_insert(table, g_strdup(key), value);
+	}
+	return value;
+}
+
 void sr_load_sum_add_item(sr_load_sum_t *sum, const char *instance,
 			  const sr_load_item_t *item)
 {
-	sr_load_item_t *known = g_hash_table_lookup(sum->items, instance);
+	sr_load_item_t *known = get_value(sum->items, instance, sizeof(*known));
 
-	if (!known) {
-		known = g_new0(sr_load_item_t, 1);
-		g_hash_table_insert(sum->items, g_strdup(instance), known);
-	}
 	known->in_flight += item->in_flight;
 	known->pending_prompt_tokens += item->pending_prompt_tokens;
 }
 
 void sr_load_sum_add_work(sr_load_sum_t *sum, const char *service, double work)
 {
-	double *known = g_hash_table_lookup(sum->work, service);
+	double *known = get_value(sum->work, service, sizeof(*known));
 
-	if (!known) {
-		known = g_new0(double, 1);
-		g_hash_table_insert(sum->work, g_strdup(service), known);
-	}
 	*known += work;
 }
 
@@ -83,12 +87,8 @@
 static void add_use(sr_load_sum_t *sum, const char *key,
 		    const sr_allowance_use_t *use)
 {
-	sr_allowance_use_t *known = g_hash_table_lookup(sum->uses, key);
+	sr_allowance_use_t *known = get_value(sum->uses, key, sizeof(*known));
 
-	if (!known) {
-		known = g_new0(sr_allowance_use_t, 1);
-		g_hash_table_insert(sum->uses, g_strdup(key), known);
-	}
 	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
 		known->granted[i] += use->granted[i];
 }
@@ -120,14 +120,8 @@
 void sr_load_sum_add_evidence(sr_load_sum_t *sum, const char *series,
 			      const sr_evidence_counters_t *counters)
 {
-	sr_evidence_counters_t *known =
-		g_hash_table_lookup(sum->evidence, series);
-
-	if (!known) {
-		known = g_new0(sr_evidence_counters_t, 1);
-		g_hash_table_insert(sum->evidence, g_strdup(series), known);
-	}
-	sr_evidence_add(known, counters);
+	sr_evidence_add(get_value(sum->evidence, series, sizeof(*counters)),
+			counters);
 }
 
 void sr_load_sum_foreach_evidence(
