--- a/src/daemon/members.c
+++ b/src/daemon/members.c
@@ -276,9 +276,23 @@
 	return rank;
 }
 
-/* Returns the live delegate with the highest score below bound, or NULL. */
-static const live_member_t *best_delegate_below(const sr_members_t *members,
-						const char *key, guint64 bound)
+/** delegate_filter_t - which delegates may own a key. */
+typedef struct {
+	guint64 below;		    /* this score */
+	const char *outside_domain; /* NULL for any */
+} delegate_filter_t;
+
+static gboolean matches(const live_member_t *live, guint64 score,
+			const delegate_filter_t *filter)
+{
+	return live->is_delegate && score < filter->below &&
+	       g_strcmp0(live->failure_domain, filter->outside_domain) != 0;
+}
+
+/* Returns the live delegate with the highest score, or NULL. */
+static const live_member_t *best_delegate(const sr_members_t *members,
+					  const char *key,
+					  const delegate_filter_t *filter)
 {
 	const live_member_t *owner = NULL;
 	GHashTableIter iter;
@@ -290,8 +304,7 @@
 		const live_member_t *live = value;
 		guint64 score = sr_rendezvous_score(live->name, key);
 
-		if (live->is_delegate && score < bound &&
-		    (!owner || score > best)) {
+		if (matches(live, score, filter) && (!owner || score > best)) {
 			owner = live;
 			best = score;
 		}
@@ -303,54 +316,30 @@
 				      const char *key, unsigned n)
 {
 	GPtrArray *addresses = g_ptr_array_new();
-	guint64 bound = G_MAXUINT64;
+	delegate_filter_t filter = { .below = G_MAXUINT64 };
 
 	for (unsigned i = 0; i < n; i++) {
 		const live_member_t *owner =
-			best_delegate_below(members, key, bound);
+			best_delegate(members, key, &filter);
 
 		if (!owner)
 			break;
-		bound = sr_rendezvous_score(owner->name, key);
+		filter.below = sr_rendezvous_score(owner->name, key);
 		if (strcmp(owner->name, members->node) != 0)
 			g_ptr_array_add(addresses, owner->address);
 	}
 	return addresses;
 }
 
-/* Returns the best delegate outside a domain, which may be NULL; NULL if none
- * is known. */
-static const live_member_t *best_delegate_outside(const sr_members_t *members,
-						  const char *key,
-						  const char *failure_domain)
-{
-	const live_member_t *owner = NULL;
-	GHashTableIter iter;
-	gpointer value;
-	guint64 best = 0;
-
-	g_hash_table_iter_init(&iter, members->live);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const live_member_t *live = value;
-		guint64 score = sr_rendezvous_score(live->name, key);
-
-		if (live->is_delegate &&
-		    g_strcmp0(live->failure_domain, failure_domain) != 0 &&
-		    (!owner || score > best)) {
-			owner = live;
-			best = score;
-		}
-	}
-	return owner;
-}
-
 void sr_members_owner_pair(const sr_members_t *members, const char *key,
 			   const char *addresses[2])
 {
-	const live_member_t *first = best_delegate_outside(members, key, NULL);
-	const live_member_t *second =
-		best_delegate_outside(members, key, first->failure_domain);
+	delegate_filter_t filter = { .below = G_MAXUINT64 };
+	const live_member_t *first = best_delegate(members, key, &filter);
+	const live_member_t *second;
 
+	filter.outside_domain = first->failure_domain;
+	second = best_delegate(members, key, &filter);
 	addresses[0] = first->address;
 	addresses[1] = second ? second->address : first->address;
 }
