--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -10,6 +10,10 @@
 /** Timeout for the body of a request, after that for its head. */
 #define BODY_TIMEOUT (20 * SR_SEC)
 
+/** Added to the idle timeout: a caller's time starts when the response has
+ * reached it. */
+#define IDLE_GRACE SR_SEC
+
 /** Time from the shutdown of a connection until it is closed, so that the
  * caller can read the response. */
 #define LINGER_TIMEOUT SR_SEC
@@ -26,7 +30,8 @@
 				   * last activity before it */
 	sr_usec_t close_deadline; /* of the lingering close; 0 if open */
 	gboolean close_after_response;
-	gboolean is_ignoring;	/* bytes came after the shutdown */
+	gboolean is_expired;  /* idle at the last sweep, without input since */
+	gboolean is_ignoring; /* bytes came after the shutdown */
 	gboolean is_processing; /* in process_input() */
 	gboolean is_paused;	/* because of MAX_PIPELINED_BYTES */
 	gboolean is_freed;	/* sr_session_free() was called */
@@ -333,6 +338,7 @@
 		log_ignored(session, size);
 		return;
 	}
+	session->is_expired = FALSE;
 	g_byte_array_append(session->input, data, (guint)size);
 	session->buffered_bytes += size;
 	gateway->buffered_bytes += size;
@@ -398,6 +404,13 @@
 				SR_CALLER_DEFAULT_HEADER_TIMEOUT;
 }
 
+static gboolean is_idle(const sr_session_t *session, sr_usec_t now)
+{
+	return now - session->started_at >
+		       idle_timeout_of(session->gateway) + IDLE_GRACE ||
+	       sr_gateway_is_past_accept_period(session->gateway, now);
+}
+
 void sr_session_sweep(sr_session_t *session, sr_usec_t now)
 {
 	const sr_gateway_t *gateway = session->gateway;
@@ -410,12 +423,13 @@
 	} else if (session->transaction) {
 		return;
 	} else if (!sr_parser_has_input(session->parser)) {
+		if (!is_idle(session, now))
+			return;
 		/* A host that is short of processor time may not have read a
-		 * request that came in time. */
-		if ((age > idle_timeout_of(gateway) ||
-		     sr_gateway_is_past_accept_period(gateway, now)) &&
-		    !sr_channel_has_unread(session->channel))
+		 * request that came in time: it closes at the next call. */
+		if (session->is_expired)
 			start_closing(session);
+		session->is_expired = TRUE;
 	} else if (!message->headers_complete) {
 		if (age > header_timeout_of(gateway))
 			reject_request(session, SR_ERR_CALLER_TIMEOUT);
--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -329,13 +329,6 @@
 	return channel->send_buffer->len == 0;
 }
 
-gboolean sr_channel_has_unread(const sr_channel_t *channel)
-{
-	GPollFD poll = { .fd = channel->fd, .events = G_IO_IN };
-
-	return g_poll(&poll, 1, 0) > 0;
-}
-
 gboolean sr_channel_is_connected(const sr_channel_t *channel)
 {
 	return !channel->connecting;
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -81,10 +81,6 @@
 /** sr_channel_is_flushed - TRUE if the send buffer is empty. */
 gboolean sr_channel_is_flushed(const sr_channel_t *channel);
 
-/** sr_channel_has_unread - TRUE if the peer has sent bytes, or the end, that
- * were not reported yet. */
-gboolean sr_channel_has_unread(const sr_channel_t *channel);
-
 /** sr_listen - open a listening socket on IP:PORT; returns its descriptor,
  * SR_ERR_INVALID for a malformed address, or SR_ERR_IO. */
 int sr_listen(const char *address);
