Count no idle time while a response is on its way to the caller

A caller behind a slow link got its response seconds after this host had handed it to the connection. The idle time began at the handing over, so that the connection was closed, with the rest of the response cut a second later or with the caller's next request on it. test_unsent_response_is_no_idle_time failed before.

The log of input after a close has the idle time now.

--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -312,21 +312,25 @@
 /* What a caller sends after the shutdown can't be answered any more. */
 static void log_ignored(sr_session_t *session, gsize size)
 {
+	sr_usec_t closed_at = session->close_deadline - LINGER_TIMEOUT;
+	sr_usec_t now = sr_gateway_now(session->gateway);
 	char closed_ms[24];
+	char idle_ms[24];
 	char bytes[24];
 
 	if (session->is_ignoring)
 		return;
 	session->is_ignoring = TRUE;
 	g_snprintf(closed_ms, sizeof(closed_ms), "%" G_GINT64_FORMAT,
-		   (sr_gateway_now(session->gateway) - session->close_deadline +
-		    LINGER_TIMEOUT) /
-			   SR_MSEC);
+		   (now - closed_at) / SR_MSEC);
+	g_snprintf(idle_ms, sizeof(idle_ms), "%" G_GINT64_FORMAT,
+		   (closed_at - session->started_at) / SR_MSEC);
 	g_snprintf(bytes, sizeof(bytes), "%" G_GSIZE_FORMAT, size);
-	sr_log_event(
-		session->gateway->options.log, SR_LOG_INFO, "input-after-close",
-		"closed_ms", closed_ms, "bytes", bytes, "cause",
-		session->close_after_response ? "announced" : "idle", NULL);
+	sr_log_event(session->gateway->options.log, SR_LOG_INFO,
+		     "input-after-close", "closed_ms", closed_ms, "idle_ms",
+		     idle_ms, "bytes", bytes, "cause",
+		     session->close_after_response ? "announced" : "idle",
+		     NULL);
 }
 
 static void on_received(void *user, const guint8 *data, gsize size)
@@ -422,6 +426,9 @@
 			sr_session_free(session);
 	} else if (session->transaction) {
 		return;
+	} else if (!sr_channel_is_flushed(session->channel)) {
+		/* the caller has not got the last response yet */
+		session->started_at = now;
 	} else if (!sr_parser_has_input(session->parser)) {
 		if (!is_idle(session, now))
 			return;
--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -7,6 +7,9 @@
 
 #include "gateway_rig.h"
 
+/** Size of a body that doesn't fit the buffers of the sockets. */
+#define BIG_BODY (7 * 1024 * 1024)
+
 /* The last segment of the path selects the behaviour of the instance. */
 static void serve(fake_connection_t *connection, const sr_message_t *request)
 {
@@ -14,7 +17,12 @@
 	const char *id = sr_headers_get(request->headers, "X-Request");
 	unsigned n = rig_request_count(connection->instance->rig);
 
-	if (!strcmp(action, "ok")) {
+	if (!strcmp(action, "big")) {
+		char *body = g_strnfill(BIG_BODY, 'b');
+
+		rig_respond(connection, request, 200, "", body);
+		g_free(body);
+	} else if (!strcmp(action, "ok")) {
 		rig_respond(connection, request, 200, "X-More: yes\r\n",
 			    "hello");
 	} else if (!strcmp(action, "reset") ||
@@ -552,6 +560,34 @@
 	rig_free(rig);
 }
 
+/* Guards against LOST of plastafgift-dk-grown, scale-1: the idle time began
+ * while a response was still on its way to a caller behind a slow link, and
+ * ended before the caller had it, with the rest of the response or the next
+ * request.
+ */
+static void test_unsent_response_is_no_idle_time(void **state)
+{
+	rig_t *rig = rig_new(serve);
+	caller_t *caller;
+
+	(void)state;
+	set_idle_timeout(rig, 300 * SR_MSEC);
+	caller = caller_new(rig->caller_address);
+	caller_request(caller, "GET", "/safe/big", "first", "", "");
+	assert_true(caller_wait_for(caller, "200", 1500));
+	sr_channel_set_paused(caller->channel, TRUE);
+	rig_run_for(2200);
+	sr_channel_set_paused(caller->channel, FALSE);
+	rig_run_for(600);
+	assert_true(caller->received->len > BIG_BODY);
+	assert_false(caller->is_ended);
+	g_string_truncate(caller->received, 0);
+	caller_request(caller, "GET", "/safe/ok", "second", "", "");
+	assert_true(caller_wait_for(caller, "hello", 1500));
+	caller_free(caller);
+	rig_free(rig);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -575,6 +611,7 @@
 		cmocka_unit_test(test_unread_request_keeps_an_idle_connection),
 		cmocka_unit_test(
 			test_idle_connection_is_closed_after_the_grace),
+		cmocka_unit_test(test_unsent_response_is_no_idle_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
