Test that a request after an idle close is reset

It fails: an idle connection lingers for a second after its close, as one with a last response does, and takes in what comes. The caller waits for nothing, and can't know that its request was not read.

--- a/test/gateway_rig.h
+++ b/test/gateway_rig.h
@@ -11,6 +11,7 @@
 
 #include <arpa/inet.h>
 #include <glib-unix.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -385,6 +386,18 @@
 	return caller;
 }
 
+/* Returns a socket without a loop that reads it. */
+static int rig_connect(const char *address)
+{
+	struct sockaddr_in in = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	in.sin_port = htons((guint16)atoi(strchr(address, ':') + 1));
+	g_assert(fd >= 0 && !connect(fd, (struct sockaddr *)&in, sizeof(in)));
+	return fd;
+}
+
 static void caller_free(caller_t *caller)
 {
 	sr_channel_free(caller->channel);
--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -588,6 +588,32 @@
 	rig_free(rig);
 }
 
+/* Guards against LOST of plastafgift-dk-grown, scale-1: a host took a request in
+ * on an idle connection that it had closed, and kept its caller waiting a second
+ * for nothing. A reset says at once that the request was not read.
+ */
+static void test_request_after_an_idle_close_is_reset(void **state)
+{
+	static const char request[] = "GET /safe/ok HTTP/1.1\r\n"
+				      "Host: h.example\r\n\r\n";
+	rig_t *rig = rig_new(serve);
+	struct pollfd ended = { .events = POLLRDHUP };
+
+	(void)state;
+	set_idle_timeout(rig, 300 * SR_MSEC);
+	ended.fd = rig_connect(rig->caller_address);
+	for (unsigned i = 0; i < 300 && poll(&ended, 1, 0) == 0; i++)
+		rig_run_for(10);
+	assert_true(ended.revents & POLLRDHUP);
+	assert_int_equal(write(ended.fd, request, strlen(request)),
+			 strlen(request));
+	rig_run_for(200);
+	assert_int_equal(poll(&ended, 1, 0), 1);
+	assert_true(ended.revents & POLLERR);
+	close(ended.fd);
+	rig_free(rig);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -612,6 +638,7 @@
 		cmocka_unit_test(
 			test_idle_connection_is_closed_after_the_grace),
 		cmocka_unit_test(test_unsent_response_is_no_idle_time),
+		cmocka_unit_test(test_request_after_an_idle_close_is_reset),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
