Close an idle connection without lingering

Lingering protects a last response; an idle connection has none.

Now the connection is closed at once: what crosses is reset unread, and the caller knows that it did not run.

test_request_after_an_idle_close_is_reset failed before.

--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -315,7 +315,6 @@
 	sr_usec_t closed_at = session->close_deadline - LINGER_TIMEOUT;
 	sr_usec_t now = sr_gateway_now(session->gateway);
 	char closed_ms[24];
-	char idle_ms[24];
 	char bytes[24];
 
 	if (session->is_ignoring)
@@ -323,14 +322,10 @@
 	session->is_ignoring = TRUE;
 	g_snprintf(closed_ms, sizeof(closed_ms), "%" G_GINT64_FORMAT,
 		   (now - closed_at) / SR_MSEC);
-	g_snprintf(idle_ms, sizeof(idle_ms), "%" G_GINT64_FORMAT,
-		   (closed_at - session->started_at) / SR_MSEC);
 	g_snprintf(bytes, sizeof(bytes), "%" G_GSIZE_FORMAT, size);
 	sr_log_event(session->gateway->options.log, SR_LOG_INFO,
-		     "input-after-close", "closed_ms", closed_ms, "idle_ms",
-		     idle_ms, "bytes", bytes, "cause",
-		     session->close_after_response ? "announced" : "idle",
-		     NULL);
+		     "input-after-close", "closed_ms", closed_ms, "bytes",
+		     bytes, NULL);
 }
 
 static void on_received(void *user, const guint8 *data, gsize size)
@@ -433,10 +428,13 @@
 		if (!is_idle(session, now))
 			return;
 		/* A host that is short of processor time may not have read a
-		 * request that came in time: it closes at the next call. */
+		 * request that came in time: it closes at the next call. What
+		 * comes later is reset unread, so that its caller knows at once
+		 * that it did not run. */
 		if (session->is_expired)
-			start_closing(session);
-		session->is_expired = TRUE;
+			sr_session_free(session);
+		else
+			session->is_expired = TRUE;
 	} else if (!message->headers_complete) {
 		if (age > header_timeout_of(gateway))
 			reject_request(session, SR_ERR_CALLER_TIMEOUT);
--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -589,8 +589,8 @@
 }
 
 /* Guards against LOST of plastafgift-dk-grown, scale-1: a host took a request in
- * on an idle connection that it had closed, and kept its caller waiting a second
- * for nothing. A reset says at once that the request was not read.
+ * on an idle connection that it had closed, and its caller waited a second for
+ * nothing. A reset says at once that the request was not read.
  */
 static void test_request_after_an_idle_close_is_reset(void **state)
 {
