--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -588,8 +588,8 @@
 	rig_free(rig);
 }
 
-/* Guards against LOST of plastafgift-dk-grown, scale-1: a host took a request in
- * on an idle connection that it had closed, and its caller waited a second for
+/* Guards against LOST of plastafgift-dk-grown, scale-1: a host read a request
+ * on an idle connection that it had closed. Its caller waited a second for
  * nothing. A reset says at once that the request was not read.
  */
 static void test_request_after_an_idle_close_is_reset(void **state)
