Log what an attempt that was cut off held, and whether its instance ended

Each attempt that is cut off is logged as "cut-off" with its progress and fingerprints of the request and of the parts of its prompt, and the instance is checked once by a connection: "instance-checked". A leaving instance isn't. A counter has the instances that ended. No decision depends on any of it yet.

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -24,6 +24,7 @@
 /** sr_prompt_parts_t - prompt of a request; all zero for plain requests. */
 typedef struct {
 	guint64 *blocks;   /* for each part, the id of the prefix it ends */
+	guint64 *parts;	   /* for each part, its id whatever precedes it */
 	guint32 *tokens;   /* number of tokens of each part */
 	unsigned n_blocks; /* parts; the last is unique to the request */
 	double prompt_tokens;
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -31,6 +31,7 @@
 	const char *cause;	    /* static string for the log */
 	gboolean is_new_connection; /* not from the pool */
 	gboolean is_sent;
+	gboolean is_cut;	   /* see sr_attempt_is_cut() */
 	gboolean is_out_of_sync;   /* the connection must not be reused */
 	gboolean is_head_verified; /* by classify_head() */
 	gboolean is_freed;	   /* sr_attempt_free() was called */
@@ -255,6 +256,7 @@
 		if (forward_stream_data(attempt))
 			finish_response(attempt, FALSE);
 	} else {
+		attempt->is_cut = attempt->is_sent;
 		report_end(attempt, SR_ATTEMPT_BROKEN,
 			   how == SR_CHANNEL_CLOSED_BY_PEER ?
 				   "incomplete response from the instance" :
@@ -358,6 +360,11 @@
 	return attempt->is_sent;
 }
 
+gboolean sr_attempt_is_cut(const sr_attempt_t *attempt)
+{
+	return attempt->is_cut;
+}
+
 sr_instance_t *sr_attempt_instance(const sr_attempt_t *attempt)
 {
 	return attempt->options.instance;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -57,6 +57,9 @@
 	metrics->aborted = sr_metrics_counter(
 		registry, "sassafras_gateway_broken_off_total",
 		"answers that were broken off midway", NULL);
+	metrics->instances_ended = sr_metrics_counter(
+		registry, "sassafras_gateway_instances_ended_total",
+		"instances that ended under requests of this host", NULL);
 	metrics->duration = sr_metrics_histogram(
 		registry, "sassafras_gateway_duration_seconds",
 		"from a request's first byte to the end of its answer", NULL);
@@ -102,6 +105,7 @@
 	sr_gateway_set_host_count(gateway, MIN_SHARING_HOSTS);
 	sr_list_init(&gateway->sessions);
 	sr_list_init(&gateway->transactions);
+	sr_list_init(&gateway->instance_checks);
 	register_metrics(gateway);
 	return gateway;
 }
@@ -116,6 +120,7 @@
 	sr_acceptor_free(gateway->metrics_acceptor);
 	sr_list_for_each_safe (link, &gateway->sessions)
 		sr_session_free(sr_session_of_link(link));
+	sr_gateway_cancel_checks(gateway);
 	sr_connection_pool_free(gateway->connection_pool);
 	sr_instances_free(gateway->instances);
 	sr_prefix_index_free(gateway->prefix_index);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -3,6 +3,7 @@
 
 #include "base/list.h"
 #include "core/prefix_index.h"
+#include "core/request_print.h"
 #include "core/retry_policy.h"
 #include "core/retry_budget.h"
 #include "gateway/gateway.h"
@@ -32,6 +33,7 @@
 	sr_counter_t *attempts[SR_ATTEMPT_TRUNCATED + 1]; /* by outcome */
 	sr_counter_t *callers_left;
 	sr_counter_t *aborted;
+	sr_counter_t *instances_ended;
 	sr_histogram_t *duration;    /* s */
 	sr_histogram_t *first_event; /* s */
 	sr_gauge_t *sessions;
@@ -51,6 +53,7 @@
 	sr_acceptor_t *metrics_acceptor;
 	sr_list_t sessions;
 	sr_list_t transactions;
+	sr_list_t instance_checks;
 	unsigned n_sessions;
 	unsigned n_transactions;
 	gsize buffered_bytes; /* of all sessions */
@@ -201,6 +204,10 @@
 /** sr_attempt_is_sent - the request was written to a connection. */
 gboolean sr_attempt_is_sent(const sr_attempt_t *attempt);
 
+/** sr_attempt_is_cut - the connection ended after the request was sent and
+ * before the response was complete. */
+gboolean sr_attempt_is_cut(const sr_attempt_t *attempt);
+
 /** sr_attempt_instance - borrowed. */
 sr_instance_t *sr_attempt_instance(const sr_attempt_t *attempt);
 
@@ -210,6 +217,16 @@
 void sr_gateway_read_notices(sr_gateway_t *gateway, sr_instance_t *instance,
 			     const sr_message_t *response);
 
+/* instance_check.c: whether an instance that cut off attempts has ended */
+
+/** sr_gateway_check_instance - an instance has cut off an attempt of a request;
+ * finds out whether it has ended, unless it was about to leave. */
+void sr_gateway_check_instance(sr_gateway_t *gateway, sr_instance_t *instance,
+			       const sr_request_print_t *request);
+
+/** sr_gateway_cancel_checks - drop the checks that are under way. */
+void sr_gateway_cancel_checks(sr_gateway_t *gateway);
+
 /* connection_pool.c: idle connections to instances */
 
 sr_connection_pool_t *sr_connection_pool_new(sr_gateway_t *gateway);
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -36,7 +36,8 @@
 	transaction->prefill_backlog = -1;
 	sr_transaction_release_prefill(transaction);
 	sr_transaction_report_execution(transaction);
-	transaction->n_events++;
+	if (transaction->n_events++ == 0)
+		transaction->output_at = sr_transaction_now(transaction);
 }
 
 void sr_transaction_on_stream_data(sr_transaction_t *transaction,
@@ -223,6 +224,7 @@
 	transaction->prefill_backlog = instance->pending_prompt_tokens;
 	transaction->sent_at = now;
 	transaction->n_events = 0;
+	transaction->output_at = 0;
 	transaction->is_observed = FALSE;
 	if (state->trial)
 		sr_version_trial_sent(state->trial, instance->version);
@@ -447,6 +449,8 @@
 	outcome = outcome_for_stream(transaction, outcome);
 	sr_counter_add(transaction->gateway->metrics.attempts[outcome], 1);
 	update_ejection(transaction, instance, outcome);
+	if (sr_attempt_is_cut(transaction->attempt))
+		sr_transaction_report_cut(transaction);
 	sr_transaction_observe_end(transaction, outcome);
 	if (outcome != SR_ATTEMPT_NOT_SENT && outcome != SR_ATTEMPT_REJECTED) {
 		transaction->may_have_run = TRUE;
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -24,8 +24,9 @@
 	sr_usec_t deadline; /* of the final response */
 	sr_timer_t *deadline_timer;
 	sr_prompt_parts_t prompt;
-	double charged;	      /* taken from the account's allowance */
-	gboolean awaits_pool; /* a pool request is pending */
+	sr_request_print_t *print; /* NULL until sr_transaction_print() */
+	double charged;		   /* taken from the account's allowance */
+	gboolean awaits_pool;	   /* a pool request is pending */
 	/* Current attempt. */
 	sr_attempt_t *attempt;
 	sr_usec_t sent_at;
@@ -39,6 +40,7 @@
 	 * first event. */
 	double prefill_backlog;
 	unsigned n_events;    /* of the current attempt */
+	sr_usec_t output_at;  /* time of its first event; 0 before */
 	gboolean is_observed; /* by options.attempt_observed */
 	/* All attempts. */
 	GArray *tried_instances; /* guint32, instance ids */
@@ -131,6 +133,16 @@
  * so that a slow response shows before its end. */
 void sr_transaction_observe_incomplete(sr_transaction_t *transaction);
 
+/* transaction_print.c: what a request holds, and instances that ended under it
+ */
+
+/** sr_transaction_print - the fingerprints of the request; borrowed. */
+const sr_request_print_t *sr_transaction_print(sr_transaction_t *transaction);
+
+/** sr_transaction_report_cut - the instance cut off the current attempt, and
+ * may have ended. */
+void sr_transaction_report_cut(sr_transaction_t *transaction);
+
 /* transaction_log.c: log events and metrics */
 
 /** sr_transaction_log_end - logs the end; status is 0 without a response. */
--- a/src/gateway/transaction_response.c
+++ b/src/gateway/transaction_response.c
@@ -6,6 +6,7 @@
 static void clear_prompt(sr_prompt_parts_t *prompt)
 {
 	g_free(prompt->blocks);
+	g_free(prompt->parts);
 	g_free(prompt->tokens);
 }
 
@@ -40,6 +41,7 @@
 	transaction->gateway->n_transactions--;
 	sr_gauge_add(transaction->gateway->metrics.transactions, -1);
 	clear_prompt(&transaction->prompt);
+	g_free(transaction->print);
 	sr_event_parser_free(transaction->event_parser);
 	g_array_free(transaction->tried_instances, TRUE);
 	sr_route_table_unref(transaction->table);
