--- a/src/core/request_print.c
+++ b/src/core/request_print.c
@@ -39,8 +39,8 @@
 void sr_request_print_format(guint64 fingerprint,
 			     char text[SR_REQUEST_PRINT_TEXT_SIZE])
 {
-	g_snprintf(text, SR_REQUEST_PRINT_TEXT_SIZE, "%016" G_GINT64_MODIFIER
-		   "x", fingerprint);
+	g_snprintf(text, SR_REQUEST_PRINT_TEXT_SIZE,
+		   "%016" G_GINT64_MODIFIER "x", fingerprint);
 }
 
 gboolean sr_request_print_parse(const char *text, guint64 *fingerprint)
--- a/src/gateway/instance_check.c
+++ b/src/gateway/instance_check.c
@@ -89,8 +89,7 @@
 
 	check->gateway = gateway;
 	check->instance = sr_instance_ref(instance);
-	check->requests =
-		g_array_new(FALSE, FALSE, sizeof(sr_request_print_t));
+	check->requests = g_array_new(FALSE, FALSE, sizeof(sr_request_print_t));
 	check->channel =
 		sr_channel_connect(instance->address, &check_events, check);
 	check->timer = sr_timer_start(gateway->options.clock,
--- a/test/platform_notice_test.c
+++ b/test/platform_notice_test.c
@@ -23,7 +23,7 @@
 	bed_t *bed = bed_new();
 
 	register_upstream(bed, 1);
-	run_for(bed, 300);
+	run_for(300);
 	bed->upstreams[0].notice_name = name;
 	bed->upstreams[0].notice_value = value;
 	return bed;
--- a/test/platform_rollout_test.c
+++ b/test/platform_rollout_test.c
@@ -15,7 +15,7 @@
 	json_object *status = NULL;
 	json_object *value = NULL;
 
-	if (json_object_object_get_ex(bed->objects, key, &object) &&
+	if (json_object_object_get_ex(bed->store.objects, key, &object) &&
 	    json_object_object_get_ex(object, "status", &status))
 		json_object_object_get_ex(status, member, &value);
 	return value ? json_object_get_string(value) : "";
@@ -27,7 +27,7 @@
 				     "\"duration_s\":%d}",
 				     ROLLOUT_S);
 
-	put_text(bed, "rollouts/desk", spec);
+	put_text(&bed->store, "rollouts/desk", spec);
 	register_upstream(bed, 1);
 	g_free(spec);
 }
--- /dev/null
+++ b/test/platform_store.h
@@ -0,0 +1,331 @@
+#ifndef SR_TEST_PLATFORM_STORE_H
+#define SR_TEST_PLATFORM_STORE_H
+
+/*
+ * A stand-in of the platform's store on loopback, and settings of entry hosts
+ * that use it.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <json-c/json.h>
+#include <libsoup/soup.h>
+
+#include "base/settings.h"
+#include "entry_host.h"
+#include "settings.h"
+
+/** How long the stand-in holds a watch without events open, in ms. */
+#define WATCH_HOLD_MS 40
+
+typedef struct {
+	SoupServer *server;
+	json_object *objects; /* "KIND/NAME" -> object */
+	gint64 revision;
+} store_t;
+
+static SoupServer *listen_local(SoupServerCallback handler, gpointer user)
+{
+	SoupServer *server = soup_server_new(NULL, NULL);
+
+	soup_server_add_handler(server, NULL, handler, user, NULL);
+	assert_true(soup_server_listen_local(
+		server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+	return server;
+}
+
+static int port_of(SoupServer *server)
+{
+	GSList *uris = soup_server_get_uris(server);
+	int port = g_uri_get_port(uris->data);
+
+	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
+	return port;
+}
+
+static int unused_port(void)
+{
+	GSocketListener *listener = g_socket_listener_new();
+	int port = g_socket_listener_add_any_inet_port(listener, NULL, NULL);
+
+	g_socket_listener_close(listener);
+	g_object_unref(listener);
+	return port;
+}
+
+/* The store. */
+
+static json_object *metadata_of(json_object *object)
+{
+	json_object *metadata = NULL;
+
+	json_object_object_get_ex(object, "metadata", &metadata);
+	return metadata;
+}
+
+static gint64 revision_of(json_object *object)
+{
+	json_object *revision = NULL;
+
+	json_object_object_get_ex(metadata_of(object), "revision", &revision);
+	return json_object_get_int64(revision);
+}
+
+static void touch(store_t *store, json_object *object)
+{
+	json_object_object_add(metadata_of(object), "revision",
+			       json_object_new_int64(++store->revision));
+}
+
+/* Sets an object's spec or status from a text. */
+static void put(store_t *store, const char *key, const char *member,
+		json_object *value)
+{
+	json_object *object = NULL;
+	json_object *metadata;
+
+	if (!json_object_object_get_ex(store->objects, key, &object)) {
+		object = json_object_new_object();
+		metadata = json_object_new_object();
+		json_object_object_add(
+			metadata, "name",
+			json_object_new_string(strchr(key, '/') + 1));
+		json_object_object_add(object, "metadata", metadata);
+		json_object_object_add(store->objects, key, object);
+	}
+	json_object_object_add(object, member, value);
+	touch(store, object);
+}
+
+static void put_text(store_t *store, const char *key, const char *spec)
+{
+	json_object *value = json_tokener_parse(spec);
+
+	assert_non_null(value);
+	put(store, key, "spec", value);
+}
+
+static json_object *list_kind(store_t *store, const char *kind, gint64 after)
+{
+	json_object *items = json_object_new_array();
+
+	json_object_object_foreach(store->objects, key, object)
+	{
+		if (strncmp(key, kind, strlen(kind)) != 0 ||
+		    key[strlen(kind)] != '/' || revision_of(object) <= after)
+			continue;
+		if (after < 0) {
+			json_object_array_add(items, json_object_get(object));
+		} else {
+			json_object *event = json_object_new_object();
+
+			json_object_object_add(event, "object",
+					       json_object_get(object));
+			json_object_object_add(event, "removed",
+					       json_object_new_boolean(FALSE));
+			json_object_array_add(items, event);
+		}
+	}
+	return items;
+}
+
+static void respond(SoupServerMessage *message, unsigned status,
+		    json_object *body)
+{
+	const char *text = json_object_to_json_string(body);
+
+	soup_server_message_set_status(message, status, NULL);
+	soup_server_message_set_response(message, "application/json",
+					 SOUP_MEMORY_COPY, text, strlen(text));
+}
+
+/** held_watch_t - a watch without events; its caller may leave before the end.
+ */
+typedef struct {
+	SoupServerMessage *message;
+	gboolean is_gone;
+} held_watch_t;
+
+static void on_watch_gone(SoupServerMessage *message, gpointer user)
+{
+	(void)message;
+	((held_watch_t *)user)->is_gone = TRUE;
+}
+
+static gboolean on_watch_end(gpointer user)
+{
+	held_watch_t *watch = user;
+
+	g_signal_handlers_disconnect_by_data(watch->message, watch);
+	if (!watch->is_gone)
+		soup_server_message_unpause(watch->message);
+	g_object_unref(watch->message);
+	g_free(watch);
+	return G_SOURCE_REMOVE;
+}
+
+static void hold_watch(SoupServerMessage *message)
+{
+	held_watch_t *watch = g_new0(held_watch_t, 1);
+
+	watch->message = g_object_ref(message);
+	g_signal_connect(message, "disconnected", G_CALLBACK(on_watch_gone),
+			 watch);
+	g_signal_connect(message, "finished", G_CALLBACK(on_watch_gone), watch);
+	soup_server_message_pause(message);
+	g_timeout_add(WATCH_HOLD_MS, on_watch_end, watch);
+}
+
+static void on_get(store_t *store, SoupServerMessage *message, const char *key,
+		   GHashTable *query)
+{
+	const char *watch = query ? g_hash_table_lookup(query, "watch") : NULL;
+	gint64 after = watch ? g_ascii_strtoll(watch, NULL, 10) : -1;
+	json_object *object = NULL;
+	json_object *body;
+	json_object *items;
+
+	if (strchr(key, '/')) {
+		json_object_object_get_ex(store->objects, key, &object);
+		respond(message, object ? 200 : 404, object);
+		return;
+	}
+	items = list_kind(store, key, after);
+	body = json_object_new_object();
+	json_object_object_add(body, watch ? "events" : "items", items);
+	json_object_object_add(body, "truncated",
+			       json_object_new_boolean(FALSE));
+	json_object_object_add(body, "current_rev",
+			       json_object_new_int64(store->revision));
+	respond(message, 200, body);
+	if (watch && json_object_array_length(items) == 0)
+		hold_watch(message);
+	json_object_put(body);
+}
+
+/* Creates and conditional updates of a spec or a status. */
+static void on_write(store_t *store, SoupServerMessage *message, const char *path,
+		     const char *method)
+{
+	SoupMessageBody *body = soup_server_message_get_request_body(message);
+	json_object *sent = json_tokener_parse(body->data);
+	json_object *known = NULL;
+	json_object *value = NULL;
+	json_object *name = NULL;
+	gboolean is_status = g_str_has_suffix(path, "/status");
+	const char *member = is_status ? "status" : "spec";
+	char *key;
+
+	json_object_object_get_ex(metadata_of(sent), "name", &name);
+	if (!strcmp(method, "POST"))
+		key = g_strdup_printf("%s/%s", path,
+				      json_object_get_string(name));
+	else
+		key = g_strndup(path,
+				strlen(path) -
+					(is_status ? strlen("/status") : 0));
+	json_object_object_get_ex(store->objects, key, &known);
+	json_object_object_get_ex(sent, member, &value);
+	if (known && (!strcmp(method, "POST") ||
+		      (revision_of(sent) > 0 &&
+		       revision_of(sent) != revision_of(known)))) {
+		respond(message, 409, known);
+	} else if (!known && strcmp(method, "POST") != 0) {
+		respond(message, 404, NULL);
+	} else {
+		put(store, key, member, json_object_get(value));
+		json_object_object_get_ex(store->objects, key, &known);
+		respond(message, 200, known);
+	}
+	json_object_put(sent);
+	g_free(key);
+}
+
+static void on_store_call(SoupServer *server, SoupServerMessage *message,
+			  const char *path, GHashTable *query, gpointer user)
+{
+	const char *method = soup_server_message_get_method(message);
+	json_object *nothing;
+
+	(void)server;
+	if (g_str_has_prefix(path, "/api/objects/")) {
+		path += strlen("/api/objects/");
+		if (!strcmp(method, "GET"))
+			on_get(user, message, path, query);
+		else
+			on_write(user, message, path, method);
+		return;
+	}
+	nothing = json_object_new_object(); /* a duty call */
+	respond(message, 200, nothing);
+	json_object_put(nothing);
+}
+
+static void store_init(store_t *store)
+{
+	store->objects = json_object_new_object();
+	store->server = listen_local(on_store_call, store);
+}
+
+static void store_clear(store_t *store)
+{
+	g_object_unref(store->server);
+	json_object_put(store->objects);
+}
+
+/* The entry host. */
+
+/* The seeds are a JSON array of peer addresses. */
+static sr_entry_host_settings_t *make_settings(const store_t *store,
+					       const char *node,
+					       int peer_port,
+					       const char *seeds)
+{
+	int store_port = port_of(store->server);
+	char *text = g_strdup_printf(
+		"{\"node\":\"%s\",\"failure_domain\":\"z\",\"caller_address\":"
+		"\"127.0.0.1:%d\",\"ready_address\":\"127.0.0.1:%d\","
+		"\"metrics_address\":\"127.0.0.1:%d\",\"peer_address\":"
+		"\"127.0.0.1:%d\",\"peer_seeds\":%s,\"store\":{\"address\":"
+		"\"127.0.0.1:%d\",\"writes_per_s\":10000,\"reads_per_s\":10000},"
+		"\"duties\":{\"address\":\"127.0.0.1:%d\",\"names\":"
+		"[\"usage_report\"],\"calls_per_s\":50},\"limits\":{"
+		"\"descriptors\":1000,\"memory_mb\":100},\"bounds\":{"
+		"\"stop_ms\":8000,\"retry_ratio\":0.2,\"retry_slack\":58,"
+		"\"allowance_window_s\":8,\"allowance_overage\":0.1,"
+		"\"allowance_slack\":190000,\"usage_window_s\":5,"
+		"\"usage_due_s\":10,\"lease_ms\":1000,\"apply_ms\":2000,"
+		"\"drain_ms\":2000,\"exposure_share\":0.1,"
+		"\"exposure_slack\":50}}",
+		node, unused_port(), unused_port(), unused_port(), peer_port,
+		seeds, store_port, store_port);
+	GPtrArray *findings = sr_findings_new();
+	sr_entry_host_settings_t *settings =
+		sr_entry_host_settings_parse(text, strlen(text), findings);
+
+	assert_non_null(settings);
+	g_ptr_array_unref(findings);
+	g_free(text);
+	return settings;
+}
+
+static gboolean on_timeout(gpointer data)
+{
+	*(gboolean *)data = TRUE;
+	return G_SOURCE_REMOVE;
+}
+
+static void run_for(unsigned ms)
+{
+	gboolean timed_out = FALSE;
+
+	g_timeout_add(ms, on_timeout, &timed_out);
+	while (!timed_out)
+		g_main_context_iteration(NULL, TRUE);
+}
+
+#endif
