Quarantine parts of prompts that crash instances

Cause: nothing related the end of an instance to what its requests held. The ejection blames the instance, the retry policy counts attempts of one client attempt; each request and each host began with no knowledge, and a retry ended a second instance.

Change: an attempt that is cut off has its instance checked by a connection. If it is refused, the parts of what the instance had are reported to all hosts. Three ends without a survivor quarantine a part: requests with it are refused as not run, with the time to the next probe.

Its bed is corrected: the hosts had one address, and didn't know each other.

--- a/src/base/error.c
+++ b/src/base/error.c
@@ -74,6 +74,10 @@
 	{ SR_ERR_CALLER_TIMEOUT, 408, "caller-timeout",
 	  "the request did not arrive in time",
 	  "send the whole request without a pause" },
+	{ SR_ERR_QUARANTINED, 503, "quarantined",
+	  "instances have ended under requests like this one",
+	  "change the request; one like it is tried again after the given "
+	  "delay" },
 };
 
 static const error_info_t *find_info(sr_err_t err)
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -31,6 +31,7 @@
 	SR_ERR_CANCELLED = -21,
 	SR_ERR_HEAD_TOO_LARGE = -22,
 	SR_ERR_CALLER_TIMEOUT = -23,
+	SR_ERR_QUARANTINED = -24,
 } sr_err_t;
 
 /*
--- a/src/core/gossip.c
+++ b/src/core/gossip.c
@@ -43,6 +43,8 @@
 			       .value = record->value,
 			       .size = record->size };
 
+	if (record->expires_at)
+		rumour.expires_in = MAX(record->expires_at - g->now, 1);
 	if (g->options.rumour_changed)
 		g->options.rumour_changed(g->options.user, &rumour);
 }
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -35,12 +35,17 @@
 			       * = leaving, absent or replaced; among entry
 			       * hosts of a gateway key = instance, value =
 			       * what it has said of itself */
-	SR_RUMOUR_RECALL,     /* key = "service/version"; never withdrawn */
+	SR_RUMOUR_RECALL,     /* key = "service/version"; never withdrawn. Among
+			       * entry hosts of a gateway key = fingerprint of
+			       * requests; version = even for quarantined, odd
+			       * for cleared */
 	SR_RUMOUR_SHARD_OWNER, /* version = epoch; key = "domain/shard" and
 				* value = "node address", or for the duties of
 				* the entry hosts value = address */
 	SR_RUMOUR_EVIDENCE,    /* key = "node/service/version/route"; value =
-				* counters */
+				* counters. Among entry hosts of a gateway key =
+				* "node@incarnation/number"; value = report on
+				* an instance that ended */
 	SR_RUMOUR_USAGE,       /* key = "node/account"; value = requests in
 				* flight */
 	SR_RUMOUR_STATUS,      /* key = node; value = generation in force and
@@ -85,6 +90,8 @@
 	guint64 version;
 	const guint8 *value;
 	gsize size; /* of value, in bytes */
+	/* time until it expires, 0 for never; set in rumour_changed() only */
+	sr_usec_t expires_in;
 } sr_rumour_t;
 
 /** sr_member_state_t - states of a member; alive and suspect ones are live. */
--- a/src/core/instances.c
+++ b/src/core/instances.c
@@ -1,6 +1,7 @@
 #include "core/instances.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /** removal_t - the last removal of a name. An instance that was draining has
  * ended; an older copy of its entry may still turn up under a later revision,
@@ -241,6 +242,12 @@
 	return earliest;
 }
 
+guint64 sr_instance_identity(const sr_instance_t *instance)
+{
+	return XXH64(instance->name, strlen(instance->name),
+		     (XXH64_hash_t)instance->start_unix_ms);
+}
+
 gboolean sr_instance_is_present(const sr_instance_t *instance)
 {
 	return !instance->is_removed && !instance->draining &&
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -124,6 +124,10 @@
 sr_usec_t sr_instances_opens_in(const sr_instances_t *instances,
 				const char *service, sr_usec_t now);
 
+/** sr_instance_identity - the same number on all hosts for an instance, another
+ * one for an instance of another name or start. */
+guint64 sr_instance_identity(const sr_instance_t *instance);
+
 /** sr_instance_ref - returns instance with a new reference. */
 sr_instance_t *sr_instance_ref(sr_instance_t *instance);
 
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -37,7 +37,7 @@
 
 /** Lines of the lease's payload after those of the usage reports: the number of
  * entry hosts with the time of writing in Unix milliseconds, what each pool of
- * an account had granted then, and the orders of roll-outs. */
+ * an account had granted then, the orders of roll-outs, and quarantines. */
 #define HOSTS_WORD "hosts"
 #define GRANTED_WORD "granted"
 
@@ -177,6 +177,12 @@
 	return age;
 }
 
+static void restore_line(sr_fleet_t *fleet, char **words)
+{
+	sr_rollouts_restore(sr_fleet_rollouts(fleet), words);
+	sr_fleet_restore_quarantine(fleet, words);
+}
+
 /* Reads what the holder knew of the fleet shortly before this host started. */
 static void restore_fleet(sr_duties_t *duties)
 {
@@ -198,9 +204,7 @@
 			 age <= RESTORE_AGE_MAX)
 			restore_granted(duties, words, age);
 		else
-			sr_rollouts_restore(
-				sr_fleet_rollouts(duties->options.fleet_state),
-				words);
+			restore_line(duties->options.fleet_state, words);
 		g_strfreev(words);
 	}
 	g_strfreev(lines);
@@ -237,6 +241,7 @@
 		sr_fleet_host_count(options->fleet_state),
 		is_known ? sr_clock_unix_ms(options->clock) : 0, granted->str);
 	sr_rollouts_save(sr_fleet_rollouts(options->fleet_state), text);
+	sr_fleet_save_quarantines(options->fleet_state, text);
 	g_string_free(granted, TRUE);
 	g_bytes_unref(payload);
 	return g_string_free_to_bytes(text);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -275,6 +275,12 @@
 	case SR_RUMOUR_SHARD_OWNER:
 		receive_duty_holder(fleet, rumour);
 		break;
+	case SR_RUMOUR_EVIDENCE:
+		sr_crash_gossip_receive_report(fleet, rumour);
+		break;
+	case SR_RUMOUR_RECALL:
+		sr_crash_gossip_receive_state(fleet, rumour);
+		break;
 	case SR_RUMOUR_HOST_STATE:
 		sr_notice_gossip_receive(fleet, rumour);
 		break;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -166,6 +166,25 @@
  * itself, and divide its limit among them. */
 void sr_fleet_publish_notices(sr_fleet_t *fleet, sr_instance_t *instance);
 
+/** sr_fleet_publish_crash - tell the other hosts of an instance that ended
+ * under requests of this host. */
+void sr_fleet_publish_crash(sr_fleet_t *fleet, const sr_crash_report_t *report);
+
+/** sr_fleet_publish_cleared - tell the other hosts that a request has survived
+ * whose fingerprint was suspect. */
+void sr_fleet_publish_cleared(sr_fleet_t *fleet, guint64 fingerprint);
+
+/** sr_fleet_publish_quarantine - tell the other hosts of a quarantine. */
+void sr_fleet_publish_quarantine(sr_fleet_t *fleet,
+				 const sr_quarantine_t *quarantine);
+
+/** sr_fleet_save_quarantines - append a line of text for each quarantine. */
+void sr_fleet_save_quarantines(const sr_fleet_t *fleet, GString *text);
+
+/** sr_fleet_restore_quarantine - apply the words of a saved line; lines of
+ * another kind, and quarantines that have ended since, change nothing. */
+void sr_fleet_restore_quarantine(sr_fleet_t *fleet, char **words);
+
 /** sr_fleet_rollouts - the orders of roll-outs; borrowed. */
 sr_rollouts_t *sr_fleet_rollouts(const sr_fleet_t *fleet);
 
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -20,7 +20,8 @@
 	sr_usec_t started_at;
 	unsigned expected_hosts; /* 0 if not known; see sr_fleet_expect_hosts */
 	guint64 incarnation;
-	guint64 n_published; /* by sr_fleet_publish_own() */
+	guint64 n_published;	 /* by sr_fleet_publish_own() */
+	guint64 n_crash_reports; /* published by this host */
 	sr_peer_t *peer;
 	sr_gossip_t *gossip;
 	sr_members_t *members;
@@ -149,6 +150,15 @@
  * have said of it. */
 void sr_notice_gossip_restore(sr_fleet_t *fleet, const char *instance);
 
+/* crash_gossip.c: instances that ended, and what requests held then */
+
+void sr_crash_gossip_receive_report(sr_fleet_t *fleet,
+				    const sr_rumour_t *rumour);
+
+/** sr_crash_gossip_receive_state - a fingerprint is quarantined or cleared. */
+void sr_crash_gossip_receive_state(sr_fleet_t *fleet,
+				   const sr_rumour_t *rumour);
+
 /* store_notice.c: notices of the hosts that watch the platform */
 
 /** sr_store_notice_receive - FALSE if the datagram is not of this kind. */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -60,6 +60,16 @@
 	metrics->instances_ended = sr_metrics_counter(
 		registry, "sassafras_gateway_instances_ended_total",
 		"instances that ended under requests of this host", NULL);
+	metrics->quarantined_requests = sr_metrics_counter(
+		registry, "sassafras_gateway_quarantined_requests_total",
+		"requests refused since instances ended under ones like them",
+		NULL);
+	metrics->probes = sr_metrics_counter(
+		registry, "sassafras_gateway_quarantine_probes_total",
+		"requests that passed as probes of a quarantine", NULL);
+	metrics->quarantined = sr_metrics_gauge(
+		registry, "sassafras_gateway_quarantined_fingerprints",
+		"fingerprints of requests that are quarantined", NULL);
 	metrics->duration = sr_metrics_histogram(
 		registry, "sassafras_gateway_duration_seconds",
 		"from a request's first byte to the end of its answer", NULL);
@@ -96,6 +106,7 @@
 	gateway->prefix_index = sr_prefix_index_new(PREFIX_INDEX_BLOCKS);
 	gateway->allowance = sr_allowance_new();
 	sr_allowance_set_tolerance(gateway->allowance, &options->allowance);
+	sr_gateway_create_suspects(gateway);
 	if (options->take_from_pool)
 		sr_allowance_enable_pools(gateway->allowance);
 	gateway->services =
@@ -125,6 +136,7 @@
 	sr_instances_free(gateway->instances);
 	sr_prefix_index_free(gateway->prefix_index);
 	sr_allowance_free(gateway->allowance);
+	sr_crash_suspects_free(gateway->suspects);
 	g_hash_table_unref(gateway->services);
 	sr_route_table_unref(gateway->table);
 	g_rand_free(gateway->rng);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "core/allowance.h"
+#include "core/crash_suspects.h"
 #include "core/evidence.h"
 #include "core/instances.h"
 #include "core/route_table.h"
@@ -63,6 +64,16 @@
 	/* An instance has said something new of itself in a response; may be
 	 * NULL. */
 	void (*instance_noticed)(void *user, sr_instance_t *instance);
+	/* An instance has ended under requests of this host; may be NULL. */
+	void (*instance_ended)(void *user, const sr_crash_report_t *report);
+	/* A request has survived whose fingerprint was suspect; may be NULL. */
+	void (*suspect_cleared)(void *user, guint64 fingerprint);
+	/* Reports of ended instances have led to a quarantine; may be NULL. */
+	void (*suspect_quarantined)(void *user,
+				    const sr_quarantine_t *quarantine);
+	/* Whether this host sends the probe of a quarantine that is due; may be
+	 * NULL for always. */
+	gboolean (*may_probe)(void *user, guint64 fingerprint);
 	/* Requests an amount from the account's allowance pool; done is called
 	 * once, possibly from inside this call. NULL if there are no pools. */
 	void (*take_from_pool)(void *user, const char *account, double amount,
@@ -127,6 +138,27 @@
 void sr_gateway_apply_notice(sr_gateway_t *gateway, sr_instance_t *instance,
 			     const sr_notice_t *notice);
 
+/** sr_gateway_suspects - quarantined fingerprints of requests and those that
+ * may become so; borrowed. Change them by the functions below. */
+const sr_crash_suspects_t *sr_gateway_suspects(const sr_gateway_t *gateway);
+
+/** sr_gateway_add_crash_report - apply the report of another host. */
+void sr_gateway_add_crash_report(sr_gateway_t *gateway,
+				 const sr_crash_report_t *report);
+
+/** sr_gateway_clear_suspect - a request with the fingerprint has survived at
+ * another host. */
+void sr_gateway_clear_suspect(sr_gateway_t *gateway, guint64 fingerprint,
+			      sr_usec_t survived_at);
+
+/** sr_gateway_restore_quarantine - apply a quarantine of another host or of an
+ * earlier process as sr_crash_suspects_restore() does; source is for the log.
+ */
+gboolean sr_gateway_restore_quarantine(sr_gateway_t *gateway,
+				       const sr_quarantine_t *quarantine,
+				       sr_usec_t decided_at,
+				       const char *source);
+
 /** sr_gateway_set_version_trial - divides the requests for a service between
  * its versions; the trial is borrowed until it is replaced, NULL ends it. */
 void sr_gateway_set_version_trial(sr_gateway_t *gateway, const char *service,
--- a/src/gateway/instance_check.c
+++ b/src/gateway/instance_check.c
@@ -1,12 +1,23 @@
 #include "gateway/internal.h"
 
-/** Time for the instance to take a connection, as for an attempt. An instance
- * that does not answer is counted among those that have ended. */
+/** Time for the instance to take a connection, as for an attempt. One that does
+ * not answer can't be reached; whether it has ended isn't known. */
 #define CHECK_TIMEOUT (400 * SR_MSEC)
 
 /** Requests that are kept for one check. */
 #define REQUESTS_MAX 128
 
+typedef struct {
+	sr_crash_request_t request;
+	gboolean is_answered; /* as far as can be told */
+} checked_request_t;
+
+typedef enum {
+	INSTANCE_ALIVE,	 /* it takes connections */
+	INSTANCE_ENDED,	 /* it refuses them */
+	INSTANCE_SILENT, /* it can't be reached */
+} outcome_t;
+
 /** instance_check_t - a connection that shows whether an instance is there */
 typedef struct {
 	sr_list_t link; /* in gateway->instance_checks */
@@ -14,7 +25,7 @@
 	sr_instance_t *instance;
 	sr_channel_t *channel;
 	sr_timer_t *timer;
-	GArray *requests; /* sr_request_print_t, cut off by the instance */
+	GArray *requests; /* checked_request_t */
 } instance_check_t;
 
 static void free_check(instance_check_t *check)
@@ -28,31 +39,75 @@
 	g_free(check);
 }
 
-static void conclude(instance_check_t *check, gboolean ended,
-		     const char *outcome)
+static void report(const instance_check_t *check)
+{
+	GArray *requests =
+		g_array_new(FALSE, FALSE, sizeof(sr_crash_request_t));
+	sr_crash_report_t crash = {
+		.instance = sr_instance_identity(check->instance),
+		.ended_at = sr_gateway_now(check->gateway),
+		.n_requests = check->requests->len,
+	};
+
+	for (guint i = 0; i < check->requests->len; i++)
+		g_array_append_val(requests, g_array_index(check->requests,
+							   checked_request_t, i)
+						     .request);
+	crash.requests = (const sr_crash_request_t *)(void *)requests->data;
+	sr_gateway_report_crash(check->gateway, &crash);
+	g_array_unref(requests);
+}
+
+static void clear_answered(const instance_check_t *check)
 {
+	for (guint i = 0; i < check->requests->len; i++) {
+		const checked_request_t *request =
+			&g_array_index(check->requests, checked_request_t, i);
+
+		if (request->is_answered)
+			sr_gateway_request_survived(check->gateway,
+						    &request->request.print);
+	}
+}
+
+static void conclude(instance_check_t *check, outcome_t outcome)
+{
+	static const char *const names[] = {
+		[INSTANCE_ALIVE] = "alive",
+		[INSTANCE_ENDED] = "ended",
+		[INSTANCE_SILENT] = "silent",
+	};
 	const sr_gateway_t *gateway = check->gateway;
 	char n[16];
 
 	g_snprintf(n, sizeof(n), "%u", check->requests->len);
 	sr_log_event(gateway->options.log, SR_LOG_INFO, "instance-checked",
 		     "what", check->instance->name, "service",
-		     check->instance->service, "outcome", outcome, "requests",
-		     n, NULL);
-	if (ended)
+		     check->instance->service, "outcome", names[outcome],
+		     "requests", n, NULL);
+	switch (outcome) {
+	case INSTANCE_ALIVE:
+		clear_answered(check);
+		break;
+	case INSTANCE_ENDED:
 		sr_counter_add(gateway->metrics.instances_ended, 1);
+		report(check);
+		break;
+	case INSTANCE_SILENT:
+		break;
+	}
 	free_check(check);
 }
 
 static void on_connected(void *user)
 {
-	conclude(user, FALSE, "alive");
+	conclude(user, INSTANCE_ALIVE);
 }
 
 static void on_ended(void *user, sr_channel_end_reason_t how)
 {
 	(void)how;
-	conclude(user, TRUE, "ended");
+	conclude(user, INSTANCE_ENDED);
 }
 
 static void on_timeout(void *user)
@@ -60,7 +115,7 @@
 	instance_check_t *check = user;
 
 	check->timer = NULL;
-	conclude(check, TRUE, "silent");
+	conclude(check, INSTANCE_SILENT);
 }
 
 /* The events before the connection is established; the check ends then. */
@@ -89,7 +144,7 @@
 
 	check->gateway = gateway;
 	check->instance = sr_instance_ref(instance);
-	check->requests = g_array_new(FALSE, FALSE, sizeof(sr_request_print_t));
+	check->requests = g_array_new(FALSE, FALSE, sizeof(checked_request_t));
 	check->channel =
 		sr_channel_connect(instance->address, &check_events, check);
 	check->timer = sr_timer_start(gateway->options.clock,
@@ -100,8 +155,10 @@
 }
 
 void sr_gateway_check_instance(sr_gateway_t *gateway, sr_instance_t *instance,
-			       const sr_request_print_t *request)
+			       const sr_crash_request_t *request,
+			       gboolean is_answered)
 {
+	const checked_request_t checked = { *request, is_answered };
 	instance_check_t *check;
 
 	if (!sr_instance_is_present(instance))
@@ -110,7 +167,7 @@
 	if (!check)
 		check = start_check(gateway, instance);
 	if (check->requests->len < REQUESTS_MAX)
-		g_array_append_vals(check->requests, request, 1);
+		g_array_append_val(check->requests, checked);
 }
 
 void sr_gateway_cancel_checks(sr_gateway_t *gateway)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -34,6 +34,9 @@
 	sr_counter_t *callers_left;
 	sr_counter_t *aborted;
 	sr_counter_t *instances_ended;
+	sr_counter_t *quarantined_requests;
+	sr_counter_t *probes;
+	sr_gauge_t *quarantined;
 	sr_histogram_t *duration;    /* s */
 	sr_histogram_t *first_event; /* s */
 	sr_gauge_t *sessions;
@@ -46,6 +49,7 @@
 	sr_instances_t *instances;
 	sr_prefix_index_t *prefix_index;
 	sr_allowance_t *allowance;
+	sr_crash_suspects_t *suspects;
 	GHashTable *services; /* name -> sr_gateway_service_state_t */
 	sr_connection_pool_t *connection_pool;
 	sr_acceptor_t *caller_acceptor;
@@ -219,14 +223,35 @@
 
 /* instance_check.c: whether an instance that cut off attempts has ended */
 
-/** sr_gateway_check_instance - an instance has cut off an attempt of a request;
- * finds out whether it has ended, unless it was about to leave. */
+/**
+ * sr_gateway_check_instance - an instance has closed the connection of a
+ * request
+ *
+ * Finds out whether the instance has ended, unless it was about to leave. If it
+ * has, the request is reported. If not, and is_answered is set, the request
+ * has survived.
+ */
 void sr_gateway_check_instance(sr_gateway_t *gateway, sr_instance_t *instance,
-			       const sr_request_print_t *request);
+			       const sr_crash_request_t *request,
+			       gboolean is_answered);
 
 /** sr_gateway_cancel_checks - drop the checks that are under way. */
 void sr_gateway_cancel_checks(sr_gateway_t *gateway);
 
+/* suspects.c: requests that may crash instances */
+
+void sr_gateway_create_suspects(sr_gateway_t *gateway);
+
+/** sr_gateway_report_crash - an instance has ended under requests of this host.
+ */
+void sr_gateway_report_crash(sr_gateway_t *gateway,
+			     const sr_crash_report_t *report);
+
+/** sr_gateway_request_survived - a request of this host didn't end the instance
+ * that ran it. */
+void sr_gateway_request_survived(sr_gateway_t *gateway,
+				 const sr_request_print_t *request);
+
 /* connection_pool.c: idle connections to instances */
 
 sr_connection_pool_t *sr_connection_pool_new(sr_gateway_t *gateway);
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -38,6 +38,7 @@
 	sr_transaction_report_execution(transaction);
 	if (transaction->n_events++ == 0)
 		transaction->output_at = sr_transaction_now(transaction);
+	sr_transaction_report_output(transaction);
 }
 
 void sr_transaction_on_stream_data(sr_transaction_t *transaction,
@@ -225,6 +226,7 @@
 	transaction->sent_at = now;
 	transaction->n_events = 0;
 	transaction->output_at = 0;
+	transaction->has_survived = FALSE;
 	transaction->is_observed = FALSE;
 	if (state->trial)
 		sr_version_trial_sent(state->trial, instance->version);
@@ -271,10 +273,30 @@
 	return MAX(opens_in, SR_TRANSACTION_RETRY_AFTER);
 }
 
+/* FALSE if the request was refused and the transaction freed. */
+static gboolean pass_quarantine(sr_transaction_t *transaction)
+{
+	sr_usec_t retry_after;
+
+	if (!sr_transaction_is_quarantined(transaction, &retry_after))
+		return TRUE;
+	if (transaction->is_streaming)
+		sr_transaction_abort(transaction,
+				     sr_err_message(SR_ERR_QUARANTINED));
+	else
+		sr_transaction_refuse(transaction, SR_ERR_QUARANTINED,
+				      sr_err_message(SR_ERR_QUARANTINED),
+				      retry_after);
+	return FALSE;
+}
+
 static void start_attempt(sr_transaction_t *transaction)
 {
-	sr_placement_choice_t choice = choose_instance(transaction);
+	sr_placement_choice_t choice;
 
+	if (!pass_quarantine(transaction))
+		return;
+	choice = choose_instance(transaction);
 	if (!choice.instance) {
 		if (transaction->is_streaming)
 			sr_transaction_abort(
@@ -451,6 +473,8 @@
 	update_ejection(transaction, instance, outcome);
 	if (sr_attempt_is_cut(transaction->attempt))
 		sr_transaction_report_cut(transaction);
+	else if (outcome == SR_ATTEMPT_ANSWERED)
+		sr_transaction_report_answer(transaction);
 	sr_transaction_observe_end(transaction, outcome);
 	if (outcome != SR_ATTEMPT_NOT_SENT && outcome != SR_ATTEMPT_REJECTED) {
 		transaction->may_have_run = TRUE;
@@ -611,7 +635,8 @@
 			 ->retry_budget);
 	sr_transaction_read_last_event(transaction);
 	set_deadline(transaction);
-	take_allowance(transaction);
+	if (pass_quarantine(transaction))
+		take_allowance(transaction);
 }
 
 void sr_transaction_begin(sr_session_t *session, sr_gateway_t *gateway,
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -25,6 +25,7 @@
 	sr_timer_t *deadline_timer;
 	sr_prompt_parts_t prompt;
 	sr_request_print_t *print; /* NULL until sr_transaction_print() */
+	gboolean is_probe;	   /* of a quarantine, with its first attempt */
 	double charged;		   /* taken from the account's allowance */
 	gboolean awaits_pool;	   /* a pool request is pending */
 	/* Current attempt. */
@@ -39,9 +40,10 @@
 	/* The instance's pending_prompt_tokens after sending; -1 after the
 	 * first event. */
 	double prefill_backlog;
-	unsigned n_events;    /* of the current attempt */
-	sr_usec_t output_at;  /* time of its first event; 0 before */
-	gboolean is_observed; /* by options.attempt_observed */
+	unsigned n_events;     /* of the current attempt */
+	sr_usec_t output_at;   /* time of its first event; 0 before */
+	gboolean has_survived; /* its instance, see transaction_print.c */
+	gboolean is_observed;  /* by options.attempt_observed */
 	/* All attempts. */
 	GArray *tried_instances; /* guint32, instance ids */
 	unsigned n_sent;	 /* attempts written to a connection */
@@ -143,6 +145,18 @@
  * may have ended. */
 void sr_transaction_report_cut(sr_transaction_t *transaction);
 
+/** sr_transaction_report_answer - the current attempt was answered. */
+void sr_transaction_report_answer(sr_transaction_t *transaction);
+
+/** sr_transaction_report_output - the current attempt goes on with output. */
+void sr_transaction_report_output(sr_transaction_t *transaction);
+
+/** sr_transaction_is_quarantined - whether instances have ended under requests
+ * like this one, so that it must be refused; sets the time to the next probe.
+ */
+gboolean sr_transaction_is_quarantined(sr_transaction_t *transaction,
+				       sr_usec_t *retry_after);
+
 /* transaction_log.c: log events and metrics */
 
 /** sr_transaction_log_end - logs the end; status is 0 without a response. */
--- a/src/gateway/transaction_print.c
+++ b/src/gateway/transaction_print.c
@@ -27,13 +27,6 @@
 	return transaction->print;
 }
 
-static gboolean has_survived(const sr_transaction_t *transaction)
-{
-	return transaction->output_at > 0 &&
-	       sr_transaction_now(transaction) - transaction->output_at >=
-		       SURVIVAL_TIME;
-}
-
 static const char *progress(const sr_transaction_t *transaction)
 {
 	if (transaction->output_at > 0)
@@ -67,12 +60,101 @@
 	g_string_free(parts, TRUE);
 }
 
+static void check_instance(sr_transaction_t *transaction, gboolean is_answered)
+{
+	const sr_crash_request_t request = {
+		.print = *sr_transaction_print(transaction),
+		.has_begun = sr_attempt_message(transaction->attempt)
+				     ->headers_complete,
+	};
+
+	sr_gateway_check_instance(transaction->gateway,
+				  sr_attempt_instance(transaction->attempt),
+				  &request, is_answered);
+}
+
 void sr_transaction_report_cut(sr_transaction_t *transaction)
 {
 	log_cut(transaction);
-	if (!has_survived(transaction))
-		sr_gateway_check_instance(
-			transaction->gateway,
-			sr_attempt_instance(transaction->attempt),
-			sr_transaction_print(transaction));
+	if (!transaction->has_survived)
+		check_instance(transaction, FALSE);
+}
+
+static void survive(sr_transaction_t *transaction)
+{
+	transaction->has_survived = TRUE;
+	sr_gateway_request_survived(transaction->gateway,
+				    sr_transaction_print(transaction));
+}
+
+/* A response without a length ends alike whether it is complete or the instance
+ * has ended. */
+void sr_transaction_report_answer(sr_transaction_t *transaction)
+{
+	const sr_message_t *response = sr_attempt_message(transaction->attempt);
+
+	if (response->status >= 300)
+		return;
+	if (!response->ends_at_close)
+		survive(transaction);
+	else if (sr_crash_suspects_size(transaction->gateway->suspects) > 0)
+		check_instance(transaction, TRUE);
+}
+
+void sr_transaction_report_output(sr_transaction_t *transaction)
+{
+	if (!transaction->has_survived &&
+	    sr_transaction_now(transaction) - transaction->output_at >=
+		    SURVIVAL_TIME)
+		survive(transaction);
+}
+
+static void log_quarantined(const sr_transaction_t *transaction,
+			    const sr_quarantine_t *reason,
+			    sr_crash_verdict_t verdict)
+{
+	char fingerprint[SR_REQUEST_PRINT_TEXT_SIZE];
+	char strikes[16];
+	char wait[24];
+
+	sr_request_print_format(reason->fingerprint, fingerprint);
+	g_snprintf(strikes, sizeof(strikes), "%u", reason->n_strikes);
+	g_snprintf(wait, sizeof(wait), "%.2f",
+		   (double)(reason->next_probe_at -
+			    sr_transaction_now(transaction)) /
+			   SR_SEC);
+	sr_log_event(transaction->gateway->options.log, SR_LOG_INFO,
+		     verdict == SR_CRASH_PROBE ? "quarantine-probe" :
+						 "quarantined",
+		     "request", transaction->id, "fingerprint", fingerprint,
+		     "ended", strikes, "next_probe_s", wait, NULL);
+}
+
+gboolean sr_transaction_is_quarantined(sr_transaction_t *transaction,
+				       sr_usec_t *retry_after)
+{
+	sr_gateway_t *gateway = transaction->gateway;
+	sr_usec_t now = sr_transaction_now(transaction);
+	sr_crash_verdict_t verdict;
+	sr_quarantine_t reason;
+
+	if (sr_crash_suspects_n_quarantined(gateway->suspects) == 0)
+		return FALSE;
+	if (transaction->is_probe &&
+	    transaction->n_sent + transaction->n_unsent == 0)
+		return FALSE;
+	verdict = sr_crash_suspects_judge(gateway->suspects, now,
+					  sr_transaction_print(transaction),
+					  &reason);
+	if (verdict == SR_CRASH_ALLOWED)
+		return FALSE;
+	log_quarantined(transaction, &reason, verdict);
+	if (verdict == SR_CRASH_PROBE) {
+		transaction->is_probe = TRUE;
+		sr_counter_add(gateway->metrics.probes, 1);
+		return FALSE;
+	}
+	sr_counter_add(gateway->metrics.quarantined_requests, 1);
+	*retry_after = reason.next_probe_at - now;
+	return TRUE;
 }
--- a/test/platform_bed.h
+++ b/test/platform_bed.h
@@ -114,7 +114,8 @@
 		upstream->times = g_array_new(FALSE, FALSE, sizeof(gint64));
 	}
 	register_upstream(bed, 0);
-	bed->settings = make_settings(&bed->store, "n", unused_port(), "[]");
+	bed->settings = make_settings(&bed->store, "n", "127.0.0.1",
+				      unused_port(), "[]");
 	options.settings = bed->settings;
 	options.clock = bed->clock;
 	bed->host = sr_entry_host_new(&options, &detail);
--- a/test/platform_crash_bed.h
+++ b/test/platform_crash_bed.h
@@ -58,7 +58,7 @@
 	SoupSession *session;
 	/* Whether a request crashes the instance that begins to run it. */
 	gboolean (*crashes)(const sr_message_t *request);
-	GArray *ends;	 /* times of instances' ends, gint64 in us */
+	GArray *ends;	  /* times of instances' ends, gint64 in us */
 	GArray *arrivals; /* of requests that crash, gint64 in us */
 	unsigned n_pending;
 };
@@ -156,8 +156,8 @@
 	gsize used = 0;
 	gint64 now = g_get_monotonic_time();
 
-	assert_int_equal(
-		sr_parser_feed(connection->parser, data, size, &used), SR_OK);
+	assert_int_equal(sr_parser_feed(connection->parser, data, size, &used),
+			 SR_OK);
 	assert_int_equal(used, size);
 	if (!request->is_complete)
 		return;
@@ -272,19 +272,18 @@
 
 static void make_hosts(crash_bed_t *bed)
 {
-	int ports[CRASH_BED_HOSTS];
-	char *seeds;
+	int peer_port = unused_port();
+	char *seeds = g_strdup_printf("[\"127.0.0.1:%d\"]", peer_port);
 
-	for (unsigned i = 0; i < CRASH_BED_HOSTS; i++)
-		ports[i] = unused_port();
-	seeds = g_strdup_printf("[\"127.0.0.1:%d\"]", ports[0]);
 	for (unsigned i = 0; i < CRASH_BED_HOSTS; i++) {
-		char *node = g_strdup_printf("n%u", i);
+		char node[8];
+		char ip[16];
 
+		g_snprintf(node, sizeof(node), "n%u", i);
+		g_snprintf(ip, sizeof(ip), "127.0.0.%u", i + 1);
 		bed->settings[i] =
-			make_settings(&bed->store, node, ports[i], seeds);
+			make_settings(&bed->store, node, ip, peer_port, seeds);
 		start_host(bed, i);
-		g_free(node);
 	}
 	g_free(seeds);
 }
--- a/test/platform_crash_test.c
+++ b/test/platform_crash_test.c
@@ -73,17 +73,42 @@
 		      bed->ends->len, sound.n_ok, sound.n_sent, later.n_ok,
 		      later.n_sent);
 	if (bed->ends->len >= PART_ENDS)
-		assert_true(arrivals_from(
-				    bed, time_of_end(bed, PART_ENDS - 1) +
-						 CONTACT_US) <= ARRIVALS_MAX);
+		assert_true(arrivals_from(bed, time_of_end(bed, PART_ENDS - 1) +
+						       CONTACT_US) <=
+			    ARRIVALS_MAX);
 	assert_true(later.n_ok == later.n_sent);
 	crash_bed_free(bed);
 }
 
+/* Guards against BUDGET after a kill of all hosts: what they had learned was
+ * forgotten, and requests with the part ended instances again. */
+static void test_part_is_held_back_after_a_restart_of_all_hosts(void **state)
+{
+	crash_bed_t *bed = crash_bed_new(has_bad_part);
+	guint timer = g_timeout_add(CRASHING_MS, on_crashing_part_timer, bed);
+	gint64 restarted_at;
+
+	(void)state;
+	run_for(LOAD_MS / 2);
+	assert_true(bed->ends->len >= 1);
+	for (unsigned i = 0; i < CRASH_BED_HOSTS; i++)
+		sr_entry_host_free(bed->hosts[i]);
+	restarted_at = g_get_monotonic_time();
+	for (unsigned i = 0; i < CRASH_BED_HOSTS; i++)
+		start_host(bed, i);
+	run_for(LOAD_MS / 2);
+	g_source_remove(timer);
+	wait_for_responses(bed);
+	assert_true(arrivals_from(bed, restarted_at) <= ARRIVALS_MAX);
+	crash_bed_free(bed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_part_that_crashes_is_held_back),
+		cmocka_unit_test(
+			test_part_is_held_back_after_a_restart_of_all_hosts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform_store.h
+++ b/test/platform_store.h
@@ -208,8 +208,8 @@
 }
 
 /* Creates and conditional updates of a spec or a status. */
-static void on_write(store_t *store, SoupServerMessage *message, const char *path,
-		     const char *method)
+static void on_write(store_t *store, SoupServerMessage *message,
+		     const char *path, const char *method)
 {
 	SoupMessageBody *body = soup_server_message_get_request_body(message);
 	json_object *sent = json_tokener_parse(body->data);
@@ -279,18 +279,18 @@
 
 /* The entry host. */
 
-/* The seeds are a JSON array of peer addresses. */
+/* Hosts that know each other have one peer port and an address each, as the
+ * settings assume. The seeds are a JSON array of addresses. */
 static sr_entry_host_settings_t *make_settings(const store_t *store,
-					       const char *node,
-					       int peer_port,
-					       const char *seeds)
+					       const char *node, const char *ip,
+					       int peer_port, const char *seeds)
 {
 	int store_port = port_of(store->server);
 	char *text = g_strdup_printf(
 		"{\"node\":\"%s\",\"failure_domain\":\"z\",\"caller_address\":"
-		"\"127.0.0.1:%d\",\"ready_address\":\"127.0.0.1:%d\","
-		"\"metrics_address\":\"127.0.0.1:%d\",\"peer_address\":"
-		"\"127.0.0.1:%d\",\"peer_seeds\":%s,\"store\":{\"address\":"
+		"\"%s:%d\",\"ready_address\":\"%s:%d\","
+		"\"metrics_address\":\"%s:%d\",\"peer_address\":"
+		"\"%s:%d\",\"peer_seeds\":%s,\"store\":{\"address\":"
 		"\"127.0.0.1:%d\",\"writes_per_s\":10000,\"reads_per_s\":10000},"
 		"\"duties\":{\"address\":\"127.0.0.1:%d\",\"names\":"
 		"[\"usage_report\"],\"calls_per_s\":50},\"limits\":{"
@@ -301,8 +301,8 @@
 		"\"usage_due_s\":10,\"lease_ms\":1000,\"apply_ms\":2000,"
 		"\"drain_ms\":2000,\"exposure_share\":0.1,"
 		"\"exposure_slack\":50}}",
-		node, unused_port(), unused_port(), unused_port(), peer_port,
-		seeds, store_port, store_port);
+		node, ip, unused_port(), ip, unused_port(), ip, unused_port(),
+		ip, peer_port, seeds, store_port, store_port);
 	GPtrArray *findings = sr_findings_new();
 	sr_entry_host_settings_t *settings =
 		sr_entry_host_settings_parse(text, strlen(text), findings);
