--- a/test/platform_crash_bed.h
+++ b/test/platform_crash_bed.h
@@ -441,4 +441,59 @@
 	return n;
 }
 
+/* A load, and the bound of the platform on it. */
+
+/** Requests that crash and may still reach instances, and the time from which
+ * that holds, after the end of the instance that shows what they are. */
+#define ARRIVALS_MAX 3
+#define CONTACT_US (3 * G_USEC_PER_SEC)
+
+/** Interval of sound requests and of those that crash, in ms. */
+#define SOUND_MS 15
+#define CRASHING_MS 150
+
+/** Duration of the load, in ms. */
+#define LOAD_MS 9000
+
+/** load_t - a load of sound requests and of some that crash instances. */
+typedef struct {
+	gboolean (*crashes)(const sr_message_t *request);
+	GSourceFunc send_sound;
+	GSourceFunc send_crashing;
+	unsigned max_ends; /* until few requests that crash may reach instances
+			    */
+	gboolean ends_at_close;
+} load_t;
+
+/* Few requests that crash reach instances, and all sound ones are answered in
+ * the second half of the load. */
+static void check_held_back(const load_t *load)
+{
+	crash_bed_t *bed = crash_bed_new(load->crashes);
+	sound_t sound = { .bed = bed };
+	sound_t later = { .bed = bed };
+	guint sound_timer = g_timeout_add(SOUND_MS, load->send_sound, &sound);
+	guint crash_timer;
+
+	bed->ends_at_close = load->ends_at_close;
+	run_for(500);
+	crash_timer = g_timeout_add(CRASHING_MS, load->send_crashing, bed);
+	run_for(LOAD_MS / 2);
+	g_source_remove(sound_timer);
+	sound_timer = g_timeout_add(SOUND_MS, load->send_sound, &later);
+	run_for(LOAD_MS / 2);
+	g_source_remove(crash_timer);
+	g_source_remove(sound_timer);
+	wait_for_responses(bed);
+	print_message("%u instances ended, %u of %u and %u of %u sound\n",
+		      bed->ends->len, sound.n_ok, sound.n_sent, later.n_ok,
+		      later.n_sent);
+	if (bed->ends->len >= load->max_ends)
+		assert_true(arrivals_from(bed,
+					  time_of_end(bed, load->max_ends - 1) +
+						  CONTACT_US) <= ARRIVALS_MAX);
+	assert_true(later.n_ok == later.n_sent);
+	crash_bed_free(bed);
+}
+
 #endif
--- a/test/platform_crash_test.c
+++ b/test/platform_crash_test.c
@@ -1,18 +1,9 @@
 /* Requests that crash the instances that run them, at three entry hosts. */
 #include "platform_crash_bed.h"
 
-/** Bound of the platform: ends of instances after which no more than a few
- * requests that crash may reach instances, from a while after the last. */
+/** Ends of instances after which few requests with the part may reach others.
+ */
 #define PART_ENDS 5
-#define ARRIVALS_MAX 3
-#define CONTACT_US (3 * G_USEC_PER_SEC)
-
-/** Interval of sound requests and of those that crash, in ms. */
-#define SOUND_MS 15
-#define CRASHING_MS 150
-
-/** Duration of the load, in ms. */
-#define LOAD_MS 9000
 
 static gboolean has_bad_part(const sr_message_t *request)
 {
@@ -49,51 +40,31 @@
 	return G_SOURCE_CONTINUE;
 }
 
-/* Few requests with the part reach instances, and all sound ones are answered
- * in the second half of the load. */
-static void check_part_is_held_back(gboolean ends_at_close)
-{
-	crash_bed_t *bed = crash_bed_new(has_bad_part);
-	sound_t sound = { .bed = bed };
-	sound_t later = { .bed = bed };
-	guint sound_timer = g_timeout_add(SOUND_MS, on_sound_timer, &sound);
-	guint crash_timer;
-
-	bed->ends_at_close = ends_at_close;
-	run_for(500);
-	crash_timer = g_timeout_add(CRASHING_MS, on_crashing_part_timer, bed);
-	run_for(LOAD_MS / 2);
-	g_source_remove(sound_timer);
-	sound_timer = g_timeout_add(SOUND_MS, on_sound_timer, &later);
-	run_for(LOAD_MS / 2);
-	g_source_remove(crash_timer);
-	g_source_remove(sound_timer);
-	wait_for_responses(bed);
-	print_message("%u instances ended, %u of %u and %u of %u sound\n",
-		      bed->ends->len, sound.n_ok, sound.n_sent, later.n_ok,
-		      later.n_sent);
-	if (bed->ends->len >= PART_ENDS)
-		assert_true(arrivals_from(bed, time_of_end(bed, PART_ENDS - 1) +
-						       CONTACT_US) <=
-			    ARRIVALS_MAX);
-	assert_true(later.n_ok == later.n_sent);
-	crash_bed_free(bed);
-}
-
 /* Guards against BUDGET of 2026-12-04: each request with the part ended the
  * instances that it was sent to, at whichever host it came. */
 static void test_part_that_crashes_is_held_back(void **state)
 {
+	const load_t load = { .crashes = has_bad_part,
+			      .send_sound = on_sound_timer,
+			      .send_crashing = on_crashing_part_timer,
+			      .max_ends = PART_ENDS };
+
 	(void)state;
-	check_part_is_held_back(FALSE);
+	check_held_back(&load);
 }
 
 /* Guards against BUDGET where streams end with their connection: an instance
  * that ended before the first event had answered, as it seemed. */
 static void test_part_is_held_back_if_streams_end_at_close(void **state)
 {
+	const load_t load = { .crashes = has_bad_part,
+			      .send_sound = on_sound_timer,
+			      .send_crashing = on_crashing_part_timer,
+			      .max_ends = PART_ENDS,
+			      .ends_at_close = TRUE };
+
 	(void)state;
-	check_part_is_held_back(TRUE);
+	check_held_back(&load);
 }
 
 /* Guards against BUDGET after a kill of all hosts: what they had learned was
