Quarantine requests that crash instances, as a whole

Here it is the request as a whole: each attempt has an id of its own, so that one which comes again was a new one at each host.

Ruled out: the route or the account (others of both are answered between the ends); load (three to seven requests a second at the first ends).

Change: the fingerprint of method, target, account and body is counted beside those of the parts, and quarantined after three ends without an answer. Copies of a request that none has answered count each, also when their instances end at the same moment; one in use counts as parts do, so that a rack that fails under it condemns nothing.

--- a/src/core/crash_suspects.c
+++ b/src/core/crash_suspects.c
@@ -233,16 +233,36 @@
 	sr_list_append(&suspects->survivals, &survival->link);
 }
 
+/* A request with the fingerprint survived a short time ago. */
+static gboolean is_in_use(const sr_crash_suspects_t *suspects,
+			  guint64 fingerprint, sr_usec_t now)
+{
+	return survived_at(suspects, fingerprint) >= now - SURVIVAL_TIME;
+}
+
+/* Time in which ends of instances count once. Several copies of a request that
+ * is never answered have no other cause in common. */
+static sr_usec_t strike_spacing(const sr_crash_suspects_t *suspects,
+				const sr_crash_report_t *report,
+				const sr_crash_request_t *request,
+				guint64 fingerprint)
+{
+	if (fingerprint == request->print.request &&
+	    !is_in_use(suspects, fingerprint, report->ended_at))
+		return 0;
+	return STRIKE_SPACING;
+}
+
 /* Whether the end of the instance is counted already, by itself or together
  * with others. */
 static gboolean is_counted(suspect_t *suspect, const sr_crash_report_t *report,
-			   unsigned weight)
+			   unsigned weight, sr_usec_t spacing)
 {
 	for (unsigned i = 0; i < suspect->n_strikes; i++) {
 		strike_t *counted = &suspect->strikes[i];
 
 		if (counted->instance != report->instance &&
-		    ABS(counted->at - report->ended_at) >= STRIKE_SPACING)
+		    ABS(counted->at - report->ended_at) >= spacing)
 			continue;
 		counted->weight = MAX(counted->weight, weight);
 		return TRUE;
@@ -271,11 +291,10 @@
 static gboolean has_weight(const sr_crash_suspects_t *suspects,
 			   const suspect_t *suspect, sr_usec_t now)
 {
-	sr_usec_t survived = survived_at(suspects, suspect->fingerprint);
 	unsigned needed = WEIGHT_QUARANTINE;
 	unsigned weight = 0;
 
-	if (survived >= now - SURVIVAL_TIME)
+	if (is_in_use(suspects, suspect->fingerprint, now))
 		needed *= SURVIVAL_FACTOR;
 	for (unsigned i = 0; i < suspect->n_strikes; i++)
 		weight += suspect->strikes[i].weight;
@@ -288,6 +307,8 @@
 {
 	unsigned n = 0;
 
+	if (suspect->fingerprint == request->request)
+		return;
 	if (suspect->n_strikes == 0) {
 		for (unsigned i = 0; i < request->n_parts; i++) {
 			if (request->parts[i] != suspect->fingerprint)
@@ -304,15 +325,17 @@
 
 static void strike(sr_crash_suspects_t *suspects,
 		   const sr_crash_report_t *report,
-		   const sr_crash_request_t *request, guint64 fingerprint)
+		   const sr_crash_request_t *request, guint64 fingerprint,
+		   unsigned weight)
 {
-	unsigned weight = request->has_begun ? WEIGHT_BEGUN : WEIGHT_WAITED;
 	suspect_t *suspect;
 
 	if (report->ended_at <= survived_at(suspects, fingerprint))
 		return;
 	suspect = get(suspects, fingerprint);
-	if (!is_counted(suspect, report, weight)) {
+	if (!is_counted(
+		    suspect, report, weight,
+		    strike_spacing(suspects, report, request, fingerprint))) {
 		drop_strikes(suspects, suspect, report->ended_at);
 		update_partners(suspect, &request->print);
 		if (suspect->n_strikes < STRIKES_HELD)
@@ -338,10 +361,15 @@
 {
 	for (unsigned i = 0; i < report->n_requests; i++) {
 		const sr_crash_request_t *request = &report->requests[i];
+		unsigned weight =
+			request->has_begun ? WEIGHT_BEGUN : WEIGHT_WAITED;
 
+		/* a response that is not a stream shows no beginning */
+		strike(suspects, report, request, request->print.request,
+		       WEIGHT_BEGUN);
 		for (unsigned k = 0; k < request->print.n_parts; k++)
 			strike(suspects, report, request,
-			       request->print.parts[k]);
+			       request->print.parts[k], weight);
 	}
 }
 
@@ -441,7 +469,8 @@
 					   const sr_request_print_t *request,
 					   sr_quarantine_t *reason)
 {
-	sr_crash_verdict_t verdict = SR_CRASH_ALLOWED;
+	sr_crash_verdict_t verdict = judge_fingerprint(
+		suspects, now, request, request->request, reason);
 
 	for (unsigned i = 0; i < request->n_parts; i++) {
 		sr_quarantine_t other;
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -14,9 +14,9 @@
  * instances crashes each of them. A fingerprint under which
  * SR_CRASH_STRIKES instances have ended since it was last cleared is
  * quarantined, and requests with it are refused. Instances that end at the same
- * moment count once, and one that had not begun to answer the request counts
- * for a part only; it takes more of them if a request with the fingerprint
- * survived a short time ago.
+ * moment count once, unless it is the same request that none has answered. For
+ * a part of a prompt, one that had not begun to answer counts less. It takes
+ * more of them if a request with the fingerprint survived a short time ago.
  *
  * Parts of prompts that were in the same requests each time can't be told
  * apart. A request is refused only if it has all of them, so that a sound
--- a/src/gateway/instance_check.c
+++ b/src/gateway/instance_check.c
@@ -65,8 +65,8 @@
 			&g_array_index(check->requests, checked_request_t, i);
 
 		if (request->is_answered)
-			sr_gateway_request_survived(check->gateway,
-						    &request->request.print);
+			sr_gateway_request_survived(
+				check->gateway, &request->request.print, TRUE);
 	}
 }
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -248,9 +248,10 @@
 			     const sr_crash_report_t *report);
 
 /** sr_gateway_request_survived - a request of this host didn't end the instance
- * that ran it. */
+ * that ran it; its parts have survived only if with_parts is set. */
 void sr_gateway_request_survived(sr_gateway_t *gateway,
-				 const sr_request_print_t *request);
+				 const sr_request_print_t *request,
+				 gboolean with_parts);
 
 /* connection_pool.c: idle connections to instances */
 
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -96,9 +96,11 @@
 }
 
 void sr_gateway_request_survived(sr_gateway_t *gateway,
-				 const sr_request_print_t *request)
+				 const sr_request_print_t *request,
+				 gboolean with_parts)
 {
-	for (unsigned i = 0; i < request->n_parts; i++)
+	survived(gateway, request->request);
+	for (unsigned i = 0; with_parts && i < request->n_parts; i++)
 		survived(gateway, request->parts[i]);
 }
 
--- a/src/gateway/transaction_print.c
+++ b/src/gateway/transaction_print.c
@@ -80,24 +80,25 @@
 		check_instance(transaction, FALSE);
 }
 
-static void survive(sr_transaction_t *transaction)
+static void survive(sr_transaction_t *transaction, gboolean with_parts)
 {
 	transaction->has_survived = TRUE;
 	sr_gateway_request_survived(transaction->gateway,
-				    sr_transaction_print(transaction));
+				    sr_transaction_print(transaction),
+				    with_parts);
 }
 
 /* A response without a length ends alike whether it is complete or the instance
- * has ended. */
+ * has ended. A failure says nothing of parts: their answer was not begun. */
 void sr_transaction_report_answer(sr_transaction_t *transaction)
 {
 	const sr_message_t *response = sr_attempt_message(transaction->attempt);
+	gboolean succeeded = response->status < 300;
 
-	if (response->status >= 300)
-		return;
 	if (!response->ends_at_close)
-		survive(transaction);
-	else if (sr_crash_suspects_size(transaction->gateway->suspects) > 0)
+		survive(transaction, succeeded);
+	else if (succeeded &&
+		 sr_crash_suspects_size(transaction->gateway->suspects) > 0)
 		check_instance(transaction, TRUE);
 }
 
@@ -106,7 +107,7 @@
 	if (!transaction->has_survived &&
 	    sr_transaction_now(transaction) - transaction->output_at >=
 		    SURVIVAL_TIME)
-		survive(transaction);
+		survive(transaction, TRUE);
 }
 
 static void log_quarantined(const sr_transaction_t *transaction,
--- a/test/crash_suspects_test.c
+++ b/test/crash_suspects_test.c
@@ -137,6 +137,63 @@
 	assert_int_equal(judge(f, BAD, 0), SR_CRASH_ALLOWED);
 }
 
+static void test_request_that_comes_again_is_quarantined(void **state)
+{
+	fixture_t *f = *state;
+	sr_crash_request_t request = request_with(f, 0, 0);
+	sr_quarantine_t reason;
+
+	for (unsigned i = 0; i < SR_CRASH_STRIKES; i++)
+		end_instance(f, &request, 1);
+	assert_int_equal(sr_crash_suspects_judge(f->suspects, f->now,
+						 &request.print, &reason),
+			 SR_CRASH_REFUSED);
+	assert_int_equal(reason.n_strikes, SR_CRASH_STRIKES);
+	assert_int_equal(judge(f, 0, 0), SR_CRASH_ALLOWED);
+}
+
+/* Pattern: copies of one request at several hosts at the same moment. */
+static void test_copies_of_a_request_count_each(void **state)
+{
+	fixture_t *f = *state;
+	sr_crash_request_t request = request_with(f, 0, 0);
+	sr_quarantine_t reason;
+
+	request.has_begun = FALSE;
+	for (unsigned i = 0; i < SR_CRASH_STRIKES; i++) {
+		const sr_crash_report_t report = { .instance = i,
+						   .ended_at = f->now + i,
+						   .requests = &request,
+						   .n_requests = 1 };
+
+		sr_crash_suspects_add(f->suspects, &report);
+	}
+	assert_int_equal(sr_crash_suspects_judge(f->suspects, f->now,
+						 &request.print, &reason),
+			 SR_CRASH_REFUSED);
+}
+
+/* Pattern: a rack fails under a request that many callers make. */
+static void test_request_in_use_survives_a_failing_rack(void **state)
+{
+	fixture_t *f = *state;
+	sr_crash_request_t request = request_with(f, 0, 0);
+	sr_quarantine_t reason;
+
+	sr_crash_suspects_clear(f->suspects, request.print.request, f->now);
+	for (unsigned i = 0; i < 10; i++) {
+		const sr_crash_report_t report = { .instance = i,
+						   .ended_at = f->now + 1 + i,
+						   .requests = &request,
+						   .n_requests = 1 };
+
+		sr_crash_suspects_add(f->suspects, &report);
+	}
+	assert_int_equal(sr_crash_suspects_judge(f->suspects, f->now,
+						 &request.print, &reason),
+			 SR_CRASH_ALLOWED);
+}
+
 /* Requests that were in the instances with those that crashed them survive
  * elsewhere. */
 static void test_survivors_are_cleared(void **state)
@@ -442,6 +499,9 @@
 #define TEST(name) cmocka_unit_test_setup_teardown(name, setup, teardown)
 		TEST(test_part_is_quarantined_after_three_instances),
 		TEST(test_reports_of_one_instance_count_once),
+		TEST(test_request_that_comes_again_is_quarantined),
+		TEST(test_copies_of_a_request_count_each),
+		TEST(test_request_in_use_survives_a_failing_rack),
 		TEST(test_survivors_are_cleared),
 		TEST(test_parts_that_come_together_are_refused_together_only),
 		TEST(test_part_of_another_caller_can_not_be_condemned),
