Void the strikes of an instance that answers later

An instance that answers under the same name and start 5 s or more after its reported end was cut off only: its strikes are void, and a quarantine that they had led to ends at all hosts. One that has ended is registered anew by then.

The case of crash_suspects_test fails without the change (there is nothing to call).

--- a/src/core/crash_suspects.c
+++ b/src/core/crash_suspects.c
@@ -373,6 +373,13 @@
 	}
 }
 
+static void release(sr_crash_suspects_t *suspects, suspect_t *suspect)
+{
+	suspect->is_quarantined = FALSE;
+	suspect->n_probes = 0;
+	suspects->n_quarantined--;
+}
+
 gboolean sr_crash_suspects_clear(sr_crash_suspects_t *suspects,
 				 guint64 fingerprint, sr_usec_t at)
 {
@@ -386,15 +393,56 @@
 	was_quarantined = suspect->is_quarantined;
 	n_before = suspect->n_strikes;
 	drop_strikes(suspects, suspect, at);
-	if (was_quarantined && !has_weight(suspects, suspect, at)) {
-		suspect->is_quarantined = FALSE;
-		suspect->n_probes = 0;
-		suspects->n_quarantined--;
-	}
+	if (was_quarantined && !has_weight(suspects, suspect, at))
+		release(suspects, suspect);
 	relist(suspects, suspect);
 	return was_quarantined || suspect->n_strikes < n_before;
 }
 
+/* Returns FALSE if the suspect has no strike of the instance. */
+static gboolean drop_strike(suspect_t *suspect, guint64 instance)
+{
+	for (unsigned i = 0; i < suspect->n_strikes; i++) {
+		if (suspect->strikes[i].instance != instance)
+			continue;
+		suspect->strikes[i] = suspect->strikes[--suspect->n_strikes];
+		return TRUE;
+	}
+	return FALSE;
+}
+
+static sr_usec_t last_strike(const suspect_t *suspect)
+{
+	sr_usec_t last = 0;
+
+	for (unsigned i = 0; i < suspect->n_strikes; i++)
+		last = MAX(last, suspect->strikes[i].at);
+	return last;
+}
+
+void sr_crash_suspects_refute(sr_crash_suspects_t *suspects, guint64 instance)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, suspects->table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		suspect_t *suspect = value;
+
+		if (!drop_strike(suspect, instance))
+			continue;
+		if (suspect->is_quarantined &&
+		    !has_weight(suspects, suspect, last_strike(suspect))) {
+			release(suspects, suspect);
+			if (suspects->options.released)
+				suspects->options.released(
+					suspects->options.user,
+					suspect->fingerprint);
+		}
+		relist(suspects, suspect);
+	}
+}
+
 gboolean sr_crash_suspects_restore(sr_crash_suspects_t *suspects, sr_usec_t now,
 				   const sr_quarantine_t *entry,
 				   sr_usec_t decided_at)
--- a/src/core/crash_suspects.h
+++ b/src/core/crash_suspects.h
@@ -61,11 +61,18 @@
 	unsigned n_partners;
 } sr_quarantine_t;
 
+/** SR_CRASH_REFUTE_TIME - time after its reported end from which an answer of
+ * an instance shows that it had not ended. One that has is registered anew by
+ * then, or no longer. */
+#define SR_CRASH_REFUTE_TIME (5 * SR_SEC)
+
 /** sr_crash_suspects_options_t - callbacks may not call back into the object.
  */
 typedef struct {
 	/* A fingerprint was quarantined by reports; may be NULL. */
 	void (*quarantined)(void *user, const sr_quarantine_t *quarantine);
+	/* A quarantine has ended as instances had not; may be NULL. */
+	void (*released)(void *user, guint64 fingerprint);
 	/* Whether this host sends the probe that is due; may be NULL for
 	 * always. */
 	gboolean (*may_probe)(void *user, guint64 fingerprint);
@@ -93,6 +100,10 @@
 gboolean sr_crash_suspects_clear(sr_crash_suspects_t *suspects,
 				 guint64 fingerprint, sr_usec_t survived_at);
 
+/** sr_crash_suspects_refute - an instance that was reported has not ended; its
+ * strikes no longer count. */
+void sr_crash_suspects_refute(sr_crash_suspects_t *suspects, guint64 instance);
+
 /**
  * sr_crash_suspects_restore - quarantine a fingerprint that another host or an
  * earlier process has quarantined
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -51,6 +51,7 @@
 	sr_usec_t terminates_at; /* 0 if unknown */
 	sr_ejection_t ejection;
 	sr_instance_notices_t notices;
+	sr_usec_t reported_ended_at; /* by this host; 0 for not */
 	unsigned references;
 	/* load of this entry host */
 	unsigned in_flight;
--- a/src/gateway/instance_check.c
+++ b/src/gateway/instance_check.c
@@ -54,7 +54,7 @@
 							   checked_request_t, i)
 						     .request);
 	crash.requests = (const sr_crash_request_t *)(void *)requests->data;
-	sr_gateway_report_crash(check->gateway, &crash);
+	sr_gateway_report_crash(check->gateway, check->instance, &crash);
 	g_array_unref(requests);
 }
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -244,9 +244,14 @@
 
 /** sr_gateway_report_crash - an instance has ended under requests of this host.
  */
-void sr_gateway_report_crash(sr_gateway_t *gateway,
+void sr_gateway_report_crash(sr_gateway_t *gateway, sr_instance_t *instance,
 			     const sr_crash_report_t *report);
 
+/** sr_gateway_instance_answered - an instance has answered a request; if it was
+ * reported as ended long enough ago, it had only been cut off. */
+void sr_gateway_instance_answered(sr_gateway_t *gateway,
+				  sr_instance_t *instance);
+
 /** sr_gateway_request_survived - a request of this host didn't end the instance
  * that ran it; its parts have survived only if with_parts is set. */
 void sr_gateway_request_survived(sr_gateway_t *gateway,
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -29,6 +29,16 @@
 						     quarantine);
 }
 
+static void on_released(void *user, guint64 fingerprint)
+{
+	const sr_gateway_t *gateway = user;
+
+	log_change(gateway, "quarantine-ended", fingerprint, 0, "instance");
+	if (gateway->options.suspect_cleared)
+		gateway->options.suspect_cleared(gateway->options.user,
+						 fingerprint);
+}
+
 static gboolean on_may_probe(void *user, guint64 fingerprint)
 {
 	const sr_gateway_t *gateway = user;
@@ -41,6 +51,7 @@
 {
 	const sr_crash_suspects_options_t options = {
 		.quarantined = on_quarantined,
+		.released = on_released,
 		.may_probe = on_may_probe,
 		.user = gateway,
 	};
@@ -59,14 +70,30 @@
 	sr_crash_suspects_add(gateway->suspects, report);
 }
 
-void sr_gateway_report_crash(sr_gateway_t *gateway,
+void sr_gateway_report_crash(sr_gateway_t *gateway, sr_instance_t *instance,
 			     const sr_crash_report_t *report)
 {
+	instance->reported_ended_at = report->ended_at;
 	sr_gateway_add_crash_report(gateway, report);
 	if (gateway->options.instance_ended)
 		gateway->options.instance_ended(gateway->options.user, report);
 }
 
+void sr_gateway_instance_answered(sr_gateway_t *gateway,
+				  sr_instance_t *instance)
+{
+	if (instance->reported_ended_at == 0 ||
+	    sr_gateway_now(gateway) - instance->reported_ended_at <
+		    SR_CRASH_REFUTE_TIME)
+		return;
+	instance->reported_ended_at = 0;
+	sr_log_event(gateway->options.log, SR_LOG_INFO, "instance-not-ended",
+		     "what", instance->name, "service", instance->service,
+		     NULL);
+	sr_crash_suspects_refute(gateway->suspects,
+				 sr_instance_identity(instance));
+}
+
 /* Returns TRUE if the fingerprint was suspect. */
 static gboolean clear(sr_gateway_t *gateway, guint64 fingerprint,
 		      sr_usec_t survived_at, const char *source)
--- a/src/gateway/transaction_print.c
+++ b/src/gateway/transaction_print.c
@@ -83,6 +83,8 @@
 static void survive(sr_transaction_t *transaction, gboolean with_parts)
 {
 	transaction->has_survived = TRUE;
+	sr_gateway_instance_answered(transaction->gateway,
+				     sr_attempt_instance(transaction->attempt));
 	sr_gateway_request_survived(transaction->gateway,
 				    sr_transaction_print(transaction),
 				    with_parts);
--- a/test/crash_suspects_test.c
+++ b/test/crash_suspects_test.c
@@ -19,6 +19,7 @@
 typedef struct {
 	sr_crash_suspects_t *suspects;
 	unsigned n_quarantined; /* calls */
+	unsigned n_released;	/* calls */
 	gboolean may_probe;
 	guint64 n_requests;
 	guint64 n_instances;
@@ -31,6 +32,12 @@
 	((fixture_t *)user)->n_quarantined++;
 }
 
+static void on_released(void *user, guint64 fingerprint)
+{
+	(void)fingerprint;
+	((fixture_t *)user)->n_released++;
+}
+
 static gboolean on_may_probe(void *user, guint64 fingerprint)
 {
 	(void)fingerprint;
@@ -42,6 +49,7 @@
 	fixture_t *f = g_new0(fixture_t, 1);
 	const sr_crash_suspects_options_t options = {
 		.quarantined = on_quarantined,
+		.released = on_released,
 		.may_probe = on_may_probe,
 		.user = f,
 	};
@@ -321,6 +329,23 @@
 	assert_int_equal(judge(f, SHARED, 0), SR_CRASH_REFUSED);
 }
 
+/* Guards against quarantines by a cut that refuses connections: the instances
+ * beyond it had not ended. */
+static void test_instance_that_answers_later_does_not_count(void **state)
+{
+	fixture_t *f = *state;
+
+	for (unsigned i = 0; i < SR_CRASH_STRIKES; i++)
+		end_instance_under(f, BAD, 0);
+	sr_crash_suspects_refute(f->suspects, 12345);
+	assert_int_equal(judge(f, BAD, 0), SR_CRASH_REFUSED);
+	sr_crash_suspects_refute(f->suspects, f->n_instances);
+	assert_int_equal(judge(f, BAD, 0), SR_CRASH_ALLOWED);
+	assert_int_equal(f->n_released, 1);
+	end_instance_under(f, BAD, 0);
+	assert_int_equal(judge(f, BAD, 0), SR_CRASH_REFUSED);
+}
+
 static void test_strikes_expire(void **state)
 {
 	fixture_t *f = *state;
@@ -510,6 +535,7 @@
 		TEST(test_part_in_use_takes_more_instances),
 		TEST(test_requests_that_wait_count_for_a_part),
 		TEST(test_survivor_refutes_a_quarantine_of_others),
+		TEST(test_instance_that_answers_later_does_not_count),
 		TEST(test_strikes_expire),
 		TEST(test_probes_are_few),
 		TEST(test_probe_that_survives_ends_the_quarantine),
