Limit the interim responses of an instance

Interim responses (1xx) without end were read until the request's time limit, each with a new limit of the header section; the limit now holds for all of them and the final one. gateway_test failed before ("endless-interim: not given up").

--- a/src/http/parser.c
+++ b/src/http/parser.c
@@ -281,10 +281,12 @@
 	return parser->error;
 }
 
-/* Drops an interim (1xx) response, so that the final one is read next. */
+/* Drops an interim (1xx) response, so that the final one is read next; the
+ * limit of the header section holds for both together. */
 static gboolean skip_interim(sr_parser_t *parser)
 {
 	gboolean no_body = parser->no_body;
+	gsize header_size = parser->header_size;
 
 	if (!parser->message.is_complete ||
 	    parser->options.kind != SR_MESSAGE_RESPONSE ||
@@ -292,6 +294,7 @@
 		return FALSE;
 	sr_parser_reset(parser);
 	parser->no_body = no_body;
+	parser->header_size = header_size;
 	return TRUE;
 }
 
