--- a/src/core/load_sum.c
+++ b/src/core/load_sum.c
@@ -19,18 +19,19 @@
 	GHashTable *evidence; /* series -> sr_evidence_counters_t */
 };
 
+static GHashTable *new_table(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
 sr_load_sum_t *sr_load_sum_new(void)
 {
 	sr_load_sum_t *sum = g_new0(sr_load_sum_t, 1);
 
-	sum->items =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	sum->work =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	sum->uses =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	sum->evidence =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sum->items = new_table();
+	sum->work = new_table();
+	sum->uses = new_table();
+	sum->evidence = new_table();
 	return sum;
 }
 
--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -401,74 +401,89 @@
 	fake_store_free(store);
 }
 
+typedef struct {
+	fake_store_t *watcher;
+	fake_store_t *follower;
+	unsigned n_before; /* requests of the follower's list */
+} feed_pair_t;
+
+static feed_pair_t feed_pair_new(void)
+{
+	feed_pair_t pair = { .watcher = fake_store_new(),
+			     .follower = fake_store_new() };
+
+	assert_true(wait_for_events(pair.watcher, "+b@4 ", 1000));
+	assert_true(wait_for_events(pair.follower, "+b@4 ", 1000));
+	sr_object_feed_set_role(pair.follower->feed, SR_WATCH_ROLE_FOLLOW);
+	pair.n_before = pair.follower->n_requests;
+	return pair;
+}
+
+static void feed_pair_free(feed_pair_t *pair)
+{
+	fake_store_free(pair->watcher);
+	fake_store_free(pair->follower);
+}
+
+static void feed_pair_pass_on(feed_pair_t *pair)
+{
+	GBytes *changes = sr_object_feed_changes_since(
+		pair->watcher->feed,
+		sr_object_feed_revision(pair->follower->feed));
+
+	assert_non_null(changes);
+	sr_object_feed_apply_changes(pair->follower->feed, changes);
+	g_bytes_unref(changes);
+}
+
 /* A feed that follows asks the store for nothing after its list, and learns of
  * changes from another host's feed. */
 static void test_feed_follows_another_host(void **state)
 {
-	fake_store_t *watcher = fake_store_new();
-	fake_store_t *follower = fake_store_new();
-	unsigned n_before;
-	GBytes *changes;
+	feed_pair_t pair = feed_pair_new();
+	fake_store_t *watcher = pair.watcher;
+	fake_store_t *follower = pair.follower;
 
 	(void)state;
-	assert_true(wait_for_events(watcher, "+b@4 ", 1000));
-	assert_true(wait_for_events(follower, "+b@4 ", 1000));
-	sr_object_feed_set_role(follower->feed, SR_WATCH_ROLE_FOLLOW);
-	n_before = follower->n_requests;
 	watcher->watch = "{\"events\":[{\"removed\":false,\"object\":{"
 			 "\"metadata\":{\"name\":\"a\",\"revision\":11}}},"
 			 "{\"removed\":true,\"object\":{\"metadata\":{\"name\":"
 			 "\"b\",\"revision\":12}}}],\"current_rev\":12}";
 	assert_true(wait_for_events(watcher, "+a@11 -b ", 1000));
 	assert_int_equal(sr_object_feed_changed_revision(watcher->feed), 12);
-	changes = sr_object_feed_changes_since(
-		watcher->feed, sr_object_feed_revision(follower->feed));
-	assert_non_null(changes);
-	sr_object_feed_apply_changes(follower->feed, changes);
-	g_bytes_unref(changes);
+	feed_pair_pass_on(&pair);
 	assert_non_null(strstr(follower->events->str, "+a@11 -b "));
 	assert_int_equal(sr_object_feed_revision(follower->feed), 12);
 	assert_false(wait_for_events(follower, "never", 300));
-	assert_int_equal(follower->n_requests, n_before);
+	assert_int_equal(follower->n_requests, pair.n_before);
 	/* a watcher that doesn't have the changes: they are read here */
 	assert_null(sr_object_feed_changes_since(watcher->feed, 5));
 	sr_object_feed_apply_changes(follower->feed, NULL);
 	assert_false(wait_for_events(follower, "never", 300));
-	assert_int_equal(follower->n_requests, n_before + 1);
-	fake_store_free(watcher);
-	fake_store_free(follower);
+	assert_int_equal(follower->n_requests, pair.n_before + 1);
+	feed_pair_free(&pair);
 }
 
 /* The store drops its history, and the watching feed lists anew. What the list
  * shows reaches the hosts that follow without a call of theirs. */
 static void test_feed_passes_on_what_a_list_shows(void **state)
 {
-	fake_store_t *watcher = fake_store_new();
-	fake_store_t *follower = fake_store_new();
-	unsigned n_before;
-	GBytes *changes;
+	feed_pair_t pair = feed_pair_new();
+	fake_store_t *watcher = pair.watcher;
+	fake_store_t *follower = pair.follower;
 
 	(void)state;
-	assert_true(wait_for_events(watcher, "+b@4 ", 1000));
-	assert_true(wait_for_events(follower, "+b@4 ", 1000));
-	sr_object_feed_set_role(follower->feed, SR_WATCH_ROLE_FOLLOW);
-	n_before = follower->n_requests;
 	watcher->list = "{\"items\":[{\"metadata\":{\"name\":\"a\","
 			"\"revision\":3}},{\"metadata\":{\"name\":\"c\","
 			"\"revision\":20}}],\"truncated\":false,"
 			"\"current_rev\":21}";
 	watcher->watch_status = 410;
 	assert_true(wait_for_events(watcher, "-b ", 1000));
-	changes = sr_object_feed_changes_since(
-		watcher->feed, sr_object_feed_revision(follower->feed));
-	assert_non_null(changes);
-	sr_object_feed_apply_changes(follower->feed, changes);
-	g_bytes_unref(changes);
+	feed_pair_pass_on(&pair);
 	assert_non_null(strstr(follower->events->str, "+c@20 -b "));
 	assert_int_equal(sr_object_feed_revision(follower->feed), 21);
-	assert_int_equal(follower->n_requests, n_before);
-	fake_store_free(watcher);
-	fake_store_free(follower);
+	assert_int_equal(follower->n_requests, pair.n_before);
+	feed_pair_free(&pair);
 }
 
 /* The store is restored from a copy: revisions go back, and an object that was
--- a/test/prove/crash_model.c
+++ b/test/prove/crash_model.c
@@ -24,8 +24,9 @@
 #define BAD_REQUEST 1000
 #define FIRST_REQUEST 100000
 
-/** Bounds of the users' platform: ends under a part and under a request, and the
- * requests that may reach instances from CONTACT after the last of these. */
+/** Bounds of the users' platform: ends under a part and under a request, and
+ * the requests that may reach instances from CONTACT after the last of these.
+ */
 #define PART_ENDS 5
 #define REQUEST_ENDS 3
 #define ARRIVALS_MAX 3
@@ -119,8 +120,8 @@
 	guint64 n_events;
 	guint64 n_identities;
 	guint64 n_requests;
-	GArray *part_ends;    /* sr_usec_t */
-	GArray *request_ends; /* sr_usec_t */
+	GArray *part_ends;	   /* sr_usec_t */
+	GArray *request_ends;	   /* sr_usec_t */
 	unsigned part_arrivals;	   /* beyond the bound */
 	unsigned request_arrivals; /* beyond the bound */
 	gboolean is_checking;
@@ -293,9 +294,9 @@
 		sr_crash_suspects_add(host->suspects, &crash);
 		event->identity = identity;
 		event->n_requests = requests->len;
-		event->requests = g_memdup2(
-			requests->data,
-			requests->len * sizeof(sr_crash_request_t));
+		event->requests =
+			g_memdup2(requests->data,
+				  requests->len * sizeof(sr_crash_request_t));
 	}
 	g_array_unref(requests);
 }
@@ -337,9 +338,9 @@
 	if (!is_in_touch(host))
 		return;
 	if (has_bad_part(request) && model->part_ends->len >= PART_ENDS &&
-	    model->now > g_array_index(model->part_ends, sr_usec_t,
-				       PART_ENDS - 1) +
-				 CONTACT)
+	    model->now >
+		    g_array_index(model->part_ends, sr_usec_t, PART_ENDS - 1) +
+			    CONTACT)
 		model->part_arrivals++;
 	if (request->print.request == BAD_REQUEST &&
 	    model->request_ends->len >= REQUEST_ENDS &&
@@ -440,8 +441,8 @@
 	if (run->host_generation != host->generation)
 		return;
 	for (unsigned i = 0; i <= print->n_parts; i++) {
-		guint64 fingerprint = i < print->n_parts ? print->parts[i] :
-							   print->request;
+		guint64 fingerprint =
+			i < print->n_parts ? print->parts[i] : print->request;
 
 		if (sr_crash_suspects_clear(host->suspects, fingerprint,
 					    host->model->now))
@@ -507,8 +508,8 @@
 
 static void run_event(model_t *model, const event_t *event)
 {
-	gboolean is_current = event->instance &&
-			      event->instance->identity == event->identity;
+	gboolean is_current =
+		event->instance && event->instance->identity == event->identity;
 
 	switch (event->kind) {
 	case EVENT_BEGIN:
@@ -547,8 +548,7 @@
 	sr_usec_t end = model->now + time;
 
 	for (;;) {
-		GSequenceIter *first =
-			g_sequence_get_begin_iter(model->events);
+		GSequenceIter *first = g_sequence_get_begin_iter(model->events);
 		event_t *event;
 
 		if (g_sequence_iter_is_end(first))
@@ -600,7 +600,7 @@
 };
 
 static const char *const op_names[] = {
-	"sound", "bad-part", "bad-request",  "end-instance",
+	"sound", "bad-part", "bad-request", "end-instance",
 	"rack",	 "restart",  "cut",
 };
 
@@ -627,8 +627,9 @@
 		send_bad_request(model);
 		break;
 	case OP_END_INSTANCE:
-		end_instance(model,
-			     &model->instances[command->b % model->n_instances]);
+		end_instance(
+			model,
+			&model->instances[command->b % model->n_instances]);
 		break;
 	case OP_END_RACK:
 		for (unsigned i = 0; i < model->n_instances; i += 3)
