--- a/test/platform_crash_bed.h
+++ b/test/platform_crash_bed.h
@@ -62,6 +62,8 @@
 	GArray *ends;		/* times of instances' ends, gint64 in us */
 	GArray *arrivals;	/* of requests that crash, gint64 in us */
 	unsigned n_pending;
+	unsigned first_host; /* calls go to the hosts from this one on... */
+	unsigned n_hosts;    /* ...in turn, to so many of them */
 };
 
 /** sound_t - requests that crash nothing, and how many were answered in full.
@@ -306,6 +308,7 @@
 	crash_bed_t *bed = g_new0(crash_bed_t, 1);
 
 	bed->crashes = crashes;
+	bed->n_hosts = CRASH_BED_HOSTS;
 	bed->clock = sr_clock_new_real();
 	bed->ends = g_array_new(FALSE, FALSE, sizeof(gint64));
 	bed->arrivals = g_array_new(FALSE, FALSE, sizeof(gint64));
@@ -386,12 +389,13 @@
 	g_free(call);
 }
 
-/* Sends a request to one host after the other; sound is NULL if it crashes. */
+/* Sends a request to one host after the other; sound is NULL if it crashes
+ * instances. */
 static void send_call(crash_bed_t *bed, sound_t *sound, const char *path,
 		      const char *parts, const char *body)
 {
 	static unsigned n;
-	unsigned host = n++ % CRASH_BED_HOSTS;
+	unsigned host = bed->first_host + n++ % bed->n_hosts;
 	char *url = g_strdup_printf("http://%s%s",
 				    bed->settings[host]->caller_address, path);
 	SoupMessage *message = soup_message_new("POST", url);
--- a/test/platform_crash_test.c
+++ b/test/platform_crash_test.c
@@ -67,6 +67,28 @@
 	check_held_back(&load);
 }
 
+/* Guards against BUDGET of 2026-12-04 at many hosts: each had to see instances
+ * end by itself. */
+static void test_part_that_one_host_has_met_is_held_back_at_others(void **state)
+{
+	crash_bed_t *bed = crash_bed_new(has_bad_part);
+	guint timer = g_timeout_add(CRASHING_MS, on_crashing_part_timer, bed);
+	gint64 known_at;
+
+	(void)state;
+	bed->n_hosts = 1;
+	run_for(LOAD_MS / 4);
+	assert_true(bed->ends->len >= 1);
+	known_at = g_get_monotonic_time();
+	bed->first_host = 1;
+	bed->n_hosts = CRASH_BED_HOSTS - 1;
+	run_for(LOAD_MS / 4);
+	g_source_remove(timer);
+	wait_for_responses(bed);
+	assert_int_equal(arrivals_from(bed, known_at), 0);
+	crash_bed_free(bed);
+}
+
 /* Guards against BUDGET after a kill of all hosts: what they had learned was
  * forgotten, and requests with the part ended instances again. */
 static void test_part_is_held_back_after_a_restart_of_all_hosts(void **state)
@@ -96,6 +118,8 @@
 		cmocka_unit_test(test_part_that_crashes_is_held_back),
 		cmocka_unit_test(
 			test_part_is_held_back_if_streams_end_at_close),
+		cmocka_unit_test(
+			test_part_that_one_host_has_met_is_held_back_at_others),
 		cmocka_unit_test(
 			test_part_is_held_back_after_a_restart_of_all_hosts),
 	};
