--- a/test/prove/crash_model.c
+++ b/test/prove/crash_model.c
@@ -253,7 +253,6 @@
 
 static void start_instance(model_t *model, instance_t *instance)
 {
-	(void)model;
 	instance->identity = ++model->n_identities;
 }
 
@@ -533,7 +532,8 @@
 			g_ptr_array_remove(event->instance->runs, event->run);
 		break;
 	case EVENT_RESTART:
-		start_instance(model, event->instance);
+		if (event->instance)
+			start_instance(model, event->instance);
 		break;
 	case EVENT_REPORT:
 	case EVENT_QUARANTINE:
