Let an answer end only a quarantine that rests on its instance

Found by reading: a host that has a quarantine from another one, and has itself counted one instance that was cut off only, ended the quarantine at all hosts when that instance answered. The strikes left have to have been enough before. The new case of crash_suspects_test failed before.

--- a/src/core/crash_suspects.c
+++ b/src/core/crash_suspects.c
@@ -436,10 +436,13 @@
 	g_hash_table_iter_init(&iter, suspects->table);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		suspect_t *suspect = value;
+		/* else the quarantine rests on what another host knows */
+		gboolean had_weight =
+			has_weight(suspects, suspect, last_strike(suspect));
 
 		if (!drop_strike(suspect, instance))
 			continue;
-		if (suspect->is_quarantined &&
+		if (suspect->is_quarantined && had_weight &&
 		    !has_weight(suspects, suspect, last_strike(suspect))) {
 			release(suspects, suspect);
 			if (suspects->options.released)
--- a/test/crash_suspects_test.c
+++ b/test/crash_suspects_test.c
@@ -346,6 +346,21 @@
 	assert_int_equal(judge(f, BAD, 0), SR_CRASH_REFUSED);
 }
 
+/* Guards against the end of a quarantine that another host has decided, by the
+ * few instances that this one took for ended. */
+static void test_answer_ends_no_quarantine_of_another_host(void **state)
+{
+	fixture_t *f = *state;
+	const sr_quarantine_t quarantine = { .fingerprint = BAD };
+
+	end_instance_under(f, BAD, 0);
+	assert_true(sr_crash_suspects_restore(f->suspects, f->now, &quarantine,
+					      f->now));
+	sr_crash_suspects_refute(f->suspects, f->n_instances);
+	assert_int_equal(judge(f, BAD, 0), SR_CRASH_REFUSED);
+	assert_int_equal(f->n_released, 0);
+}
+
 static void test_strikes_expire(void **state)
 {
 	fixture_t *f = *state;
@@ -536,6 +551,7 @@
 		TEST(test_requests_that_wait_count_for_a_part),
 		TEST(test_survivor_refutes_a_quarantine_of_others),
 		TEST(test_instance_that_answers_later_does_not_count),
+		TEST(test_answer_ends_no_quarantine_of_another_host),
 		TEST(test_strikes_expire),
 		TEST(test_probes_are_few),
 		TEST(test_probe_that_survives_ends_the_quarantine),
