--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -258,6 +258,9 @@
 
 	attempt->references++;
 	if (how == SR_CHANNEL_CONNECT_FAILED) {
+		sr_gateway_instance_unreached(attempt->options.gateway,
+					      attempt->options.instance,
+					      SR_REACH_REFUSED);
 		report_end(attempt, SR_ATTEMPT_NOT_SENT,
 			   "could not connect to the instance");
 	} else if (how == SR_CHANNEL_CLOSED_BY_PEER &&
@@ -288,6 +291,8 @@
 
 	sr_timer_cancel(attempt->connect_timer);
 	attempt->connect_timer = NULL;
+	sr_gateway_instance_reached(attempt->options.gateway,
+				    attempt->options.instance);
 	send_request(attempt);
 }
 
@@ -297,6 +302,9 @@
 
 	attempt->connect_timer = NULL;
 	attempt->references++;
+	sr_gateway_instance_unreached(attempt->options.gateway,
+				      attempt->options.instance,
+				      SR_REACH_TIMED_OUT);
 	report_end(attempt, SR_ATTEMPT_NOT_SENT,
 		   "connection to the instance timed out");
 	unref(attempt);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -70,6 +70,9 @@
 	metrics->quarantined = sr_metrics_gauge(
 		registry, "sassafras_gateway_quarantined_fingerprints",
 		"fingerprints of requests that are quarantined", NULL);
+	metrics->services_unreached = sr_metrics_gauge(
+		registry, "sassafras_gateway_services_unreached",
+		"services of which this host reaches no instance", NULL);
 	metrics->duration = sr_metrics_histogram(
 		registry, "sassafras_gateway_duration_seconds",
 		"from a request's first byte to the end of its answer", NULL);
--- a/src/gateway/instance_check.c
+++ b/src/gateway/instance_check.c
@@ -87,13 +87,18 @@
 		     "requests", n, NULL);
 	switch (outcome) {
 	case INSTANCE_ALIVE:
+		sr_gateway_instance_reached(check->gateway, check->instance);
 		clear_answered(check);
 		break;
 	case INSTANCE_ENDED:
+		sr_gateway_instance_unreached(check->gateway, check->instance,
+					      SR_REACH_REFUSED);
 		sr_counter_add(gateway->metrics.instances_ended, 1);
 		report(check);
 		break;
 	case INSTANCE_SILENT:
+		sr_gateway_instance_unreached(check->gateway, check->instance,
+					      SR_REACH_TIMED_OUT);
 		break;
 	}
 	free_check(check);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -3,6 +3,7 @@
 
 #include "base/list.h"
 #include "core/prefix_index.h"
+#include "core/reach.h"
 #include "core/request_print.h"
 #include "core/retry_policy.h"
 #include "core/retry_budget.h"
@@ -25,6 +26,7 @@
 	sr_retry_budget_t retry_budget;
 	double prefill_s;	   /* see sr_gateway_foreach_prefill() */
 	sr_version_trial_t *trial; /* borrowed; NULL for none */
+	sr_reach_t reach;
 } sr_gateway_service_state_t;
 
 /** sr_gateway_metrics_t - counters of the metrics page; borrowed */
@@ -37,6 +39,7 @@
 	sr_counter_t *quarantined_requests;
 	sr_counter_t *probes;
 	sr_gauge_t *quarantined;
+	sr_gauge_t *services_unreached;
 	sr_histogram_t *duration;    /* s */
 	sr_histogram_t *first_event; /* s */
 	sr_gauge_t *sessions;
@@ -221,6 +224,18 @@
 void sr_gateway_read_notices(sr_gateway_t *gateway, sr_instance_t *instance,
 			     const sr_message_t *response);
 
+/* reach.c: whether this host reaches the instances of a service */
+
+/** sr_gateway_instance_reached - a new connection to it was established. */
+void sr_gateway_instance_reached(sr_gateway_t *gateway,
+				 const sr_instance_t *instance);
+
+/** sr_gateway_instance_unreached - a connection to it could not be established,
+ * or one was found dead. */
+void sr_gateway_instance_unreached(sr_gateway_t *gateway,
+				   const sr_instance_t *instance,
+				   sr_reach_failure_t how);
+
 /* instance_check.c: whether an instance that cut off attempts has ended */
 
 /**
