--- a/test/platform_store.h
+++ b/test/platform_store.h
@@ -28,16 +28,23 @@
 	gint64 revision;
 } store_t;
 
-static SoupServer *listen_local(SoupServerCallback handler, gpointer user)
+static SoupServer *listen_at(int port, SoupServerCallback handler,
+			     gpointer user)
 {
 	SoupServer *server = soup_server_new(NULL, NULL);
 
 	soup_server_add_handler(server, NULL, handler, user, NULL);
 	assert_true(soup_server_listen_local(
-		server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+		server, (guint)port, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
 	return server;
 }
 
+static inline SoupServer *listen_local(SoupServerCallback handler,
+				       gpointer user)
+{
+	return listen_at(0, handler, user);
+}
+
 static int port_of(SoupServer *server)
 {
 	GSList *uris = soup_server_get_uris(server);
@@ -265,10 +272,15 @@
 	json_object_put(nothing);
 }
 
-static void store_init(store_t *store)
+static void store_init_at(store_t *store, int port)
 {
 	store->objects = json_object_new_object();
-	store->server = listen_local(on_store_call, store);
+	store->server = listen_at(port, on_store_call, store);
+}
+
+static inline void store_init(store_t *store)
+{
+	store_init_at(store, 0);
 }
 
 static void store_clear(store_t *store)
@@ -279,15 +291,23 @@
 
 /* The entry host. */
 
-/* Hosts that know each other have one peer port and an address each, as the
- * settings assume. The seeds are a JSON array of addresses. */
-static sr_entry_host_settings_t *make_settings(const store_t *store,
-					       const char *node, const char *ip,
-					       int peer_port, const char *seeds)
+/** host_place_t - where an entry host listens and what it is told. */
+typedef struct {
+	const char *node;
+	const char *failure_domain;
+	const char *ip;
+	const char *seeds; /* a JSON array of addresses */
+	int store_port;
+	int peer_port; /* the same for hosts that know each other */
+	int caller_port;
+} host_place_t;
+
+static sr_entry_host_settings_t *settings_at(const host_place_t *place)
 {
-	int store_port = port_of(store->server);
+	const char *ip = place->ip;
 	char *text = g_strdup_printf(
-		"{\"node\":\"%s\",\"failure_domain\":\"z\",\"caller_address\":"
+		"{\"node\":\"%s\",\"failure_domain\":\"%s\","
+		"\"caller_address\":"
 		"\"%s:%d\",\"ready_address\":\"%s:%d\","
 		"\"metrics_address\":\"%s:%d\",\"peer_address\":"
 		"\"%s:%d\",\"peer_seeds\":%s,\"store\":{\"address\":"
@@ -301,8 +321,9 @@
 		"\"usage_due_s\":10,\"lease_ms\":1000,\"apply_ms\":2000,"
 		"\"drain_ms\":2000,\"exposure_share\":0.1,"
 		"\"exposure_slack\":50}}",
-		node, ip, unused_port(), ip, unused_port(), ip, unused_port(),
-		ip, peer_port, seeds, store_port, store_port);
+		place->node, place->failure_domain, ip, place->caller_port, ip,
+		unused_port(), ip, unused_port(), ip, place->peer_port,
+		place->seeds, place->store_port, place->store_port);
 	GPtrArray *findings = sr_findings_new();
 	sr_entry_host_settings_t *settings =
 		sr_entry_host_settings_parse(text, strlen(text), findings);
@@ -313,6 +334,23 @@
 	return settings;
 }
 
+static inline sr_entry_host_settings_t *
+make_settings(const store_t *store, const char *node, const char *ip,
+	      int peer_port, const char *seeds)
+{
+	const host_place_t place = {
+		.node = node,
+		.failure_domain = "z",
+		.ip = ip,
+		.seeds = seeds,
+		.store_port = port_of(store->server),
+		.peer_port = peer_port,
+		.caller_port = unused_port(),
+	};
+
+	return settings_at(&place);
+}
+
 static gboolean on_timeout(gpointer data)
 {
 	*(gboolean *)data = TRUE;
--- a/test/reach_test.c
+++ b/test/reach_test.c
@@ -15,10 +15,10 @@
 
 	(void)state;
 	for (sr_usec_t now = 1; now < 100; now++) {
-		assert_false(sr_reach_failed(&reach, now, 1, SR_REACH_REFUSED,
-					     9));
-		assert_false(sr_reach_failed(&reach, now, 2, SR_REACH_REFUSED,
-					     9));
+		assert_false(
+			sr_reach_failed(&reach, now, 1, SR_REACH_REFUSED, 9));
+		assert_false(
+			sr_reach_failed(&reach, now, 2, SR_REACH_REFUSED, 9));
 	}
 	assert_true(reach.state == SR_REACH_UNKNOWN);
 }
