Pass requests on to another host if no instance is reached

Cause: a host judged each instance alone and had nowhere else to send a request. Ruled out: faulty or full instances (they answered other hosts in the same second) and the order of attempts (no order helps where all refuse).

A host that finds several instances unreachable in a row, none reached in between, takes its path as down, probes it, and passes requests on over HTTP to a host that reaches the instances: one hop, charged, counted and observed there. docs/design/reach.md has the ways weighed.

--- a/src/base/error.c
+++ b/src/base/error.c
@@ -78,6 +78,9 @@
 	  "instances have ended under requests like this one",
 	  "change the request; one like it is tried again after the given "
 	  "delay" },
+	{ SR_ERR_UNREACHED, 421, "unreached",
+	  "this host reaches no instance of the service",
+	  "pass the request on to another host" },
 };
 
 static const error_info_t *find_info(sr_err_t err)
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -32,6 +32,7 @@
 	SR_ERR_HEAD_TOO_LARGE = -22,
 	SR_ERR_CALLER_TIMEOUT = -23,
 	SR_ERR_QUARANTINED = -24,
+	SR_ERR_UNREACHED = -25,
 } sr_err_t;
 
 /*
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -313,6 +313,34 @@
 				  sr_fleet_sharing_hosts(fleet));
 }
 
+/* The host of one address with the port of another. */
+static char *with_port_of(const char *address, const char *other)
+{
+	const char *colon = strrchr(address, ':');
+	const char *port = strrchr(other, ':');
+
+	return colon && port ? g_strdup_printf("%.*s%s", (int)(colon - address),
+					       address, port) :
+			       NULL;
+}
+
+static void update_relay_host(sr_fleet_t *fleet, const sr_member_t *member)
+{
+	char *address;
+
+	if (!fleet->options.relay_address ||
+	    !strcmp(member->name, fleet->options.node))
+		return;
+	address = with_port_of(member->address, fleet->options.relay_address);
+	if (address && member->state == SR_MEMBER_ALIVE)
+		sr_gateway_add_relay_host(fleet->options.gateway, member->name,
+					  member->failure_domain, address);
+	else
+		sr_gateway_remove_relay_host(fleet->options.gateway,
+					     member->name);
+	g_free(address);
+}
+
 static void on_member_changed(void *user, const sr_member_t *member)
 {
 	static const char *const states[] = { "alive", "suspect", "left",
@@ -327,6 +355,7 @@
 			sr_gateway_allowance(fleet->options.gateway),
 			member->name);
 	sr_members_update(fleet->members, member);
+	update_relay_host(fleet, member);
 	sr_gateway_set_host_count(fleet->options.gateway,
 				  sr_fleet_sharing_hosts(fleet));
 }
@@ -340,6 +369,7 @@
 	sr_log_event(fleet->options.log, SR_LOG_INFO, "peer-changed", "peer",
 		     name, "state", "not held", NULL);
 	sr_members_remove(fleet->members, name);
+	sr_gateway_remove_relay_host(fleet->options.gateway, name);
 }
 
 static void on_datagram(void *user, const guint8 *data, gsize size)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -41,9 +41,12 @@
 	const char *node;
 	const char *failure_domain;
 	const char *peer_address; /* IP:PORT to listen on */
-	const GPtrArray *seeds;	  /* char *, IP:PORT to contact first */
-	const char *cluster;	  /* other clusters are ignored */
-	const guint8 *secret;	  /* authenticates messages between hosts */
+	/* IP:PORT on which the gateway takes requests that other hosts pass on;
+	 * its port is the same on all hosts; NULL for none */
+	const char *relay_address;
+	const GPtrArray *seeds; /* char *, IP:PORT to contact first */
+	const char *cluster;	/* other clusters are ignored */
+	const guint8 *secret;	/* authenticates messages between hosts */
 	gsize secret_size;
 	sr_usec_t usage_window; /* length; 0 if usage is not counted */
 	sr_clock_t *clock;
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -90,6 +90,14 @@
 	return (sr_usec_t)MIN(seconds, 3600) * SR_SEC - KEEP_ALIVE_MARGIN;
 }
 
+static sr_connection_pool_t *pool_of(const sr_attempt_t *attempt)
+{
+	const sr_gateway_t *gateway = attempt->options.gateway;
+
+	return attempt->options.is_relay ? gateway->relay_pool :
+					   gateway->connection_pool;
+}
+
 /* Returns the connection to the pool after a complete response, or closes it if
  * it can't be reused. */
 static void release_channel(sr_attempt_t *attempt, gboolean has_extra_bytes)
@@ -102,9 +110,8 @@
 		sr_channel_free(attempt->channel);
 	} else {
 		sr_connection_pool_put(
-			attempt->options.gateway->connection_pool,
-			attempt->options.instance, attempt->channel,
-			keep_alive_time(response));
+			pool_of(attempt), attempt->options.instance,
+			attempt->channel, keep_alive_time(response));
 	}
 	attempt->channel = NULL;
 }
@@ -136,11 +143,29 @@
 	return HEAD_MATCHES;
 }
 
+/* A host repeats the signature of the instance, and has made its own attempts;
+ * a response without one is its own. 429 refers to the account, whichever host
+ * is asked; of the other refusals another host may know better. */
+static sr_attempt_outcome_t classify_relayed(const sr_attempt_t *attempt)
+{
+	const sr_dialect_t *dialect = attempt->options.gateway->options.dialect;
+	const sr_message_t *response = sr_parser_message(attempt->parser);
+
+	if (sr_headers_get(response->headers, dialect->signature) ||
+	    response->status == 429)
+		return SR_ATTEMPT_ANSWERED;
+	if (response->status >= 500 && response->status != 503)
+		return SR_ATTEMPT_ANSWERED;
+	return SR_ATTEMPT_REJECTED;
+}
+
 static sr_attempt_outcome_t classify_response(const sr_attempt_t *attempt)
 {
 	const sr_dialect_t *dialect = attempt->options.gateway->options.dialect;
 	const sr_message_t *response = sr_parser_message(attempt->parser);
 
+	if (attempt->options.is_relay)
+		return classify_relayed(attempt);
 	if (sr_headers_get(response->headers, dialect->not_run) ||
 	    response->status == 421)
 		return SR_ATTEMPT_REJECTED;
@@ -185,9 +210,11 @@
 	switch (classify_head(attempt)) {
 	case HEAD_MATCHES:
 		attempt->is_head_verified = TRUE;
-		sr_gateway_read_notices(attempt->options.gateway,
-					attempt->options.instance,
-					sr_parser_message(attempt->parser));
+		if (!attempt->options.is_relay)
+			sr_gateway_read_notices(
+				attempt->options.gateway,
+				attempt->options.instance,
+				sr_parser_message(attempt->parser));
 		return TRUE;
 	case HEAD_OF_OTHER_REQUEST:
 		attempt->is_out_of_sync = TRUE;
@@ -252,15 +279,21 @@
 	unref(attempt);
 }
 
+static void report_unreached(const sr_attempt_t *attempt,
+			     sr_reach_failure_t how)
+{
+	if (!attempt->options.is_relay)
+		sr_gateway_instance_unreached(attempt->options.gateway,
+					      attempt->options.instance, how);
+}
+
 static void on_ended(void *user, sr_channel_end_reason_t how)
 {
 	sr_attempt_t *attempt = user;
 
 	attempt->references++;
 	if (how == SR_CHANNEL_CONNECT_FAILED) {
-		sr_gateway_instance_unreached(attempt->options.gateway,
-					      attempt->options.instance,
-					      SR_REACH_REFUSED);
+		report_unreached(attempt, SR_REACH_REFUSED);
 		report_end(attempt, SR_ATTEMPT_NOT_SENT,
 			   "could not connect to the instance");
 	} else if (how == SR_CHANNEL_CLOSED_BY_PEER &&
@@ -291,8 +324,9 @@
 
 	sr_timer_cancel(attempt->connect_timer);
 	attempt->connect_timer = NULL;
-	sr_gateway_instance_reached(attempt->options.gateway,
-				    attempt->options.instance);
+	if (!attempt->options.is_relay)
+		sr_gateway_instance_reached(attempt->options.gateway,
+					    attempt->options.instance);
 	send_request(attempt);
 }
 
@@ -302,9 +336,7 @@
 
 	attempt->connect_timer = NULL;
 	attempt->references++;
-	sr_gateway_instance_unreached(attempt->options.gateway,
-				      attempt->options.instance,
-				      SR_REACH_TIMED_OUT);
+	report_unreached(attempt, SR_REACH_TIMED_OUT);
 	report_end(attempt, SR_ATTEMPT_NOT_SENT,
 		   "connection to the instance timed out");
 	unref(attempt);
@@ -322,8 +354,8 @@
 	sr_usec_t max_idle =
 		options->may_run_twice ? DEFAULT_KEEP_ALIVE : RUN_ONCE_MAX_IDLE;
 
-	attempt->channel = sr_connection_pool_take(
-		options->gateway->connection_pool, options->instance, max_idle);
+	attempt->channel = sr_connection_pool_take(pool_of(attempt),
+						   options->instance, max_idle);
 	if (attempt->channel) {
 		sr_channel_set_events(attempt->channel, &attempt_events,
 				      attempt);
@@ -333,8 +365,10 @@
 	attempt->is_new_connection = TRUE;
 	attempt->channel = sr_channel_connect(options->instance->address,
 					      &attempt_events, attempt);
-	if (!attempt->channel)
+	if (!attempt->channel) {
+		report_unreached(attempt, SR_REACH_REFUSED);
 		return FALSE;
+	}
 	attempt->connect_timer =
 		sr_timer_start(options->gateway->options.clock, CONNECT_TIMEOUT,
 			       on_connect_timeout, attempt);
@@ -383,6 +417,11 @@
 	return attempt->is_cut;
 }
 
+gboolean sr_attempt_is_relay(const sr_attempt_t *attempt)
+{
+	return attempt->options.is_relay;
+}
+
 sr_instance_t *sr_attempt_instance(const sr_attempt_t *attempt)
 {
 	return attempt->options.instance;
--- a/src/gateway/connection_pool.c
+++ b/src/gateway/connection_pool.c
@@ -14,12 +14,14 @@
 } idle_connection_t;
 
 typedef struct {
+	char *service;
 	sr_list_t idle; /* idle_connection_t, most recently used last */
 	unsigned n_idle;
 } instance_entry_t;
 
 struct sr_connection_pool {
 	sr_gateway_t *gateway;
+	void (*failed)(sr_gateway_t *gateway, const char *service);
 	GHashTable *entries; /* instance id -> instance_entry_t */
 };
 
@@ -51,10 +53,14 @@
 static void on_ended(void *user, sr_channel_end_reason_t how)
 {
 	idle_connection_t *idle = user;
+	sr_connection_pool_t *pool = idle->pool;
+	char *service = g_strdup(find_entry(pool, idle->instance)->service);
 
-	(void)how;
 	sr_channel_free(idle->channel);
 	remove_idle(idle);
+	if (how == SR_CHANNEL_FAILED && pool->failed)
+		pool->failed(pool->gateway, service);
+	g_free(service);
 }
 
 static const sr_channel_events_t idle_events = {
@@ -80,14 +86,18 @@
 		sr_list_remove(&idle->link);
 		g_free(idle);
 	}
+	g_free(entry->service);
 	g_free(entry);
 }
 
-sr_connection_pool_t *sr_connection_pool_new(sr_gateway_t *gateway)
+sr_connection_pool_t *sr_connection_pool_new(
+	sr_gateway_t *gateway,
+	void (*failed)(sr_gateway_t *gateway, const char *service))
 {
 	sr_connection_pool_t *pool = g_new0(sr_connection_pool_t, 1);
 
 	pool->gateway = gateway;
+	pool->failed = failed;
 	pool->entries = g_hash_table_new_full(NULL, NULL, NULL, free_entry);
 	return pool;
 }
@@ -136,6 +146,7 @@
 	}
 	if (!entry) {
 		entry = g_new0(instance_entry_t, 1);
+		entry->service = g_strdup(instance->service);
 		sr_list_init(&entry->idle);
 		g_hash_table_insert(pool->entries,
 				    GUINT_TO_POINTER(instance->id), entry);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -73,6 +73,9 @@
 	metrics->services_unreached = sr_metrics_gauge(
 		registry, "sassafras_gateway_services_unreached",
 		"services of which this host reaches no instance", NULL);
+	metrics->relayed =
+		sr_metrics_counter(registry, "sassafras_gateway_relayed_total",
+				   "requests passed on to another host", NULL);
 	metrics->duration = sr_metrics_histogram(
 		registry, "sassafras_gateway_duration_seconds",
 		"from a request's first byte to the end of its answer", NULL);
@@ -114,7 +117,10 @@
 		sr_allowance_enable_pools(gateway->allowance);
 	gateway->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	gateway->connection_pool = sr_connection_pool_new(gateway);
+	gateway->connection_pool =
+		sr_connection_pool_new(gateway, sr_gateway_probe_service);
+	gateway->relay_hosts = sr_instances_new();
+	gateway->relay_pool = sr_connection_pool_new(gateway, NULL);
 	gateway->rng = g_rand_new_with_seed((guint32)options->seed);
 	sr_gateway_set_host_count(gateway, MIN_SHARING_HOSTS);
 	sr_list_init(&gateway->sessions);
@@ -132,10 +138,14 @@
 	sr_acceptor_free(gateway->caller_acceptor);
 	sr_acceptor_free(gateway->ready_acceptor);
 	sr_acceptor_free(gateway->metrics_acceptor);
+	sr_acceptor_free(gateway->relay_acceptor);
 	sr_list_for_each_safe (link, &gateway->sessions)
 		sr_session_free(sr_session_of_link(link));
 	sr_gateway_cancel_checks(gateway);
+	sr_gateway_cancel_probes(gateway);
 	sr_connection_pool_free(gateway->connection_pool);
+	sr_connection_pool_free(gateway->relay_pool);
+	sr_instances_free(gateway->relay_hosts);
 	sr_instances_free(gateway->instances);
 	sr_prefix_index_free(gateway->prefix_index);
 	sr_allowance_free(gateway->allowance);
@@ -166,12 +176,14 @@
 	if (state)
 		return state;
 	state = g_new0(sr_gateway_service_state_t, 1);
+	state->gateway = gateway;
+	state->service = g_strdup(service);
 	sr_engine_speed_init(&state->speed);
 	sr_retry_budget_init_with(&state->retry_budget,
 				  RETRY_USED_FRACTION *
 					  gateway->options.retry_ratio,
 				  retry_budget_max(gateway));
-	g_hash_table_insert(gateway->services, g_strdup(service), state);
+	g_hash_table_insert(gateway->services, state->service, state);
 	return state;
 }
 
@@ -202,6 +214,8 @@
 	if (age >= gateway->options.accept_grace && gateway->caller_acceptor) {
 		sr_acceptor_free(gateway->caller_acceptor);
 		gateway->caller_acceptor = NULL;
+		sr_acceptor_free(gateway->relay_acceptor);
+		gateway->relay_acceptor = NULL;
 	}
 	if ((!gateway->caller_acceptor && gateway->n_transactions == 0 &&
 	     sr_list_is_empty(&gateway->sessions)) ||
@@ -221,6 +235,7 @@
 		sr_session_sweep(sr_session_of_link(link), now);
 	sr_transactions_sweep(gateway);
 	sr_connection_pool_sweep(gateway->connection_pool, now);
+	sr_connection_pool_sweep(gateway->relay_pool, now);
 	advance_stop(gateway, now);
 }
 
@@ -256,6 +271,13 @@
 		if (!gateway->metrics_acceptor)
 			return SR_ERR_IO;
 	}
+	if (options->relay_address) {
+		gateway->relay_acceptor =
+			listen_on(gateway, options->relay_address,
+				  sr_session_accept_relayed, detail);
+		if (!gateway->relay_acceptor)
+			return SR_ERR_IO;
+	}
 	on_sweep_timer(gateway);
 	return SR_OK;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,6 +41,7 @@
 	const char *caller_address;
 	const char *ready_address;   /* not the caller address */
 	const char *metrics_address; /* NULL or "" for none */
+	const char *relay_address;   /* for other hosts; NULL for none */
 	unsigned max_connections;    /* from callers; 0 for the default */
 	gsize buffered_bytes;	/* of all unfinished requests; 0: default */
 	sr_usec_t accept_grace; /* connections are accepted this long
@@ -159,6 +160,20 @@
 				       sr_usec_t decided_at,
 				       const char *source);
 
+/**
+ * sr_gateway_add_relay_host - add an entry host that takes requests on which
+ * this one passes on
+ *
+ * A request is passed on if this host reaches no instance of its service. The
+ * other host treats it like one of its own callers, but passes it on to no
+ * further one. address is the other host's relay_address.
+ */
+void sr_gateway_add_relay_host(sr_gateway_t *gateway, const char *name,
+			       const char *failure_domain, const char *address);
+
+/** sr_gateway_remove_relay_host - the host is stopping or may be down. */
+void sr_gateway_remove_relay_host(sr_gateway_t *gateway, const char *name);
+
 /** sr_gateway_set_version_trial - divides the requests for a service between
  * its versions; the trial is borrowed until it is replaced, NULL ends it. */
 void sr_gateway_set_version_trial(sr_gateway_t *gateway, const char *service,
--- a/src/gateway/instance_check.c
+++ b/src/gateway/instance_check.c
@@ -93,6 +93,8 @@
 	case INSTANCE_ENDED:
 		sr_gateway_instance_unreached(check->gateway, check->instance,
 					      SR_REACH_REFUSED);
+		if (check->requests->len == 0)
+			break;
 		sr_counter_add(gateway->metrics.instances_ended, 1);
 		report(check);
 		break;
@@ -159,6 +161,12 @@
 	return check;
 }
 
+void sr_gateway_probe_instance(sr_gateway_t *gateway, sr_instance_t *instance)
+{
+	if (!find_check(gateway, instance))
+		start_check(gateway, instance);
+}
+
 void sr_gateway_check_instance(sr_gateway_t *gateway, sr_instance_t *instance,
 			       const sr_crash_request_t *request,
 			       gboolean is_answered)
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -22,11 +22,15 @@
 
 /** sr_gateway_service_state_t - statistics and retry budget of a service */
 typedef struct {
+	sr_gateway_t *gateway;
+	char *service;
 	sr_engine_speed_t speed; /* measured, for placement */
 	sr_retry_budget_t retry_budget;
 	double prefill_s;	   /* see sr_gateway_foreach_prefill() */
 	sr_version_trial_t *trial; /* borrowed; NULL for none */
 	sr_reach_t reach;
+	sr_timer_t *probe_timer;  /* NULL unless instances are probed */
+	sr_usec_t probe_interval; /* between the next two */
 } sr_gateway_service_state_t;
 
 /** sr_gateway_metrics_t - counters of the metrics page; borrowed */
@@ -40,6 +44,7 @@
 	sr_counter_t *probes;
 	sr_gauge_t *quarantined;
 	sr_gauge_t *services_unreached;
+	sr_counter_t *relayed;
 	sr_histogram_t *duration;    /* s */
 	sr_histogram_t *first_event; /* s */
 	sr_gauge_t *sessions;
@@ -55,7 +60,11 @@
 	sr_crash_suspects_t *suspects;
 	GHashTable *services; /* name -> sr_gateway_service_state_t */
 	sr_connection_pool_t *connection_pool;
+	sr_instances_t *relay_hosts;	  /* other hosts; see relay.c */
+	sr_connection_pool_t *relay_pool; /* connections to them */
+	guint64 n_relay_changes;
 	sr_acceptor_t *caller_acceptor;
+	sr_acceptor_t *relay_acceptor;
 	sr_acceptor_t *ready_acceptor;
 	sr_acceptor_t *metrics_acceptor;
 	sr_list_t sessions;
@@ -110,6 +119,13 @@
 /** sr_session_accept - serves a connected socket; takes ownership of it. */
 void sr_session_accept(sr_gateway_t *gateway, int fd);
 
+/** sr_session_accept_relayed - the same for another host that passes requests
+ * on. */
+void sr_session_accept_relayed(sr_gateway_t *gateway, int fd);
+
+/** sr_session_is_relayed - whether the peer is another host. */
+gboolean sr_session_is_relayed(const sr_session_t *session);
+
 /** sr_session_free - closes the connection and cancels its transaction. */
 void sr_session_free(sr_session_t *session);
 
@@ -193,6 +209,7 @@
 	gboolean is_stream;	/* a success is passed on as it arrives */
 	gboolean is_head_only;	/* the response has no body */
 	gboolean may_run_twice; /* a repeated execution does no harm */
+	gboolean is_relay;	/* instance is another host */
 } sr_attempt_options_t;
 
 /** sr_attempt_new - sends the request; NULL if no connection could be opened.
@@ -215,7 +232,10 @@
  * before the response was complete. */
 gboolean sr_attempt_is_cut(const sr_attempt_t *attempt);
 
-/** sr_attempt_instance - borrowed. */
+/** sr_attempt_is_relay - whether the request is passed on to another host. */
+gboolean sr_attempt_is_relay(const sr_attempt_t *attempt);
+
+/** sr_attempt_instance - or the host of a relay; borrowed. */
 sr_instance_t *sr_attempt_instance(const sr_attempt_t *attempt);
 
 /* notice.c: what instances say of themselves in their responses */
@@ -236,6 +256,27 @@
 				   const sr_instance_t *instance,
 				   sr_reach_failure_t how);
 
+/** sr_gateway_probe_service - tries new connections to some instances, as there
+ * is a sign that they may not be reached. */
+void sr_gateway_probe_service(sr_gateway_t *gateway, const char *service);
+
+/** sr_gateway_reaches - FALSE if no instance of the service is reached. */
+gboolean sr_gateway_reaches(sr_gateway_t *gateway, const char *service);
+
+void sr_gateway_cancel_probes(sr_gateway_t *gateway);
+
+/* relay.c: other hosts that requests are passed on to */
+
+/** sr_gateway_pick_relay_host - the least loaded one that may be asked, except
+ * those whose ids (guint32) are in tried; borrowed, NULL if there is none. */
+sr_instance_t *sr_gateway_pick_relay_host(sr_gateway_t *gateway,
+					  const GArray *tried);
+
+/** sr_gateway_relay_host_unreached - the host doesn't reach the instances
+ * either, and is not asked for a while. */
+void sr_gateway_relay_host_unreached(sr_gateway_t *gateway,
+				     sr_instance_t *host);
+
 /* instance_check.c: whether an instance that cut off attempts has ended */
 
 /**
@@ -250,6 +291,9 @@
 			       const sr_crash_request_t *request,
 			       gboolean is_answered);
 
+/** sr_gateway_probe_instance - whether it takes connections, as above. */
+void sr_gateway_probe_instance(sr_gateway_t *gateway, sr_instance_t *instance);
+
 /** sr_gateway_cancel_checks - drop the checks that are under way. */
 void sr_gateway_cancel_checks(sr_gateway_t *gateway);
 
@@ -275,7 +319,11 @@
 
 /* connection_pool.c: idle connections to instances */
 
-sr_connection_pool_t *sr_connection_pool_new(sr_gateway_t *gateway);
+/** sr_connection_pool_new - failed is called for an idle connection that was
+ * reset or timed out; NULL for not. */
+sr_connection_pool_t *sr_connection_pool_new(
+	sr_gateway_t *gateway,
+	void (*failed)(sr_gateway_t *gateway, const char *service));
 void sr_connection_pool_free(sr_connection_pool_t *pool);
 
 /** sr_connection_pool_take - an idle connection that was in use at most
@@ -308,8 +356,15 @@
 	gint urgency;		     /* negative for none */
 	gboolean resumes;	     /* the stream resumes after last_event */
 	guint64 last_event;
+	/* To another host: as the caller sent it, with the attempts that are
+	 * left; 0 if to an instance. */
+	unsigned relay_attempts;
 } sr_upstream_request_t;
 
+/** Header with the attempts at instances that a host may still make of a
+ * request that another one passes on. Ignored if it comes from a caller. */
+#define SR_RELAY_ATTEMPTS "Relay-Attempts"
+
 /** sr_upstream_request_serialize - head and body; unref the result. */
 GByteArray *sr_upstream_request_serialize(const sr_upstream_request_t *spec);
 
--- a/src/gateway/reach.c
+++ b/src/gateway/reach.c
@@ -1,5 +1,15 @@
 #include "gateway/internal.h"
 
+/** Instances that are probed at once on the first sign that the path may be
+ * down: enough to tell it from the fault of one instance. */
+#define PROBES_AT_ONCE SR_REACH_FAILURES
+
+/** Interval between probes of one instance while none is reached, which doubles
+ * up to a maximum, and the part of it that is added at random. */
+#define PROBE_INTERVAL_MIN (250 * SR_MSEC)
+#define PROBE_INTERVAL_MAX (1000 * SR_MSEC)
+#define PROBE_JITTER 0.25
+
 static unsigned count_present(const sr_gateway_t *gateway, const char *service)
 {
 	const GPtrArray *list =
@@ -25,6 +35,82 @@
 		     NULL);
 }
 
+/* Probes up to n instances, from a random one on. */
+static void probe(sr_gateway_t *gateway, const char *service, unsigned n)
+{
+	const GPtrArray *list =
+		sr_instances_of_service(gateway->instances, service);
+	guint len = list ? list->len : 0;
+	guint first = (guint)(g_rand_double(gateway->rng) * len);
+
+	for (guint i = 0; i < len && n > 0; i++) {
+		sr_instance_t *instance = list->pdata[(i + first) % len];
+
+		if (!sr_instance_is_present(instance))
+			continue;
+		sr_gateway_probe_instance(gateway, instance);
+		n--;
+	}
+}
+
+static void on_probe_timer(void *user);
+
+static void schedule_probe(sr_gateway_service_state_t *state)
+{
+	double jitter = 1 + PROBE_JITTER * g_rand_double(state->gateway->rng);
+
+	state->probe_timer = sr_timer_start(
+		state->gateway->options.clock,
+		(sr_usec_t)((double)state->probe_interval * jitter),
+		on_probe_timer, state);
+	state->probe_interval =
+		MIN(2 * state->probe_interval, PROBE_INTERVAL_MAX);
+}
+
+/* While the service is reached, the timer only limits the rate of probes. */
+static void on_probe_timer(void *user)
+{
+	sr_gateway_service_state_t *state = user;
+
+	state->probe_timer = NULL;
+	if (state->reach.state != SR_REACH_LOST)
+		return;
+	probe(state->gateway, state->service, 1);
+	schedule_probe(state);
+}
+
+void sr_gateway_probe_service(sr_gateway_t *gateway, const char *service)
+{
+	sr_gateway_service_state_t *state =
+		sr_gateway_service_state(gateway, service);
+
+	if (state->probe_timer)
+		return;
+	state->probe_interval = PROBE_INTERVAL_MIN;
+	probe(gateway, service, PROBES_AT_ONCE);
+	schedule_probe(state);
+}
+
+void sr_gateway_cancel_probes(sr_gateway_t *gateway)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gateway->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		sr_gateway_service_state_t *state = value;
+
+		sr_timer_cancel(state->probe_timer);
+		state->probe_timer = NULL;
+	}
+}
+
+gboolean sr_gateway_reaches(sr_gateway_t *gateway, const char *service)
+{
+	return sr_gateway_service_state(gateway, service)->reach.state !=
+	       SR_REACH_LOST;
+}
+
 void sr_gateway_instance_reached(sr_gateway_t *gateway,
 				 const sr_instance_t *instance)
 {
@@ -52,8 +138,10 @@
 	sr_usec_t now = sr_gateway_now(gateway);
 	sr_usec_t lasted = now - reach->changed_at;
 
-	if (!sr_instance_is_present(instance) ||
-	    !sr_reach_failed(reach, now, instance->id, how, n_present))
+	if (!sr_instance_is_present(instance))
+		return;
+	sr_gateway_probe_service(gateway, instance->service);
+	if (!sr_reach_failed(reach, now, instance->id, how, n_present))
 		return;
 	sr_gauge_add(gateway->metrics.services_unreached, 1);
 	log_change(gateway, "service-unreached", instance->service, n_present,
--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -14,6 +14,9 @@
  * reached it. */
 #define IDLE_GRACE SR_SEC
 
+/** Idle timeout of connections from other hosts, longer than they keep them. */
+#define RELAY_IDLE_TIMEOUT (10 * SR_SEC)
+
 /** Time from the shutdown of a connection until it is closed, so that the
  * caller can read the response. */
 #define LINGER_TIMEOUT SR_SEC
@@ -34,6 +37,7 @@
 	gboolean is_ignoring; /* bytes came after the shutdown */
 	gboolean is_processing; /* in process_input() */
 	gboolean is_paused;	/* because of MAX_PIPELINED_BYTES */
+	gboolean is_relayed;	/* the peer is another host */
 	gboolean is_freed;	/* sr_session_free() was called */
 	unsigned references;	/* the struct is freed at 0 */
 };
@@ -364,7 +368,8 @@
 	.ended = on_ended,
 };
 
-void sr_session_accept(sr_gateway_t *gateway, int fd)
+static void accept_connection(sr_gateway_t *gateway, int fd,
+			      gboolean is_relayed)
 {
 	const sr_parser_options_t options = {
 		.kind = SR_MESSAGE_REQUEST,
@@ -375,6 +380,7 @@
 
 	session->references = 1;
 	session->gateway = gateway;
+	session->is_relayed = is_relayed;
 	session->parser = sr_parser_new(&options);
 	session->input = g_byte_array_new();
 	session->started_at = sr_gateway_now(gateway);
@@ -391,10 +397,29 @@
 	}
 }
 
-static sr_usec_t idle_timeout_of(const sr_gateway_t *gateway)
+void sr_session_accept(sr_gateway_t *gateway, int fd)
+{
+	accept_connection(gateway, fd, FALSE);
+}
+
+void sr_session_accept_relayed(sr_gateway_t *gateway, int fd)
+{
+	accept_connection(gateway, fd, TRUE);
+}
+
+gboolean sr_session_is_relayed(const sr_session_t *session)
 {
-	return gateway->table ? gateway->table->limits.idle_timeout :
-				SR_CALLER_DEFAULT_IDLE_TIMEOUT;
+	return session->is_relayed;
+}
+
+static sr_usec_t idle_timeout_of(const sr_session_t *session)
+{
+	const sr_route_table_t *table = session->gateway->table;
+
+	if (session->is_relayed)
+		return RELAY_IDLE_TIMEOUT;
+	return table ? table->limits.idle_timeout :
+		       SR_CALLER_DEFAULT_IDLE_TIMEOUT;
 }
 
 static sr_usec_t header_timeout_of(const sr_gateway_t *gateway)
@@ -406,7 +431,7 @@
 static gboolean is_idle(const sr_session_t *session, sr_usec_t now)
 {
 	return now - session->started_at >
-		       idle_timeout_of(session->gateway) + IDLE_GRACE ||
+		       idle_timeout_of(session) + IDLE_GRACE ||
 	       sr_gateway_is_past_accept_period(session->gateway, now);
 }
 
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -197,15 +197,12 @@
 	return sr_upstream_request_serialize(&spec);
 }
 
-static gboolean may_run_twice(const sr_transaction_t *transaction)
+gboolean sr_transaction_may_run_twice(const sr_transaction_t *transaction)
 {
 	return sr_retry_may_run_twice(transaction->route->kind,
 				      transaction->route->resumable);
 }
 
-static void conclude_attempt(sr_transaction_t *transaction,
-			     sr_attempt_outcome_t outcome, const char *cause);
-
 static void record_attempt(sr_transaction_t *transaction,
 			   const sr_placement_choice_t *choice)
 {
@@ -247,7 +244,7 @@
 		.bytes = serialize_request(transaction, choice->instance),
 		.is_stream = transaction->route->kind == SR_ROUTE_STREAM,
 		.is_head_only = !strcmp(transaction->request->method, "HEAD"),
-		.may_run_twice = may_run_twice(transaction),
+		.may_run_twice = sr_transaction_may_run_twice(transaction),
 	};
 
 	if (transaction->event_parser)
@@ -259,8 +256,9 @@
 	choice->instance->in_flight--;
 	choice->instance->pending_prompt_tokens -= transaction->prefill_tokens;
 	transaction->n_unsent++;
-	conclude_attempt(transaction, SR_ATTEMPT_NOT_SENT,
-			 "could not open a connection to the instance");
+	sr_transaction_conclude_attempt(
+		transaction, SR_ATTEMPT_NOT_SENT,
+		"could not open a connection to the instance");
 }
 
 /* When an instance of the service takes requests again. */
@@ -290,11 +288,11 @@
 	return FALSE;
 }
 
-static void start_attempt(sr_transaction_t *transaction)
+void sr_transaction_start_attempt(sr_transaction_t *transaction)
 {
 	sr_placement_choice_t choice;
 
-	if (!pass_quarantine(transaction))
+	if (!pass_quarantine(transaction) || sr_transaction_relay(transaction))
 		return;
 	choice = choose_instance(transaction);
 	if (!choice.instance) {
@@ -354,7 +352,7 @@
 		.may_have_run = transaction->may_have_run,
 		.n_sent = transaction->n_sent,
 		.n_unsent = transaction->n_unsent,
-		.max_attempts = transaction->route->max_attempts,
+		.max_attempts = transaction->max_attempts,
 		.time_left =
 			transaction->deadline - sr_transaction_now(transaction),
 		.instance_removed = instance && instance->is_removed,
@@ -371,8 +369,9 @@
 }
 
 /* Starts another attempt or sends the final response. */
-static void conclude_attempt(sr_transaction_t *transaction,
-			     sr_attempt_outcome_t outcome, const char *cause)
+void sr_transaction_conclude_attempt(sr_transaction_t *transaction,
+				     sr_attempt_outcome_t outcome,
+				     const char *cause)
 {
 	sr_instance_t *instance =
 		transaction->attempt ?
@@ -399,7 +398,7 @@
 		if (outcome != SR_ATTEMPT_NOT_SENT)
 			sr_retry_budget_take(&state->retry_budget, 1);
 		sr_transaction_drop_attempt(transaction);
-		start_attempt(transaction);
+		sr_transaction_start_attempt(transaction);
 		break;
 	case SR_RETRY_ACTION_REFUSE:
 		sr_transaction_refuse(transaction, SR_ERR_OVERLOADED, cause,
@@ -430,14 +429,14 @@
 }
 
 /* A stream without any event still needs a response head. */
-static void finish_stream(sr_transaction_t *transaction)
+void sr_transaction_finish_stream(sr_transaction_t *transaction)
 {
 	if (!transaction->is_streaming)
 		sr_transaction_begin_stream(transaction);
 	sr_transaction_end_stream(transaction);
 }
 
-static gboolean is_event_stream(const sr_transaction_t *transaction)
+gboolean sr_transaction_is_event_stream(const sr_transaction_t *transaction)
 {
 	const sr_message_t *message = sr_attempt_message(transaction->attempt);
 
@@ -461,7 +460,7 @@
 {
 	const sr_message_t *message = sr_attempt_message(transaction->attempt);
 
-	if (!is_event_stream(transaction))
+	if (!sr_transaction_is_event_stream(transaction))
 		return FALSE;
 	if (message->ends_at_close && transaction->n_events == 0)
 		return TRUE;
@@ -475,6 +474,12 @@
 	sr_instance_t *instance = sr_attempt_instance(transaction->attempt);
 	gboolean is_cut = sr_attempt_is_cut(transaction->attempt);
 
+	if (sr_attempt_is_relay(transaction->attempt)) {
+		update_ejection(transaction, instance, outcome);
+		sr_transaction_on_relay_ended(
+			transaction, outcome_for_stream(transaction, outcome));
+		return;
+	}
 	if (sr_attempt_is_sent(transaction->attempt))
 		transaction->n_sent++;
 	else
@@ -498,11 +503,13 @@
 	}
 	if (outcome == SR_ATTEMPT_ANSWERED)
 		observe_duration(transaction);
-	if (outcome == SR_ATTEMPT_ANSWERED && is_event_stream(transaction))
-		finish_stream(transaction);
+	if (outcome == SR_ATTEMPT_ANSWERED &&
+	    sr_transaction_is_event_stream(transaction))
+		sr_transaction_finish_stream(transaction);
 	else
-		conclude_attempt(transaction, outcome,
-				 sr_attempt_cause(transaction->attempt));
+		sr_transaction_conclude_attempt(
+			transaction, outcome,
+			sr_attempt_cause(transaction->attempt));
 }
 
 void sr_transaction_caller_disconnected(sr_transaction_t *transaction)
@@ -576,7 +583,7 @@
 	if (wait > 0)
 		reject_over_limit(transaction, wait);
 	else
-		start_attempt(transaction);
+		sr_transaction_start_attempt(transaction);
 }
 
 /* Charges the account's allowance, from its pool if this host's share is used
@@ -589,7 +596,7 @@
 	sr_usec_t wait;
 
 	if (!transaction->account) {
-		start_attempt(transaction);
+		sr_transaction_start_attempt(transaction);
 		return;
 	}
 	account = transaction->account->name;
@@ -599,7 +606,7 @@
 				 cost);
 	if (wait == 0) {
 		transaction->charged = cost;
-		start_attempt(transaction);
+		sr_transaction_start_attempt(transaction);
 	} else if (options->take_from_pool) {
 		transaction->awaits_pool = TRUE;
 		options->take_from_pool(options->user, account, cost,
@@ -625,6 +632,20 @@
 	       sr_gateway_stops_in(gateway, now) >= needed;
 }
 
+/* Another host that passes a request on may have made attempts itself. */
+static void set_max_attempts(sr_transaction_t *transaction)
+{
+	const char *left = sr_headers_get(transaction->request->headers,
+					  SR_RELAY_ATTEMPTS);
+	guint64 n;
+
+	transaction->max_attempts = transaction->route->max_attempts;
+	if (sr_session_is_relayed(transaction->session) && left &&
+	    g_ascii_string_to_unsigned(left, 10, 1, G_MAXUINT, &n, NULL))
+		transaction->max_attempts =
+			MIN(transaction->max_attempts, (unsigned)n);
+}
+
 static void handle_request(sr_transaction_t *transaction)
 {
 	sr_gateway_t *gateway = transaction->gateway;
@@ -643,6 +664,13 @@
 				      SR_TRANSACTION_RETRY_AFTER);
 		return;
 	}
+	if (sr_session_is_relayed(transaction->session) &&
+	    !sr_gateway_reaches(gateway, transaction->service)) {
+		sr_transaction_refuse(transaction, SR_ERR_UNREACHED,
+				      sr_err_message(SR_ERR_UNREACHED), 0);
+		return;
+	}
+	set_max_attempts(transaction);
 	gateway->options.dialect->parse_prompt(transaction->request->headers,
 					       &transaction->prompt);
 	sr_retry_budget_earn(
@@ -666,6 +694,7 @@
 	transaction->started_at = started_at;
 	transaction->tried_instances =
 		g_array_new(FALSE, FALSE, sizeof(guint32));
+	transaction->tried_hosts = g_array_new(FALSE, FALSE, sizeof(guint32));
 	if (gateway->table)
 		transaction->table = sr_route_table_ref(gateway->table);
 	sr_list_append(&gateway->transactions, &transaction->link);
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -48,6 +48,9 @@
 	GArray *tried_instances; /* guint32, instance ids */
 	unsigned n_sent;	 /* attempts written to a connection */
 	unsigned n_unsent;	 /* attempts that were not */
+	unsigned max_attempts;	 /* limit on n_sent */
+	GArray *tried_hosts;	 /* guint32, ids of hosts it was passed on to */
+	sr_usec_t relay_retry_after; /* of the last refusal by one; or 0 */
 	gboolean may_have_run;
 	gboolean is_execution_reported; /* by options.request_executed */
 	/* Streams. */
@@ -76,6 +79,44 @@
  * in tokens or requests. */
 double sr_transaction_cost(const sr_transaction_t *transaction);
 
+/* transaction_relay.c: requests that another host serves */
+
+/** sr_transaction_is_relayed - whether the request is passed on to other hosts
+ * from now on. */
+gboolean sr_transaction_is_relayed(const sr_transaction_t *transaction);
+
+/** sr_transaction_relay - passes the request on if this host reaches no
+ * instance of its service. Returns FALSE if it should go to an instance; the
+ * transaction may be freed otherwise. */
+gboolean sr_transaction_relay(sr_transaction_t *transaction);
+
+/** sr_transaction_on_relay_ended - another host has responded, or can't be
+ * reached; decides what follows. */
+void sr_transaction_on_relay_ended(sr_transaction_t *transaction,
+				   sr_attempt_outcome_t outcome);
+
+/* transaction.c: attempts, for transaction_relay.c */
+
+/** sr_transaction_start_attempt - chooses an instance and sends the request, or
+ * refuses it. */
+void sr_transaction_start_attempt(sr_transaction_t *transaction);
+
+/** sr_transaction_may_run_twice - whether that does no harm. */
+gboolean sr_transaction_may_run_twice(const sr_transaction_t *transaction);
+
+/** sr_transaction_conclude_attempt - starts another attempt or sends the final
+ * response. */
+void sr_transaction_conclude_attempt(sr_transaction_t *transaction,
+				     sr_attempt_outcome_t outcome,
+				     const char *cause);
+
+/** sr_transaction_is_event_stream - whether the current response is one. */
+gboolean sr_transaction_is_event_stream(const sr_transaction_t *transaction);
+
+/** sr_transaction_finish_stream - completes the stream; frees the transaction.
+ */
+void sr_transaction_finish_stream(sr_transaction_t *transaction);
+
 /* transaction_response.c: responses to the caller */
 
 /** sr_transaction_failure_t - an error response by the gateway */
--- a/src/gateway/transaction_observe.c
+++ b/src/gateway/transaction_observe.c
@@ -43,6 +43,8 @@
 		.first_byte = latency,
 	};
 
+	if (sr_attempt_is_relay(transaction->attempt))
+		return; /* observed by the other host */
 	if (options->attempt_observed)
 		options->attempt_observed(options->user, &observation);
 	if (sr_gateway_service_state(transaction->gateway, transaction->service)
--- a/src/gateway/transaction_response.c
+++ b/src/gateway/transaction_response.c
@@ -44,6 +44,7 @@
 	g_free(transaction->print);
 	sr_event_parser_free(transaction->event_parser);
 	g_array_free(transaction->tried_instances, TRUE);
+	g_array_free(transaction->tried_hosts, TRUE);
 	sr_route_table_unref(transaction->table);
 	g_free(transaction);
 }
@@ -110,7 +111,9 @@
 {
 	const sr_gateway_options_t *options = &transaction->gateway->options;
 
-	if (transaction->is_execution_reported)
+	/* The host that runs a relayed request reports it. */
+	if (transaction->is_execution_reported ||
+	    sr_transaction_is_relayed(transaction))
 		return;
 	transaction->is_execution_reported = TRUE;
 	if (options->request_executed && transaction->account)
--- a/src/gateway/upstream_request.c
+++ b/src/gateway/upstream_request.c
@@ -33,7 +33,7 @@
 	const char *const names[] = {
 		dialect->deadline_ms,	  dialect->account,
 		dialect->expect_instance, dialect->urgency,
-		"Authorization",
+		SR_RELAY_ATTEMPTS,
 	};
 
 	for (gsize i = 0; i < G_N_ELEMENTS(names); i++) {
@@ -50,6 +50,9 @@
 
 	if (is_gateway_field(dialect, name))
 		return FALSE;
+	if (spec->relay_attempts == 0 &&
+	    !g_ascii_strcasecmp(name, "Authorization"))
+		return FALSE;
 	if (spec->resumes && !g_ascii_strcasecmp(name, dialect->last_event_id))
 		return FALSE;
 	return is_listed(dialect->always_forwarded, name) ||
@@ -64,9 +67,11 @@
 	if (dialect->deadline_ms)
 		add_number(out, dialect->deadline_ms,
 			   (guint64)MAX(spec->time_left / SR_MSEC, 1));
+	if (spec->relay_attempts > 0)
+		add_number(out, SR_RELAY_ATTEMPTS, spec->relay_attempts);
 	if (dialect->account && spec->account)
 		add_field(out, dialect->account, spec->account);
-	if (dialect->expect_instance)
+	if (dialect->expect_instance && spec->instance)
 		add_field(out, dialect->expect_instance, spec->instance);
 	if (dialect->urgency && spec->urgency >= 0)
 		add_number(out, dialect->urgency, (guint64)spec->urgency);
--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -177,7 +177,7 @@
 	"// comment\n{\"node\":\"n\",\"failure_domain\":\"z\","
 	"\"caller_address\":\"10.0.0.1:80\",\"ready_address\":\"10.0.0.1:81\","
 	"\"metrics_address\":\"10.0.0.1:82\",\"peer_address\":"
-	"\"10.0.0.1:7600\",\"peer_seeds\":[\"10.0.0.2:8229\"],"
+	"\"10.0.0.1:7600\",\"relay_address\":\"10.0.0.1:7615\",\"peer_seeds\":[\"10.0.0.2:8229\"],"
 	"\"store\":{\"address\":\"10.0.0.9:1\",\"writes_per_s\":400,"
 	"\"reads_per_s\":2000},\"duties\":{\"address\":\"10.0.0.9:2\","
 	"\"names\":[\"usage_report\",\"novel\"],\"calls_per_s\":50},"
--- a/test/platform_bed.h
+++ b/test/platform_bed.h
@@ -93,6 +93,12 @@
 	static const char *const versions[] = { "v1", "v2" };
 	bed_t *bed = g_new0(bed_t, 1);
 	sr_entry_host_options_t options = { .seed = 1 };
+	const host_place_t place = { .node = "n",
+				     .failure_domain = "z",
+				     .ip = "127.0.0.1",
+				     .seeds = "[]",
+				     .peer_port = unused_port(),
+				     .relay_port = unused_port() };
 	char *detail = NULL;
 
 	bed->clock = sr_clock_new_real();
@@ -114,8 +120,7 @@
 		upstream->times = g_array_new(FALSE, FALSE, sizeof(gint64));
 	}
 	register_upstream(bed, 0);
-	bed->settings = make_settings(&bed->store, "n", "127.0.0.1",
-				      unused_port(), "[]");
+	bed->settings = make_settings(&bed->store, place);
 	options.settings = bed->settings;
 	options.clock = bed->clock;
 	bed->host = sr_entry_host_new(&options, &detail);
--- a/test/platform_crash_bed.h
+++ b/test/platform_crash_bed.h
@@ -288,16 +288,22 @@
 static void make_hosts(crash_bed_t *bed)
 {
 	int peer_port = unused_port();
+	int relay_port = unused_port();
 	char *seeds = g_strdup_printf("[\"127.0.0.1:%d\"]", peer_port);
 
 	for (unsigned i = 0; i < CRASH_BED_HOSTS; i++) {
 		char node[8];
 		char ip[16];
+		const host_place_t place = { .node = node,
+					     .failure_domain = "z",
+					     .ip = ip,
+					     .seeds = seeds,
+					     .peer_port = peer_port,
+					     .relay_port = relay_port };
 
 		g_snprintf(node, sizeof(node), "n%u", i);
 		g_snprintf(ip, sizeof(ip), "127.0.0.%u", i + 1);
-		bed->settings[i] =
-			make_settings(&bed->store, node, ip, peer_port, seeds);
+		bed->settings[i] = make_settings(&bed->store, place);
 		start_host(bed, i);
 	}
 	g_free(seeds);
--- a/test/platform_reach_bed.h
+++ b/test/platform_reach_bed.h
@@ -37,8 +37,8 @@
 typedef struct {
 	path_t paths[REACH_BED_HOSTS];
 	int instance_ports[REACH_BED_INSTANCES];
-	int closed_port; /* refuses connections */
-	int silent_port; /* never answers to one */
+	int closed_port;	    /* refuses connections */
+	int silent_port;	    /* never answers to one */
 	guint8 host_of_port[65536]; /* local port -> host that connected + 1 */
 } paths_t;
 
@@ -239,8 +239,8 @@
 
 	instance->bed = bed;
 	instance->index = i;
-	instance->server = listen_at(paths->instance_ports[i],
-				     on_instance_call, instance);
+	instance->server =
+		listen_at(paths->instance_ports[i], on_instance_call, instance);
 	put_text(&bed->store, key, spec);
 	g_free(spec);
 	g_free(key);
@@ -267,6 +267,7 @@
 static void start_hosts(reach_bed_t *bed, int store_port)
 {
 	int peer_port = unused_port();
+	int relay_port = unused_port();
 	char *seeds = g_strdup_printf("[\"127.0.0.1:%d\"]", peer_port);
 
 	for (unsigned i = 0; i < REACH_BED_HOSTS; i++) {
@@ -279,6 +280,7 @@
 			.seeds = seeds,
 			.store_port = store_port,
 			.peer_port = peer_port,
+			.relay_port = relay_port,
 			.caller_port = unused_port(),
 		};
 
@@ -308,8 +310,8 @@
 		paths->instance_ports[i] = unused_port();
 	fill_silent_listener(bed);
 	start_hosts(bed, store_port);
-	bed->n_runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					    NULL);
+	bed->n_runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	store_init_at(&bed->store, store_port);
 	put_text(&bed->store, "config/main",
 		 "{\"version\":1,\"route_table\":["
@@ -410,9 +412,9 @@
 	reach_bed_t *bed = user;
 	unsigned host = bed->n_sent % REACH_BED_HOSTS;
 
-	send_to_host(bed, host,
-		     targets[bed->n_sent / REACH_BED_HOSTS %
-			     G_N_ELEMENTS(targets)]);
+	send_to_host(
+		bed, host,
+		targets[bed->n_sent / REACH_BED_HOSTS % G_N_ELEMENTS(targets)]);
 	return G_SOURCE_CONTINUE;
 }
 
--- a/test/platform_reach_test.c
+++ b/test/platform_reach_test.c
@@ -97,9 +97,15 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test_setup_teardown(test_host_serves_though_its_path_refuses, set_up, tear_down),
-		cmocka_unit_test_setup_teardown(test_host_serves_though_its_path_hangs, set_up, tear_down),
-		cmocka_unit_test_setup_teardown(test_hosts_serve_by_the_one_that_reaches_instances, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_host_serves_though_its_path_refuses, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_host_serves_though_its_path_hangs, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_hosts_serve_by_the_one_that_reaches_instances,
+			set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform_store.h
+++ b/test/platform_store.h
@@ -298,7 +298,8 @@
 	const char *ip;
 	const char *seeds; /* a JSON array of addresses */
 	int store_port;
-	int peer_port; /* the same for hosts that know each other */
+	int peer_port;	/* this and the next: the same for hosts that... */
+	int relay_port; /* ...know each other */
 	int caller_port;
 } host_place_t;
 
@@ -310,7 +311,7 @@
 		"\"caller_address\":"
 		"\"%s:%d\",\"ready_address\":\"%s:%d\","
 		"\"metrics_address\":\"%s:%d\",\"peer_address\":"
-		"\"%s:%d\",\"peer_seeds\":%s,\"store\":{\"address\":"
+		"\"%s:%d\",\"relay_address\":\"%s:%d\",\"peer_seeds\":%s,\"store\":{\"address\":"
 		"\"127.0.0.1:%d\",\"writes_per_s\":10000,\"reads_per_s\":10000},"
 		"\"duties\":{\"address\":\"127.0.0.1:%d\",\"names\":"
 		"[\"usage_report\"],\"calls_per_s\":50},\"limits\":{"
@@ -322,8 +323,9 @@
 		"\"drain_ms\":2000,\"exposure_share\":0.1,"
 		"\"exposure_slack\":50}}",
 		place->node, place->failure_domain, ip, place->caller_port, ip,
-		unused_port(), ip, unused_port(), ip, place->peer_port,
-		place->seeds, place->store_port, place->store_port);
+		unused_port(), ip, unused_port(), ip, place->peer_port, ip,
+		place->relay_port, place->seeds, place->store_port,
+		place->store_port);
 	GPtrArray *findings = sr_findings_new();
 	sr_entry_host_settings_t *settings =
 		sr_entry_host_settings_parse(text, strlen(text), findings);
@@ -334,20 +336,12 @@
 	return settings;
 }
 
-static inline sr_entry_host_settings_t *
-make_settings(const store_t *store, const char *node, const char *ip,
-	      int peer_port, const char *seeds)
+/* At a caller port of its own and with the store. */
+static inline sr_entry_host_settings_t *make_settings(const store_t *store,
+						      host_place_t place)
 {
-	const host_place_t place = {
-		.node = node,
-		.failure_domain = "z",
-		.ip = ip,
-		.seeds = seeds,
-		.store_port = port_of(store->server),
-		.peer_port = peer_port,
-		.caller_port = unused_port(),
-	};
-
+	place.store_port = port_of(store->server);
+	place.caller_port = unused_port();
 	return settings_at(&place);
 }
 
