Count a request as work of an instance only once it is sent

A host whose path is down tries up to four instances a request. Each try added the request's prompt to the engine work that instances are ordered by, and to the index of prefixes that the instance is taken to have cached.

Cause: both were recorded with the choice of an instance, before there was a connection. They are recorded when the request is written now.

test_request_that_reaches_no_instance_is_no_work failed before.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -314,6 +314,9 @@
 static void send_request(sr_attempt_t *attempt)
 {
 	attempt->is_sent = TRUE;
+	if (!attempt->options.is_relay)
+		sr_transaction_on_sent(attempt->options.transaction,
+				       attempt->options.instance);
 	sr_channel_write(attempt->channel, attempt->options.bytes->data,
 			 attempt->options.bytes->len);
 }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -190,6 +190,11 @@
 /** sr_transaction_caller_disconnected - cancels and frees the transaction. */
 void sr_transaction_caller_disconnected(sr_transaction_t *transaction);
 
+/** sr_transaction_on_sent - the request was written to a connection to the
+ * instance: it is work there now, and its prompt will be cached. */
+void sr_transaction_on_sent(sr_transaction_t *transaction,
+			    const sr_instance_t *instance);
+
 /** sr_transaction_on_stream_data - the attempt received part of a stream; may
  * free the attempt. */
 void sr_transaction_on_stream_data(sr_transaction_t *transaction,
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -216,8 +216,6 @@
 	sr_ejection_begin(&instance->ejection, now);
 	transaction->expected_first_event_s = choice->first_event_s;
 	transaction->prefill_tokens = choice->uncached_tokens;
-	state->prefill_s +=
-		transaction->prefill_tokens / state->speed.tokens_per_s;
 	instance->pending_prompt_tokens += transaction->prefill_tokens;
 	transaction->prefill_backlog = instance->pending_prompt_tokens;
 	transaction->sent_at = now;
@@ -228,8 +226,19 @@
 	if (state->trial)
 		sr_version_trial_sent(state->trial, instance->version);
 	g_array_append_val(transaction->tried_instances, instance->id);
-	sr_prefix_index_add_sent(transaction->gateway->prefix_index, now,
-				 instance->id, transaction->prompt.blocks,
+}
+
+void sr_transaction_on_sent(sr_transaction_t *transaction,
+			    const sr_instance_t *instance)
+{
+	sr_gateway_service_state_t *state = sr_gateway_service_state(
+		transaction->gateway, transaction->service);
+
+	state->prefill_s +=
+		transaction->prefill_tokens / state->speed.tokens_per_s;
+	sr_prefix_index_add_sent(transaction->gateway->prefix_index,
+				 sr_transaction_now(transaction), instance->id,
+				 transaction->prompt.blocks,
 				 transaction->prompt.n_blocks);
 }
 
--- a/test/gateway_rig.h
+++ b/test/gateway_rig.h
@@ -83,11 +83,21 @@
 	close(fd);
 }
 
+/* "X-Tokens: N" is a prompt of one part with N tokens. */
 static void rig_parse_prompt(const sr_headers_t *headers,
 			     sr_prompt_parts_t *prompt)
 {
-	(void)headers;
-	(void)prompt;
+	const char *tokens = sr_headers_get(headers, "X-Tokens");
+
+	if (!tokens)
+		return;
+	prompt->blocks = g_new0(guint64, 1);
+	prompt->parts = g_new0(guint64, 1);
+	prompt->tokens = g_new0(guint32, 1);
+	prompt->tokens[0] = (guint32)atoi(tokens);
+	prompt->n_blocks = 1;
+	prompt->prompt_tokens = prompt->tokens[0];
+	prompt->is_declared = TRUE;
 }
 
 static const char *const rig_reserved[] = { "X-Hold", NULL };
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -259,6 +259,41 @@
 	caller_free(caller);
 }
 
+static void add_prefill(void *user, const char *service, double prefill_s)
+{
+	(void)service;
+	*(double *)user += prefill_s;
+}
+
+static double prefill_of(const rig_t *rig)
+{
+	double sum = 0;
+
+	sr_gateway_foreach_prefill(rig->gateway, add_prefill, &sum);
+	return sum;
+}
+
+/* Guards against orders of instances for requests that reached none: each try
+ * counted as work, four for a request at a host without a path. */
+static void test_request_that_reaches_no_instance_is_no_work(void **state)
+{
+	bed_t *bed = *state;
+
+	lose_instances(bed->second);
+	caller_request(bed->caller, "POST", "/once/ok", "r1",
+		       "X-Tokens: 4000\r\n", "");
+	assert_true(caller_wait_for(bed->caller, "HTTP/1.1 503", 1000));
+	assert_true(prefill_of(bed->first) == 0);
+	assert_true(prefill_of(bed->second) == 0);
+	open_instances(bed->second);
+	rig_run_for(1500);
+	caller_request(bed->caller, "POST", "/once/ok", "r2",
+		       "X-Tokens: 4000\r\n", "");
+	assert_true(caller_wait_for(bed->caller, "hello", 1000));
+	assert_true(prefill_of(bed->first) == 0);
+	assert_true(prefill_of(bed->second) > 0);
+}
+
 static void test_host_returns_to_its_instances(void **state)
 {
 	bed_t *bed = *state;
@@ -287,6 +322,7 @@
 		TEST(test_run_once_is_not_repeated_if_the_host_ends),
 		TEST(test_caller_that_leaves_ends_the_run),
 		TEST(test_attempts_left_bound_those_of_the_host),
+		TEST(test_request_that_reaches_no_instance_is_no_work),
 		TEST(test_host_returns_to_its_instances),
 	};
 
