End ejections that rest on a path that was down

After a cut the instances that a host had failed to reach stayed ejected, up to 60 s with doubling, so that the few others took all of its load.

Cause: a failed connection counts four failures against the instance, whether the path or the instance was at fault. When a service is reached again, those that failed from 5 s before its loss on are on probation at once.

test_instances_are_not_ejected_for_the_path failed before.

--- a/src/core/ejection.c
+++ b/src/core/ejection.c
@@ -52,6 +52,12 @@
 	ejection->probe_in_flight = FALSE;
 }
 
+void sr_ejection_end(sr_ejection_t *ejection, sr_usec_t now)
+{
+	ejection->n_ejections = 0;
+	ejection->ejected_until = MIN(ejection->ejected_until, now);
+}
+
 void sr_ejection_abandoned(sr_ejection_t *ejection)
 {
 	ejection->probe_in_flight = FALSE;
--- a/src/core/ejection.h
+++ b/src/core/ejection.h
@@ -39,6 +39,10 @@
 void sr_ejection_failed(sr_ejection_t *ejection, sr_usec_t now,
 			unsigned weight);
 
+/** sr_ejection_end - the failures may not have been the upstream's: the next
+ * request is the probe. */
+void sr_ejection_end(sr_ejection_t *ejection, sr_usec_t now);
+
 /** sr_ejection_abandoned - a request ended as neither success nor failure. */
 void sr_ejection_abandoned(sr_ejection_t *ejection);
 
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -52,6 +52,7 @@
 	sr_ejection_t ejection;
 	sr_instance_notices_t notices;
 	sr_usec_t reported_ended_at; /* by this host; 0 for not */
+	sr_usec_t unreached_at;	     /* last failed connection; 0 for none */
 	unsigned references;
 	/* load of this entry host */
 	unsigned in_flight;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -259,7 +259,7 @@
 /** sr_gateway_instance_unreached - a connection to it could not be established,
  * or one was found dead. */
 void sr_gateway_instance_unreached(sr_gateway_t *gateway,
-				   const sr_instance_t *instance,
+				   sr_instance_t *instance,
 				   sr_reach_failure_t how);
 
 /** sr_gateway_probe_service - tries new connections to some instances, as there
--- a/src/gateway/reach.c
+++ b/src/gateway/reach.c
@@ -117,25 +117,45 @@
 	       SR_REACH_LOST;
 }
 
+/* The path was down, from at most SR_REACH_FAILURE_AGE_MAX before it was taken
+ * to be. */
+static void end_ejections(sr_gateway_t *gateway, const char *service,
+			  sr_usec_t lost_at)
+{
+	const GPtrArray *list =
+		sr_instances_of_service(gateway->instances, service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		sr_instance_t *instance = list->pdata[i];
+
+		if (instance->unreached_at > 0 &&
+		    instance->unreached_at >=
+			    lost_at - SR_REACH_FAILURE_AGE_MAX)
+			sr_ejection_end(&instance->ejection,
+					sr_gateway_now(gateway));
+	}
+}
+
 void sr_gateway_instance_reached(sr_gateway_t *gateway,
 				 const sr_instance_t *instance)
 {
 	sr_reach_t *reach =
 		&sr_gateway_service_state(gateway, instance->service)->reach;
 	sr_usec_t now = sr_gateway_now(gateway);
-	sr_usec_t lasted = now - reach->changed_at;
+	sr_usec_t changed_at = reach->changed_at;
 	gboolean was_lost = reach->state == SR_REACH_LOST;
 
 	if (!sr_reach_succeeded(reach, now) || !was_lost)
 		return;
+	end_ejections(gateway, instance->service, changed_at);
 	sr_gauge_add(gateway->metrics.services_unreached, -1);
 	log_change(gateway, "service-reached", instance->service,
 		   count_present(gateway, instance->service), "connected",
-		   lasted);
+		   now - changed_at);
 }
 
 void sr_gateway_instance_unreached(sr_gateway_t *gateway,
-				   const sr_instance_t *instance,
+				   sr_instance_t *instance,
 				   sr_reach_failure_t how)
 {
 	sr_reach_t *reach =
@@ -146,6 +166,7 @@
 
 	if (!sr_instance_is_present(instance))
 		return;
+	instance->unreached_at = now;
 	sr_gateway_probe_service(gateway, instance->service);
 	if (!sr_reach_failed(reach, now, instance->id, how, n_present))
 		return;
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -306,6 +306,21 @@
 	assert_int_equal(rig_request_count(bed->second), 0);
 }
 
+/* Guards against few instances taking all the load after a cut: the others
+ * stayed ejected for failures of the path. */
+static void test_instances_are_not_ejected_for_the_path(void **state)
+{
+	bed_t *bed = *state;
+	const GPtrArray *all =
+		sr_instances_all(sr_gateway_instances(bed->first->gateway));
+
+	open_instances(bed->first);
+	rig_run_for(1000);
+	for (guint i = 0; i < all->len; i++)
+		assert_true(sr_instance_is_usable(
+			all->pdata[i], sr_clock_now(bed->first->clock)));
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -323,6 +338,7 @@
 		TEST(test_caller_that_leaves_ends_the_run),
 		TEST(test_attempts_left_bound_those_of_the_host),
 		TEST(test_request_that_reaches_no_instance_is_no_work),
+		TEST(test_instances_are_not_ejected_for_the_path),
 		TEST(test_host_returns_to_its_instances),
 	};
 
