--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -191,7 +191,7 @@
 void sr_transaction_caller_disconnected(sr_transaction_t *transaction);
 
 /** sr_transaction_on_sent - the request was written to a connection to the
- * instance: it is work there now, and its prompt will be cached. */
+ * instance, which will have its prompt cached. */
 void sr_transaction_on_sent(sr_transaction_t *transaction,
 			    const sr_instance_t *instance);
 
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -203,6 +203,20 @@
 				      transaction->route->resumable);
 }
 
+/* Instances are ordered by it. A request counts also while it reaches none, but
+ * not again for each try. */
+static void count_work(sr_transaction_t *transaction)
+{
+	sr_gateway_service_state_t *state = sr_gateway_service_state(
+		transaction->gateway, transaction->service);
+
+	if (transaction->is_work_counted)
+		return;
+	transaction->is_work_counted = TRUE;
+	state->prefill_s +=
+		transaction->prefill_tokens / state->speed.tokens_per_s;
+}
+
 static void record_attempt(sr_transaction_t *transaction,
 			   const sr_placement_choice_t *choice)
 {
@@ -216,6 +230,7 @@
 	sr_ejection_begin(&instance->ejection, now);
 	transaction->expected_first_event_s = choice->first_event_s;
 	transaction->prefill_tokens = choice->uncached_tokens;
+	count_work(transaction);
 	instance->pending_prompt_tokens += transaction->prefill_tokens;
 	transaction->prefill_backlog = instance->pending_prompt_tokens;
 	transaction->sent_at = now;
@@ -231,11 +246,7 @@
 void sr_transaction_on_sent(sr_transaction_t *transaction,
 			    const sr_instance_t *instance)
 {
-	sr_gateway_service_state_t *state = sr_gateway_service_state(
-		transaction->gateway, transaction->service);
-
-	state->prefill_s +=
-		transaction->prefill_tokens / state->speed.tokens_per_s;
+	transaction->is_work_counted = FALSE;
 	sr_prefix_index_add_sent(transaction->gateway->prefix_index,
 				 sr_transaction_now(transaction), instance->id,
 				 transaction->prompt.blocks,
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -53,6 +53,7 @@
 	gboolean is_relay_over;	 /* it is not passed on any more */
 	sr_usec_t relay_retry_after; /* of the last refusal by one; or 0 */
 	gboolean may_have_run;
+	gboolean is_work_counted;	/* of the attempt that is sent next */
 	gboolean is_execution_reported; /* by options.request_executed */
 	/* Streams. */
 	sr_event_parser_t *event_parser; /* of the instance's stream */
