Tell the end of an instance from a path that refuses connections

Cause: a refused connection counted as the end whatever else the host reached. A refusal is held until another instance of the service is connected to, which blames the instance, or none is, which blames the path. Instances are blamed if neither shows within a second, or if the service has fewer than three.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -178,6 +178,7 @@
 	state = g_new0(sr_gateway_service_state_t, 1);
 	state->gateway = gateway;
 	state->service = g_strdup(service);
+	sr_list_init(&state->blames);
 	sr_engine_speed_init(&state->speed);
 	sr_retry_budget_init_with(&state->retry_budget,
 				  RETRY_USED_FRACTION *
--- a/src/gateway/instance_check.c
+++ b/src/gateway/instance_check.c
@@ -13,9 +13,10 @@
 } checked_request_t;
 
 typedef enum {
-	INSTANCE_ALIVE,	 /* it takes connections */
-	INSTANCE_ENDED,	 /* it refuses them */
-	INSTANCE_SILENT, /* it can't be reached */
+	INSTANCE_ALIVE,	  /* it takes connections */
+	INSTANCE_ENDED,	  /* it refuses them */
+	INSTANCE_CUT_OFF, /* so do all others: the path refuses them */
+	INSTANCE_SILENT,  /* it can't be reached */
 } outcome_t;
 
 /** instance_check_t - a connection that shows whether an instance is there */
@@ -26,11 +27,14 @@
 	sr_channel_t *channel;
 	sr_timer_t *timer;
 	GArray *requests; /* checked_request_t */
+	sr_blame_t blame;
+	sr_usec_t ended_at; /* 0 while it is connecting */
 } instance_check_t;
 
 static void free_check(instance_check_t *check)
 {
 	sr_list_remove(&check->link);
+	sr_list_remove(&check->blame.link);
 	sr_timer_cancel(check->timer);
 	if (check->channel)
 		sr_channel_reset(check->channel);
@@ -45,7 +49,7 @@
 		g_array_new(FALSE, FALSE, sizeof(sr_crash_request_t));
 	sr_crash_report_t crash = {
 		.instance = sr_instance_identity(check->instance),
-		.ended_at = sr_gateway_now(check->gateway),
+		.ended_at = check->ended_at,
 		.n_requests = check->requests->len,
 	};
 
@@ -75,29 +79,29 @@
 	static const char *const names[] = {
 		[INSTANCE_ALIVE] = "alive",
 		[INSTANCE_ENDED] = "ended",
+		[INSTANCE_CUT_OFF] = "cut-off",
 		[INSTANCE_SILENT] = "silent",
 	};
 	const sr_gateway_t *gateway = check->gateway;
 	char n[16];
 
 	g_snprintf(n, sizeof(n), "%u", check->requests->len);
-	sr_log_event(gateway->options.log, SR_LOG_INFO, "instance-checked",
-		     "what", check->instance->name, "service",
-		     check->instance->service, "outcome", names[outcome],
-		     "requests", n, NULL);
+	if (check->requests->len > 0)
+		sr_log_event(gateway->options.log, SR_LOG_INFO,
+			     "instance-checked", "what", check->instance->name,
+			     "service", check->instance->service, "outcome",
+			     names[outcome], "requests", n, NULL);
 	switch (outcome) {
 	case INSTANCE_ALIVE:
 		sr_gateway_instance_reached(check->gateway, check->instance);
 		clear_answered(check);
 		break;
 	case INSTANCE_ENDED:
-		sr_gateway_instance_unreached(check->gateway, check->instance,
-					      SR_REACH_REFUSED);
-		if (check->requests->len == 0)
-			break;
 		sr_counter_add(gateway->metrics.instances_ended, 1);
 		report(check);
 		break;
+	case INSTANCE_CUT_OFF:
+		break;
 	case INSTANCE_SILENT:
 		sr_gateway_instance_unreached(check->gateway, check->instance,
 					      SR_REACH_TIMED_OUT);
@@ -111,10 +115,30 @@
 	conclude(user, INSTANCE_ALIVE);
 }
 
+static void on_decided(void *user, gboolean is_instance)
+{
+	conclude(user, is_instance ? INSTANCE_ENDED : INSTANCE_CUT_OFF);
+}
+
 static void on_ended(void *user, sr_channel_end_reason_t how)
 {
+	instance_check_t *check = user;
+
 	(void)how;
-	conclude(user, INSTANCE_ENDED);
+	sr_timer_cancel(check->timer);
+	check->timer = NULL;
+	sr_channel_free(check->channel);
+	check->channel = NULL;
+	check->ended_at = sr_gateway_now(check->gateway);
+	sr_gateway_instance_unreached(check->gateway, check->instance,
+				      SR_REACH_REFUSED);
+	if (check->requests->len == 0) {
+		free_check(check);
+		return;
+	}
+	check->blame.decided = on_decided;
+	check->blame.user = check;
+	sr_gateway_decide_blame(check->gateway, check->instance, &check->blame);
 }
 
 static void on_timeout(void *user)
@@ -152,6 +176,7 @@
 	check->gateway = gateway;
 	check->instance = sr_instance_ref(instance);
 	check->requests = g_array_new(FALSE, FALSE, sizeof(checked_request_t));
+	sr_list_init(&check->blame.link);
 	check->channel =
 		sr_channel_connect(instance->address, &check_events, check);
 	check->timer = sr_timer_start(gateway->options.clock,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -32,6 +32,8 @@
 	sr_timer_t *probe_timer;  /* NULL unless instances are probed */
 	sr_usec_t probe_interval; /* between the next two */
 	guint next_probe;	  /* index of an instance */
+	sr_list_t blames;	  /* sr_blame_t, not decided yet */
+	sr_timer_t *blame_timer;  /* of the oldest */
 } sr_gateway_service_state_t;
 
 /** sr_gateway_metrics_t - counters of the metrics page; borrowed */
@@ -262,6 +264,25 @@
 				   sr_instance_t *instance,
 				   sr_reach_failure_t how);
 
+/** sr_blame_t - a failure of an instance or of the path to it; see below */
+typedef struct {
+	sr_list_t link;
+	guint32 instance; /* id */
+	/* may free the blame */
+	void (*decided)(void *user, gboolean is_instance);
+	void *user;
+} sr_blame_t;
+
+/**
+ * sr_gateway_decide_blame - find out whether the instance or the path failed
+ *
+ * It is the instance if another one of its service can be connected to, and the
+ * path if none can. decided() is called once, possibly from inside this call;
+ * blame must stay valid until then.
+ */
+void sr_gateway_decide_blame(sr_gateway_t *gateway,
+			     const sr_instance_t *instance, sr_blame_t *blame);
+
 /** sr_gateway_probe_service - tries new connections to some instances, as there
  * is a sign that they may not be reached. */
 void sr_gateway_probe_service(sr_gateway_t *gateway, const char *service);
--- a/src/gateway/reach.c
+++ b/src/gateway/reach.c
@@ -14,6 +14,13 @@
 #define PROBE_INTERVAL_MAX (1000 * SR_MSEC)
 #define PROBE_JITTER 0.25
 
+/** Time in which probes show whether the path is up; an instance that failed is
+ * blamed if they don't. */
+#define BLAME_TIMEOUT SR_SEC
+
+/** Services with fewer instances can't show that the path failed. */
+#define BLAME_INSTANCES_MIN 3
+
 static unsigned count_present(const sr_gateway_t *gateway, const char *service)
 {
 	const GPtrArray *list =
@@ -97,6 +104,57 @@
 	schedule_probe(state);
 }
 
+/* Decides all but those of one instance, 0 for none. */
+static void decide_blames(sr_gateway_service_state_t *state, guint32 except,
+			  gboolean is_instance)
+{
+	sr_list_for_each_safe (link, &state->blames) {
+		sr_blame_t *blame = sr_list_entry(link, sr_blame_t, link);
+
+		if (blame->instance == except)
+			continue;
+		sr_list_remove(link);
+		blame->decided(blame->user, is_instance);
+	}
+	if (!sr_list_is_empty(&state->blames))
+		return;
+	sr_timer_cancel(state->blame_timer);
+	state->blame_timer = NULL;
+}
+
+static void on_blame_timer(void *user)
+{
+	sr_gateway_service_state_t *state = user;
+
+	state->blame_timer = NULL;
+	decide_blames(state, 0, TRUE);
+}
+
+void sr_gateway_decide_blame(sr_gateway_t *gateway,
+			     const sr_instance_t *instance, sr_blame_t *blame)
+{
+	sr_gateway_service_state_t *state =
+		sr_gateway_service_state(gateway, instance->service);
+	unsigned n_present = count_present(gateway, instance->service);
+
+	sr_list_init(&blame->link);
+	blame->instance = instance->id;
+	if (n_present < BLAME_INSTANCES_MIN) {
+		blame->decided(blame->user, TRUE);
+		return;
+	}
+	if (state->reach.state == SR_REACH_LOST) {
+		blame->decided(blame->user, FALSE);
+		return;
+	}
+	sr_list_append(&state->blames, &blame->link);
+	if (state->blame_timer)
+		return;
+	state->blame_timer = sr_timer_start(
+		gateway->options.clock, BLAME_TIMEOUT, on_blame_timer, state);
+	probe(state, PROBES_AT_ONCE);
+}
+
 void sr_gateway_cancel_probes(sr_gateway_t *gateway)
 {
 	GHashTableIter iter;
@@ -108,6 +166,7 @@
 
 		sr_timer_cancel(state->probe_timer);
 		state->probe_timer = NULL;
+		decide_blames(state, 0, FALSE);
 	}
 }
 
@@ -139,12 +198,14 @@
 void sr_gateway_instance_reached(sr_gateway_t *gateway,
 				 const sr_instance_t *instance)
 {
-	sr_reach_t *reach =
-		&sr_gateway_service_state(gateway, instance->service)->reach;
+	sr_gateway_service_state_t *state =
+		sr_gateway_service_state(gateway, instance->service);
+	sr_reach_t *reach = &state->reach;
 	sr_usec_t now = sr_gateway_now(gateway);
 	sr_usec_t changed_at = reach->changed_at;
 	gboolean was_lost = reach->state == SR_REACH_LOST;
 
+	decide_blames(state, instance->id, TRUE);
 	if (!sr_reach_succeeded(reach, now) || !was_lost)
 		return;
 	end_ejections(gateway, instance->service, changed_at);
@@ -158,8 +219,9 @@
 				   sr_instance_t *instance,
 				   sr_reach_failure_t how)
 {
-	sr_reach_t *reach =
-		&sr_gateway_service_state(gateway, instance->service)->reach;
+	sr_gateway_service_state_t *state =
+		sr_gateway_service_state(gateway, instance->service);
+	sr_reach_t *reach = &state->reach;
 	unsigned n_present = count_present(gateway, instance->service);
 	sr_usec_t now = sr_gateway_now(gateway);
 	sr_usec_t lasted = now - reach->changed_at;
@@ -173,6 +235,6 @@
 	sr_gauge_add(gateway->metrics.services_unreached, 1);
 	log_change(gateway, "service-unreached", instance->service, n_present,
 		   sr_reach_failure_name(how), lasted);
-	probe(sr_gateway_service_state(gateway, instance->service),
-	      PROBES_AT_ONCE);
+	decide_blames(state, 0, FALSE);
+	probe(state, PROBES_AT_ONCE);
 }
--- a/test/gateway_rig.h
+++ b/test/gateway_rig.h
@@ -20,7 +20,9 @@
 #include "http/channel.h"
 #include "http/parser.h"
 
+#ifndef RIG_INSTANCES
 #define RIG_INSTANCES 2
+#endif
 
 typedef struct rig rig_t;
 
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 
+#define RIG_INSTANCES 4
 #include "gateway_rig.h"
 
 /** bed_t - a gateway and another one that it knows. */
@@ -58,19 +59,32 @@
 	caller_free(caller);
 }
 
-static int set_up(void **state)
+/* If is_lost is set, before the first gateway knows the other one. */
+static bed_t *bed_new(gboolean is_lost)
 {
 	bed_t *bed = g_new0(bed_t, 1);
 
 	bed->first = rig_new(serve);
 	bed->second = rig_new(serve);
-	lose_instances(bed->first);
+	if (is_lost)
+		lose_instances(bed->first);
 	sr_gateway_add_relay_host(bed->first->gateway, "second", "d",
 				  bed->second->relay_address);
 	sr_gateway_add_relay_host(bed->second->gateway, "first", "d",
 				  bed->first->relay_address);
 	bed->caller = caller_new(bed->first->caller_address);
-	*state = bed;
+	return bed;
+}
+
+static int set_up(void **state)
+{
+	*state = bed_new(FALSE);
+	return 0;
+}
+
+static int set_up_lost(void **state)
+{
+	*state = bed_new(TRUE);
 	return 0;
 }
 
@@ -87,9 +101,11 @@
 
 static const char *heads_at(const rig_t *rig)
 {
-	const char *first = rig->instances[0].request_heads->str;
+	unsigned i = 0;
 
-	return *first ? first : rig->instances[1].request_heads->str;
+	while (i + 1 < RIG_INSTANCES && rig->instances[i].n_requests == 0)
+		i++;
+	return rig->instances[i].request_heads->str;
 }
 
 static void test_response_passes_unchanged(void **state)
@@ -324,25 +340,78 @@
 			all->pdata[i], sr_clock_now(bed->first->clock)));
 }
 
+/* Two requests at each instance of the first gateway, which run. */
+static void start_runs(bed_t *bed, caller_t *callers[2 * RIG_INSTANCES])
+{
+	for (unsigned i = 0; i < 2 * RIG_INSTANCES; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "r%u", i);
+		callers[i] = caller_new(bed->first->caller_address);
+		caller_request(callers[i], "POST", "/once/silent", id, "", "");
+		rig_run_for(20);
+	}
+	assert_int_equal(rig_request_count(bed->first), 2 * RIG_INSTANCES);
+}
+
+static void free_callers(caller_t *callers[2 * RIG_INSTANCES])
+{
+	for (unsigned i = 0; i < 2 * RIG_INSTANCES; i++)
+		caller_free(callers[i]);
+}
+
+/* Guards against quarantines of sound requests: connections that a cut refuses
+ * counted as the ends of instances. */
+static void test_cut_path_is_not_the_end_of_instances(void **state)
+{
+	bed_t *bed = *state;
+	caller_t *callers[2 * RIG_INSTANCES];
+
+	start_runs(bed, callers);
+	close_instances(bed->first);
+	rig_run_for(300);
+	assert_true(has_metric(bed->first,
+			       "sassafras_gateway_instances_ended_total 0\n"));
+	free_callers(callers);
+}
+
+static void test_end_of_an_instance_is_told_from_a_cut(void **state)
+{
+	bed_t *bed = *state;
+	caller_t *callers[2 * RIG_INSTANCES];
+
+	start_runs(bed, callers);
+	rig_close_instance(&bed->first->instances[0]);
+	rig_run_for(300);
+	assert_true(has_metric(bed->first,
+			       "sassafras_gateway_instances_ended_total 1\n"));
+	free_callers(callers);
+}
+
+#define TEST_LOST(name) \
+	cmocka_unit_test_setup_teardown(name, set_up_lost, tear_down)
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		TEST(test_response_passes_unchanged),
-		TEST(test_request_is_counted_where_it_runs),
-		TEST(test_failure_of_the_instance_passes_unchanged),
-		TEST(test_stream_passes_event_by_event),
-		TEST(test_request_is_passed_on_once_only),
-		TEST(test_request_is_not_passed_on_by_a_host_that_has_lost_it),
-		TEST(test_request_may_have_run_if_the_host_ends),
-		TEST(test_instance_is_tried_if_no_host_reaches_one),
-		TEST(test_run_once_is_not_repeated_if_the_host_ends),
-		TEST(test_caller_that_leaves_ends_the_run),
-		TEST(test_attempts_left_bound_those_of_the_host),
-		TEST(test_request_that_reaches_no_instance_is_work_once),
-		TEST(test_instances_are_not_ejected_for_the_path),
-		TEST(test_host_returns_to_its_instances),
+		TEST_LOST(test_response_passes_unchanged),
+		TEST_LOST(test_request_is_counted_where_it_runs),
+		TEST_LOST(test_failure_of_the_instance_passes_unchanged),
+		TEST_LOST(test_stream_passes_event_by_event),
+		TEST_LOST(test_request_is_passed_on_once_only),
+		TEST_LOST(
+			test_request_is_not_passed_on_by_a_host_that_has_lost_it),
+		TEST_LOST(test_request_may_have_run_if_the_host_ends),
+		TEST_LOST(test_instance_is_tried_if_no_host_reaches_one),
+		TEST_LOST(test_run_once_is_not_repeated_if_the_host_ends),
+		TEST_LOST(test_caller_that_leaves_ends_the_run),
+		TEST_LOST(test_attempts_left_bound_those_of_the_host),
+		TEST_LOST(test_request_that_reaches_no_instance_is_work_once),
+		TEST_LOST(test_instances_are_not_ejected_for_the_path),
+		TEST(test_cut_path_is_not_the_end_of_instances),
+		TEST(test_end_of_an_instance_is_told_from_a_cut),
+		TEST_LOST(test_host_returns_to_its_instances),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
