Count no failure of a path as one of a version

During an order to move a service, what a cut broke off, refused or left without an answer counted as a failure, or as slowness, of the versions of the instances concerned. core/evidence holds connection errors until another instance of the failure domain has answered; where old connections live on while new ones are refused, the old version answers and the new one, which has no old connections, is blamed for all.

The gateway holds an observation without a response until a new connection to another instance shows whose fault it is, as it does for ends of instances.

test_cut_path_is_no_failure_of_a_version and test_silent_path_is_no_failure_of_a_version failed before (8 and 10 failures counted); test_instance_that_fails_counts_for_its_version passes with both, and platform_rollout_test too.

--- a/src/gateway/transaction_observe.c
+++ b/src/gateway/transaction_observe.c
@@ -27,10 +27,59 @@
 	g_free(labels);
 }
 
+static void pass_on(sr_gateway_t *gateway, const sr_observation_t *observation)
+{
+	if (gateway->options.attempt_observed)
+		gateway->options.attempt_observed(gateway->options.user,
+						  observation);
+	if (sr_gateway_service_state(gateway, observation->service)->trial)
+		count_by_version(gateway, observation);
+}
+
+/** held_failure_t - a failure that may have been that of the path */
+typedef struct {
+	sr_blame_t blame;
+	sr_gateway_t *gateway;
+	sr_observation_t observation; /* with strings of its own */
+} held_failure_t;
+
+static void on_decided(void *user, gboolean is_instance)
+{
+	held_failure_t *held = user;
+
+	if (is_instance)
+		pass_on(held->gateway, &held->observation);
+	g_free((char *)held->observation.service);
+	g_free((char *)held->observation.version);
+	g_free((char *)held->observation.route);
+	g_free((char *)held->observation.upstream);
+	g_free((char *)held->observation.failure_domain);
+	g_free(held);
+}
+
+static void hold(sr_gateway_t *gateway, const sr_instance_t *instance,
+		 const sr_observation_t *observation)
+{
+	held_failure_t *held = g_new0(held_failure_t, 1);
+
+	held->gateway = gateway;
+	held->observation = *observation;
+	held->observation.service = g_strdup(observation->service);
+	held->observation.version = g_strdup(observation->version);
+	held->observation.route = g_strdup(observation->route);
+	held->observation.upstream = g_strdup(observation->upstream);
+	held->observation.failure_domain =
+		g_strdup(observation->failure_domain);
+	held->blame.decided = on_decided;
+	held->blame.user = held;
+	sr_gateway_decide_blame(gateway, instance, &held->blame);
+}
+
+/* has_response: the instance itself has shown that it failed, or how fast it
+ * is. */
 static void observe(sr_transaction_t *transaction, sr_outcome_t outcome,
-		    sr_usec_t latency)
+		    sr_usec_t latency, gboolean has_response)
 {
-	const sr_gateway_options_t *options = &transaction->gateway->options;
 	const sr_instance_t *instance =
 		sr_attempt_instance(transaction->attempt);
 	const sr_observation_t observation = {
@@ -45,11 +94,10 @@
 
 	if (sr_attempt_is_relay(transaction->attempt))
 		return; /* observed by the other host */
-	if (options->attempt_observed)
-		options->attempt_observed(options->user, &observation);
-	if (sr_gateway_service_state(transaction->gateway, transaction->service)
-		    ->trial)
-		count_by_version(transaction->gateway, &observation);
+	if (has_response)
+		pass_on(transaction->gateway, &observation);
+	else
+		hold(transaction->gateway, instance, &observation);
 	transaction->is_observed = TRUE;
 }
 
@@ -77,7 +125,9 @@
 	if (!transaction->is_observed &&
 	    instance->cold_until <= transaction->sent_at)
 		observe(transaction, SR_OUTCOME_ANSWERED,
-			observed_latency(transaction));
+			observed_latency(transaction),
+			sr_attempt_message(transaction->attempt)
+				->headers_complete);
 }
 
 void sr_transaction_observe_end(sr_transaction_t *transaction,
@@ -88,12 +138,12 @@
 		observe_speed(transaction);
 		break;
 	case SR_ATTEMPT_FAILED:
-		observe(transaction, SR_OUTCOME_FAILED, 0);
+		observe(transaction, SR_OUTCOME_FAILED, 0, TRUE);
 		break;
 	case SR_ATTEMPT_NOT_SENT:
 	case SR_ATTEMPT_BROKEN:
 	case SR_ATTEMPT_TRUNCATED:
-		observe(transaction, SR_OUTCOME_CONNECTION_ERROR, 0);
+		observe(transaction, SR_OUTCOME_CONNECTION_ERROR, 0, FALSE);
 		break;
 	case SR_ATTEMPT_REJECTED:
 		break;
@@ -104,7 +154,7 @@
 {
 	if (transaction->attempt && sr_attempt_is_sent(transaction->attempt) &&
 	    !transaction->is_observed)
-		observe(transaction, SR_OUTCOME_FAILED, 0);
+		observe(transaction, SR_OUTCOME_FAILED, 0, FALSE);
 }
 
 void sr_transactions_sweep(sr_gateway_t *gateway)
--- a/test/gateway_rig.h
+++ b/test/gateway_rig.h
@@ -66,6 +66,7 @@
 	guint64 next_revision;
 	gboolean stopped;
 	unsigned n_executed;
+	unsigned n_observed_failures;
 	/* Handles a complete request at a fake instance. */
 	void (*serve)(fake_connection_t *connection,
 		      const sr_message_t *request);
@@ -293,6 +294,13 @@
 	((rig_t *)user)->n_executed++;
 }
 
+static void rig_on_attempt_observed(void *user,
+				    const sr_observation_t *observation)
+{
+	((rig_t *)user)->n_observed_failures +=
+		observation->outcome != SR_OUTCOME_ANSWERED;
+}
+
 static void rig_open_instance(fake_instance_t *instance)
 {
 	instance->listener = sr_listen(instance->address);
@@ -300,14 +308,20 @@
 						rig_on_accept, instance);
 }
 
-/** rig_close_instance - refuse new connections, and close the old ones. */
-static void rig_close_instance(fake_instance_t *instance)
+/** rig_refuse_connections - at the instance; old ones live on. */
+static void rig_refuse_connections(fake_instance_t *instance)
 {
 	if (instance->listener < 0)
 		return;
 	g_source_remove(instance->accept_source);
 	close(instance->listener);
 	instance->listener = -1;
+}
+
+/** rig_close_instance - refuse new connections, and close the old ones. */
+static void rig_close_instance(fake_instance_t *instance)
+{
+	rig_refuse_connections(instance);
 	g_ptr_array_set_size(instance->connections, 0);
 }
 
@@ -324,6 +338,7 @@
 		.dialect = &rig_dialect,
 		.seed = 1,
 		.request_executed = rig_on_request_executed,
+		.attempt_observed = rig_on_attempt_observed,
 		.stopped = rig_on_stopped,
 		.user = rig,
 	};
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -388,6 +388,50 @@
 	free_callers(callers);
 }
 
+/* Guards against taking back a sound version: what a cut broke off counted as a
+ * failure of the instances' version. */
+static void test_cut_path_is_no_failure_of_a_version(void **state)
+{
+	bed_t *bed = *state;
+	caller_t *callers[2 * RIG_INSTANCES];
+
+	start_runs(bed, callers);
+	close_instances(bed->first);
+	rig_run_for(300);
+	assert_int_equal(bed->first->n_observed_failures, 0);
+	free_callers(callers);
+}
+
+/* Guards against the same where connections from before the cut are silent. */
+static void test_silent_path_is_no_failure_of_a_version(void **state)
+{
+	bed_t *bed = *state;
+	caller_t *callers[2 * RIG_INSTANCES];
+
+	start_runs(bed, callers);
+	for (unsigned i = 0; i < RIG_INSTANCES; i++)
+		rig_refuse_connections(&bed->first->instances[i]);
+	caller_request(bed->caller, "GET", "/safe/ok", "next", "", "");
+	rig_run_for(2000);
+	assert_int_equal(bed->first->n_observed_failures, 0);
+	free_callers(callers);
+}
+
+static void test_instance_that_fails_counts_for_its_version(void **state)
+{
+	bed_t *bed = *state;
+	caller_t *callers[2 * RIG_INSTANCES];
+
+	start_runs(bed, callers);
+	rig_close_instance(&bed->first->instances[0]);
+	rig_run_for(300);
+	assert_int_equal(bed->first->n_observed_failures, 2);
+	rig_run_for(
+		1700); /* the others pass their deadline without an answer */
+	assert_int_equal(bed->first->n_observed_failures, 2 * RIG_INSTANCES);
+	free_callers(callers);
+}
+
 #define TEST_LOST(name) \
 	cmocka_unit_test_setup_teardown(name, set_up_lost, tear_down)
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
@@ -410,6 +454,9 @@
 		TEST_LOST(test_request_that_reaches_no_instance_is_work_once),
 		TEST_LOST(test_instances_are_not_ejected_for_the_path),
 		TEST(test_cut_path_is_not_the_end_of_instances),
+		TEST(test_cut_path_is_no_failure_of_a_version),
+		TEST(test_silent_path_is_no_failure_of_a_version),
+		TEST(test_instance_that_fails_counts_for_its_version),
 		TEST(test_end_of_an_instance_is_told_from_a_cut),
 		TEST_LOST(test_host_returns_to_its_instances),
 	};
