--- a/test/platform_reach_bed.h
+++ b/test/platform_reach_bed.h
@@ -25,7 +25,12 @@
 #define EVENTS 5
 
 /** Interval of requests, in ms. */
+#ifndef REQUEST_MS
 #define REQUEST_MS 15
+#endif
+
+/** Time for which an instance is down that has fallen over, in ms. */
+#define FALL_MS 1500
 
 typedef enum {
 	PATH_OPEN,
@@ -59,15 +64,28 @@
 typedef struct {
 	reach_bed_t *bed;
 	unsigned index;
-	SoupServer *server;
+	SoupServer *server;			    /* NULL while it is down */
 	unsigned n_connected_from[REACH_BED_HOSTS]; /* requests */
+	unsigned n_running;
+	GArray *rejected_at; /* gint64 in us */
+	unsigned n_falls;
 } reach_instance_t;
 
+/** capacity_t - of each instance; zeroes for no bound. */
+typedef struct {
+	unsigned slots;
+	unsigned waiting; /* requests that it lets wait */
+	unsigned run_ms;  /* instead of BEGIN_MS */
+	unsigned brittle; /* rejections in a second at which it stays up */
+} capacity_t;
+
 struct reach_bed {
 	store_t store;
 	int silent_listener;
 	int silent_clients[4];
 	reach_instance_t instances[REACH_BED_INSTANCES];
+	capacity_t capacity;
+	gboolean says_brittle;
 	int caller_ports[REACH_BED_HOSTS];
 	pid_t pids[REACH_BED_HOSTS];
 	SoupSession *session;
@@ -141,6 +159,7 @@
 
 typedef struct {
 	SoupServerMessage *message;
+	reach_instance_t *instance;
 	gboolean is_gone;
 	gboolean is_stream;
 	unsigned n_events;
@@ -172,12 +191,56 @@
 		soup_message_body_complete(body);
 		soup_server_message_unpause(run->message);
 	}
+	run->instance->n_running--;
 	g_signal_handlers_disconnect_by_data(run->message, run);
 	g_object_unref(run->message);
 	g_free(run);
 	return G_SOURCE_REMOVE;
 }
 
+static void start_server(reach_instance_t *instance);
+
+static gboolean on_up_again(gpointer user)
+{
+	start_server(user);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_fall(gpointer user)
+{
+	reach_instance_t *instance = user;
+
+	if (!instance->server)
+		return G_SOURCE_REMOVE;
+	instance->n_falls++;
+	soup_server_disconnect(instance->server);
+	g_clear_object(&instance->server);
+	g_timeout_add(FALL_MS, on_up_again, instance);
+	return G_SOURCE_REMOVE;
+}
+
+/* Whether the instance has to turn the request away for want of room; a brittle
+ * one falls over if it does so too often. */
+static gboolean turns_away(reach_instance_t *instance)
+{
+	const capacity_t *capacity = &instance->bed->capacity;
+	gint64 now = g_get_monotonic_time();
+	unsigned n = 0;
+
+	if (capacity->slots == 0 ||
+	    instance->n_running < capacity->slots + capacity->waiting)
+		return FALSE;
+	g_array_append_val(instance->rejected_at, now);
+	for (guint i = 0; i < instance->rejected_at->len; i++)
+		n += now - g_array_index(instance->rejected_at, gint64, i) <
+		     G_USEC_PER_SEC;
+	if (instance->bed->says_brittle && n > capacity->brittle) {
+		g_array_set_size(instance->rejected_at, 0);
+		g_idle_add(on_fall, instance);
+	}
+	return TRUE;
+}
+
 /* Negative if the connection has ended, as with a host that was killed. */
 static int host_of(SoupServerMessage *message)
 {
@@ -201,6 +264,7 @@
 		soup_server_message_get_response_headers(message);
 	const char *id = soup_message_headers_get_one(in, "Attempt-Id");
 	int host = host_of(message);
+	char brittle[16];
 	run_t *run;
 
 	(void)server;
@@ -215,7 +279,21 @@
 			soup_message_headers_replace(out, "Connection",
 						     "close");
 	}
+	if (instance->bed->says_brittle) {
+		g_snprintf(brittle, sizeof(brittle), "%u",
+			   instance->bed->capacity.brittle);
+		soup_message_headers_append(out, "Server-Brittle", brittle);
+	}
+	soup_message_headers_append(out, "Attempt-Id", id);
+	if (turns_away(instance)) {
+		soup_message_headers_append(out, "Not-Executed", "1");
+		soup_server_message_set_status(message, 503, NULL);
+		soup_server_message_unpause(message);
+		return;
+	}
+	instance->n_running++;
 	run = g_new0(run_t, 1);
+	run->instance = instance;
 	run->message = g_object_ref(message);
 	g_signal_connect(message, "disconnected", G_CALLBACK(on_run_gone), run);
 	g_signal_connect(message, "finished", G_CALLBACK(on_run_gone), run);
@@ -228,25 +306,28 @@
 				     GUINT_TO_POINTER(n + 1));
 	}
 	run->is_stream = g_str_has_prefix(path, "/stream/");
-	soup_message_headers_append(out, "Attempt-Id", id);
 	soup_message_headers_append(out, "Response-Signature", "s");
 	soup_server_message_set_status(message, 200, NULL);
 	soup_message_headers_set_encoding(out, SOUP_ENCODING_CHUNKED);
-	g_timeout_add(BEGIN_MS, on_run_timer, run);
+	g_timeout_add(instance->bed->capacity.run_ms > 0 ?
+			      instance->bed->capacity.run_ms :
+			      BEGIN_MS,
+		      on_run_timer, run);
 }
 
-static void start_instance(reach_bed_t *bed, unsigned i)
+static void start_server(reach_instance_t *instance)
 {
-	reach_instance_t *instance = &bed->instances[i];
+	reach_bed_t *bed = instance->bed;
+	unsigned i = instance->index;
 	char *key = g_strdup_printf("servers/i-%u", i);
 	char *spec = g_strdup_printf(
 		"{\"service\":\"model\",\"address\":\"127.0.0.1:%d\",\"zone\":"
-		"\"z\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+		"\"z\",\"version\":\"v1\",\"slots\":%u,\"state\":\"ready\","
 		"\"born\":%" G_GINT64_FORMAT "}",
-		paths->instance_ports[i], g_get_real_time() / 1000);
+		paths->instance_ports[i],
+		bed->capacity.slots > 0 ? bed->capacity.slots : 64,
+		g_get_real_time() / 1000);
 
-	instance->bed = bed;
-	instance->index = i;
 	instance->server =
 		listen_at(paths->instance_ports[i], on_instance_call, instance);
 	put_text(&bed->store, key, spec);
@@ -254,6 +335,16 @@
 	g_free(key);
 }
 
+static void start_instance(reach_bed_t *bed, unsigned i)
+{
+	reach_instance_t *instance = &bed->instances[i];
+
+	instance->bed = bed;
+	instance->index = i;
+	instance->rejected_at = g_array_new(FALSE, FALSE, sizeof(gint64));
+	start_server(instance);
+}
+
 /* Entry hosts. */
 
 static G_GNUC_NORETURN void run_host(const host_place_t *place)
@@ -305,11 +396,13 @@
 	g_free(seeds);
 }
 
-static reach_bed_t *reach_bed_new(void)
+static reach_bed_t *reach_bed_new(const capacity_t *capacity)
 {
 	reach_bed_t *bed = g_new0(reach_bed_t, 1);
 	int store_port = unused_port();
 
+	if (capacity)
+		bed->capacity = *capacity;
 	paths = mmap(NULL, sizeof(*paths), PROT_READ | PROT_WRITE,
 		     MAP_SHARED | MAP_ANONYMOUS, -1, 0);
 	assert_true(paths != MAP_FAILED);
@@ -352,10 +445,13 @@
 		kill(bed->pids[i], SIGKILL);
 		waitpid(bed->pids[i], NULL, 0);
 	}
-	run_for(50);
+	/* no timer may be left, for this bed or the processes of the next */
+	run_for(FALL_MS + 500);
 	g_object_unref(bed->session);
-	for (unsigned i = 0; i < REACH_BED_INSTANCES; i++)
-		g_object_unref(bed->instances[i].server);
+	for (unsigned i = 0; i < REACH_BED_INSTANCES; i++) {
+		g_clear_object(&bed->instances[i].server);
+		g_array_unref(bed->instances[i].rejected_at);
+	}
 	for (unsigned i = 0; i < G_N_ELEMENTS(bed->silent_clients); i++)
 		close(bed->silent_clients[i]);
 	close(bed->silent_listener);
--- a/test/platform_reach_test.c
+++ b/test/platform_reach_test.c
@@ -64,7 +64,7 @@
 
 static int set_up(void **state)
 {
-	*state = reach_bed_new();
+	*state = reach_bed_new(NULL);
 	return 0;
 }
 
