Bound what hosts send to brittle instances

Instances that say that they are brittle end if they have to turn more than a number of requests away in a second.

Cause: the notice, new on the users' pages, was read nowhere.

--- a/src/core/instance_notices.c
+++ b/src/core/instance_notices.c
@@ -1,5 +1,7 @@
 #include "core/instance_notices.h"
 
+#include <math.h>
+
 /** Tolerance of the platform: in a window of four seconds an instance may get
  * one and a half times what its limit allows, and five requests more. What the
  * limit itself doesn't use of that is held by the buckets. */
@@ -11,6 +13,24 @@
  * heard of the limit. */
 #define TOLERANCE_USED 0.7
 
+/** Updates for which a host that had no room does not rely on what is free: all
+ * that had none would do so at once. */
+#define BLOCKED_UPDATES 16
+
+/** Part of the rejections that a brittle instance bears that hosts may cause,
+ * and the least number that is reckoned with. */
+#define REJECTIONS_USED 0.5
+#define REJECTIONS_MIN 0.5
+
+/** Part of a brittle instance's slots that hosts fill, and part up to which a
+ * host may send one request without room of its own. */
+#define FILL_MAX 0.9
+#define FILL_IDLE 0.85
+
+/** Part of the room that is free below FILL_MAX that all hosts together take in
+ * one update. */
+#define GROWTH 0.5
+
 /** Rate at which an instance that takes nothing is still tried, so that the end
  * of its limit is noticed. */
 #define RATE_MIN 0.05
@@ -73,10 +93,22 @@
 	return SR_NOTICE_LIMIT_CHANGED;
 }
 
+static unsigned hear_brittle(sr_instance_notices_t *notices,
+			     const sr_notice_t *notice)
+{
+	if (notices->is_brittle == notice->is_brittle &&
+	    notices->rejections_max == notice->rejections_max)
+		return SR_NOTICE_UNCHANGED;
+	notices->is_brittle = notice->is_brittle;
+	notices->rejections_max = notice->rejections_max;
+	return SR_NOTICE_BRITTLE_CHANGED;
+}
+
 unsigned sr_instance_notices_hear(sr_instance_notices_t *notices,
 				  const sr_notice_t *notice, sr_usec_t now)
 {
-	unsigned changes = hear_limit(notices, notice, now);
+	unsigned changes = hear_limit(notices, notice, now) |
+			   hear_brittle(notices, notice);
 
 	if (notice->back_off > 0 &&
 	    now + notice->back_off > notices->back_off_until) {
@@ -141,3 +173,71 @@
 	refill(notices, now);
 	notices->tokens -= 1;
 }
+
+void sr_instance_notices_begin_room(sr_instance_notices_t *notices,
+				    const sr_instance_room_t *room)
+{
+	notices->room = room->slots / MAX(room->n_hosts, 1);
+	notices->most_in_flight = room->in_flight;
+	notices->is_idle = TRUE;
+}
+
+/* Probability that this host takes one more place. */
+static double growth(const sr_instance_room_t *room)
+{
+	double peers = room->peers_in_flight;
+	double free = peers < 0 ?
+			      1 :
+			      FILL_MAX * room->slots - peers - room->in_flight;
+
+	return GROWTH * MAX(free, 0) / MAX(room->n_hosts, 1);
+}
+
+static gboolean is_idle(const sr_instance_room_t *room)
+{
+	return room->peers_in_flight >= 0 &&
+	       room->peers_in_flight + room->in_flight <
+		       FILL_IDLE * room->slots;
+}
+
+void sr_instance_notices_update_room(sr_instance_notices_t *notices,
+				     const sr_instance_room_t *room)
+{
+	unsigned most = MAX(notices->most_in_flight, room->in_flight);
+
+	if (notices->n_cautious > 0)
+		notices->n_cautious--;
+	if (notices->n_blocked > 0)
+		notices->n_blocked--;
+	if (most >= notices->room && room->random < growth(room))
+		notices->room++;
+	else if (most < notices->room && !is_idle(room))
+		notices->room--;
+	notices->most_in_flight = room->in_flight;
+	notices->is_idle =
+		notices->n_cautious == 0 && is_idle(room) &&
+		(notices->n_blocked == 0 || room->random < growth(room));
+}
+
+gboolean sr_instance_notices_has_room(sr_instance_notices_t *notices,
+				      unsigned in_flight)
+{
+	if (!notices->is_brittle || in_flight < notices->room)
+		return TRUE;
+	if (in_flight == 0 && notices->is_idle)
+		return TRUE;
+	notices->n_blocked = BLOCKED_UPDATES;
+	return FALSE;
+}
+
+void sr_instance_notices_rejected(sr_instance_notices_t *notices,
+				  const sr_instance_room_t *room)
+{
+	double rejections = MAX(notices->rejections_max, REJECTIONS_MIN);
+
+	notices->room = MIN(notices->room, room->in_flight);
+	notices->n_cautious =
+		(unsigned)ceil(room->n_hosts * SR_INSTANCE_ROOM_UPDATES_PER_S /
+			       (REJECTIONS_USED * rejections));
+	notices->is_idle = FALSE;
+}
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -79,7 +79,7 @@
 			     ((double)elapsed / SR_SEC - speed->duration_s);
 }
 
-static gboolean has_peer_load(const sr_instance_t *instance, sr_usec_t now)
+gboolean sr_placement_knows_peers(const sr_instance_t *instance, sr_usec_t now)
 {
 	return instance->peers_reported_at > 0 &&
 	       now - instance->peers_reported_at < PEER_LOAD_EXPIRY;
@@ -87,8 +87,9 @@
 
 double sr_placement_in_flight(const sr_instance_t *instance, sr_usec_t now)
 {
-	double peers =
-		has_peer_load(instance, now) ? instance->peers_in_flight : 0;
+	double peers = sr_placement_knows_peers(instance, now) ?
+			       instance->peers_in_flight :
+			       0;
 
 	return instance->in_flight + peers;
 }
@@ -96,7 +97,7 @@
 /* Prompt tokens of all entry hosts queued at the instance. */
 static double pending_tokens(const sr_instance_t *instance, sr_usec_t now)
 {
-	double peers = has_peer_load(instance, now) ?
+	double peers = sr_placement_knows_peers(instance, now) ?
 			       instance->peers_pending_prompt_tokens :
 			       0;
 
@@ -288,12 +289,13 @@
 } candidate_filter_t;
 
 static gboolean is_candidate(const sr_placement_request_t *request,
-			     const GPtrArray *list,
-			     const sr_instance_t *instance,
+			     const GPtrArray *list, sr_instance_t *instance,
 			     candidate_filter_t filter, sr_usec_t now)
 {
 	if (was_tried(request, instance->id) ||
 	    !sr_instance_notices_allow(&instance->notices, now) ||
+	    !sr_instance_notices_has_room(&instance->notices,
+					  instance->in_flight) ||
 	    !is_allowed_version(request, instance) ||
 	    !is_among_first(request, list, instance, now))
 		return FALSE;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -113,6 +113,10 @@
 void sr_placement_observe(sr_instance_t *instance, double expected_s,
 			  sr_usec_t elapsed, sr_usec_t now);
 
+/** sr_placement_knows_peers - whether the load of the other entry hosts at the
+ * instance is known. */
+gboolean sr_placement_knows_peers(const sr_instance_t *instance, sr_usec_t now);
+
 /** sr_placement_in_flight - requests of all entry hosts at the instance. */
 double sr_placement_in_flight(const sr_instance_t *instance, sr_usec_t now);
 
--- a/src/fleet/notice_gossip.c
+++ b/src/fleet/notice_gossip.c
@@ -57,18 +57,25 @@
 	}
 }
 
-/* Value "START_MS LIMIT LEAVING"; the version is the time of the response. */
+/* Value "START_MS LIMIT LEAVING", and " REJECTIONS" if the instance is brittle;
+ * the version is the time of the response. */
 void sr_fleet_publish_notices(sr_fleet_t *fleet, sr_instance_t *instance)
 {
 	char limit[G_ASCII_DTOSTR_BUF_SIZE] = NO_LIMIT;
+	char brittle[1 + G_ASCII_DTOSTR_BUF_SIZE] = "";
 	char *value;
 
 	if (instance->notices.is_limited)
 		g_ascii_dtostr(limit, sizeof(limit),
 			       instance->notices.rate_limit);
-	value = g_strdup_printf("%" G_GINT64_FORMAT " %s %d",
+	if (instance->notices.is_brittle) {
+		brittle[0] = ' ';
+		g_ascii_dtostr(brittle + 1, sizeof(brittle) - 1,
+			       instance->notices.rejections_max);
+	}
+	value = g_strdup_printf("%" G_GINT64_FORMAT " %s %d%s",
 				instance->start_unix_ms, limit,
-				instance->notices.leaving);
+				instance->notices.leaving, brittle);
 	update_sharing(fleet, instance);
 	sr_fleet_publish(fleet, SR_RUMOUR_HOST_STATE, instance->name,
 			 (guint64)sr_clock_unix_ms(fleet->options.clock), value,
@@ -86,6 +93,10 @@
 	notice.rate_limit = g_ascii_strtod(words[1], &end);
 	notice.has_rate_limit = end > words[1] && *end == '\0';
 	notice.leaving = !strcmp(words[2], "1");
+	if (words[3]) {
+		notice.rejections_max = g_ascii_strtod(words[3], &end);
+		notice.is_brittle = end > words[3] && *end == '\0';
+	}
 	sr_gateway_apply_notice(fleet->options.gateway, instance, &notice);
 	update_sharing(fleet, instance);
 }
@@ -97,7 +108,7 @@
 	char *text = g_strndup((const char *)rumour->value, rumour->size);
 	char **words = g_strsplit(text, " ", -1);
 
-	if (instance && g_strv_length(words) == 3)
+	if (instance && g_strv_length(words) >= 3)
 		apply(fleet, instance, words);
 	g_strfreev(words);
 	g_free(text);
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -26,6 +26,7 @@
 	const char *not_run;	/* the request was not executed */
 	const char *leaving;	/* "1" if the instance is leaving */
 	const char *rate_limit; /* requests/s that the instance takes */
+	const char *brittle;	/* rejections/s above which the instance ends */
 	/* Request headers that are removed from callers' requests because only
 	 * this system may set them; NULL-terminated. */
 	const char *const *reserved;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -235,6 +235,7 @@
 	sr_list_for_each_safe (link, &gateway->sessions)
 		sr_session_sweep(sr_session_of_link(link), now);
 	sr_transactions_sweep(gateway);
+	sr_gateway_update_rooms(gateway);
 	sr_connection_pool_sweep(gateway->connection_pool, now);
 	sr_connection_pool_sweep(gateway->relay_pool, now);
 	advance_stop(gateway, now);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -324,6 +324,15 @@
 void sr_gateway_relay_host_unreached(sr_gateway_t *gateway,
 				     sr_instance_t *host);
 
+/** sr_gateway_instance_is_full - it has rejected an attempt, which still counts
+ * as in flight. */
+void sr_gateway_instance_is_full(sr_gateway_t *gateway,
+				 sr_instance_t *instance);
+
+/** sr_gateway_update_rooms - what this host may send to brittle instances; to
+ * be called periodically. */
+void sr_gateway_update_rooms(sr_gateway_t *gateway);
+
 /* instance_check.c: whether an instance that cut off attempts has ended */
 
 /**
--- a/src/gateway/notice.c
+++ b/src/gateway/notice.c
@@ -11,20 +11,26 @@
 #define SOURCE_RESPONSE "response"
 #define SOURCE_PEER "peer"
 
+/** Largest number of rejections that is accepted. */
+#define REJECTIONS_MAX 1e6
+
 /** Largest rate limit that is accepted, in requests/s; one that is higher
  * limits nothing that a host could send. */
 #define RATE_LIMIT_MAX 1e6
 
 /* A value that is no number counts as absent. */
-static gboolean read_rate_limit(const char *text, double *limit)
+static gboolean read_number(const char *text, double max, double *number)
 {
 	char *end;
 
+	*number = 0;
 	if (!text)
 		return FALSE;
-	*limit = g_ascii_strtod(text, &end);
-	return end > text && *end == '\0' && *limit >= 0 &&
-	       *limit <= RATE_LIMIT_MAX;
+	*number = g_ascii_strtod(text, &end);
+	if (end > text && *end == '\0' && *number >= 0 && *number <= max)
+		return TRUE;
+	*number = 0;
+	return FALSE;
 }
 
 static void log_limit(const sr_gateway_t *gateway,
@@ -79,6 +85,68 @@
 		     "source", source, NULL);
 }
 
+static sr_instance_room_t room_of(sr_gateway_t *gateway,
+				  const sr_instance_t *instance)
+{
+	double all = sr_placement_in_flight(instance, sr_gateway_now(gateway));
+	gboolean is_known =
+		sr_placement_knows_peers(instance, sr_gateway_now(gateway));
+
+	return (sr_instance_room_t){
+		.slots = instance->slots,
+		.n_hosts = gateway->n_hosts,
+		.in_flight = instance->in_flight,
+		.peers_in_flight = is_known ? all - instance->in_flight : -1,
+		.random = g_rand_double(gateway->rng),
+	};
+}
+
+static void change_brittle(sr_gateway_t *gateway, sr_instance_t *instance,
+			   const char *source)
+{
+	const sr_instance_room_t room = room_of(gateway, instance);
+	char most[32];
+	char text[16];
+
+	if (instance->notices.is_brittle)
+		sr_instance_notices_begin_room(&instance->notices, &room);
+	g_snprintf(most, sizeof(most), "%.1f",
+		   instance->notices.rejections_max);
+	g_snprintf(text, sizeof(text), "%u", instance->notices.room);
+	sr_log_event(gateway->options.log, SR_LOG_INFO,
+		     instance->notices.is_brittle ? "instance-brittle" :
+						    "instance-brittle-ended",
+		     "what", instance->name, "service", instance->service,
+		     "rejections_per_s", most, "room", text, "source", source,
+		     NULL);
+}
+
+void sr_gateway_instance_is_full(sr_gateway_t *gateway, sr_instance_t *instance)
+{
+	sr_instance_room_t room = room_of(gateway, instance);
+
+	room.in_flight--;
+	if (instance->notices.is_brittle)
+		sr_instance_notices_rejected(&instance->notices, &room);
+}
+
+void sr_gateway_update_rooms(sr_gateway_t *gateway)
+{
+	const GPtrArray *all = sr_instances_all(gateway->instances);
+
+	for (guint i = 0; i < all->len; i++) {
+		sr_instance_t *instance = all->pdata[i];
+
+		if (instance->notices.is_brittle) {
+			const sr_instance_room_t room =
+				room_of(gateway, instance);
+
+			sr_instance_notices_update_room(&instance->notices,
+							&room);
+		}
+	}
+}
+
 static void apply(sr_gateway_t *gateway, sr_instance_t *instance,
 		  const sr_notice_t *notice, const char *source)
 {
@@ -87,6 +155,8 @@
 
 	if (changes & SR_NOTICE_LIMIT_CHANGED)
 		log_limit(gateway, instance, source);
+	if (changes & SR_NOTICE_BRITTLE_CHANGED)
+		change_brittle(gateway, instance, source);
 	if (changes & SR_NOTICE_LEAVING)
 		log_leaving(gateway, instance, source);
 	if (changes & SR_NOTICE_BACK_OFF)
@@ -115,9 +185,13 @@
 			sr_headers_get(response->headers, dialect->leaving),
 			"1");
 	if (dialect->rate_limit)
-		notice.has_rate_limit = read_rate_limit(
+		notice.has_rate_limit = read_number(
 			sr_headers_get(response->headers, dialect->rate_limit),
-			&notice.rate_limit);
+			RATE_LIMIT_MAX, &notice.rate_limit);
+	if (dialect->brittle)
+		notice.is_brittle = read_number(
+			sr_headers_get(response->headers, dialect->brittle),
+			REJECTIONS_MAX, &notice.rejections_max);
 	notice.back_off = read_back_off(gateway, response);
 	apply(gateway, instance, &notice, SOURCE_RESPONSE);
 }
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -226,6 +226,8 @@
 	sr_usec_t now = sr_transaction_now(transaction);
 
 	instance->in_flight++;
+	instance->notices.most_in_flight =
+		MAX(instance->notices.most_in_flight, instance->in_flight);
 	sr_instance_notices_sent(&instance->notices, now);
 	sr_ejection_begin(&instance->ejection, now);
 	transaction->expected_first_event_s = choice->first_event_s;
@@ -355,6 +357,9 @@
 		break;
 	case SR_ATTEMPT_REJECTED:
 		sr_ejection_abandoned(ejection);
+		if (sr_attempt_message(transaction->attempt)->status == 503)
+			sr_gateway_instance_is_full(transaction->gateway,
+						    instance);
 		break;
 	}
 }
--- a/test/instance_notices_test.c
+++ b/test/instance_notices_test.c
@@ -196,6 +196,173 @@
 	assert_true(sr_instance_notices_allow(&notices, 6 * SR_SEC));
 }
 
+/* Many hosts send to one brittle instance more than it has room for. */
+
+#define BRITTLE_HOSTS_MAX 195
+#define RUN_S 40
+#define BRITTLE_SEEDS 5
+#define RUN_TIME_TICKS 5 /* of a request */
+#define UPDATE_TICKS 13	 /* between updates of the room */
+#define STALE_TICKS 15	 /* age of what hosts know of the others' load */
+#define CONTACT_TICKS (3 * TICKS_PER_S)
+#define REJECTIONS_MAX 5
+#define FALLS_MAX 2
+
+typedef struct {
+	unsigned n_hosts;
+	unsigned slots;
+	unsigned waiting;
+	double demand; /* of the instance's capacity */
+} brittle_case_t;
+
+typedef struct {
+	const brittle_case_t *options;
+	sr_instance_notices_t notices[BRITTLE_HOSTS_MAX];
+	unsigned in_flight[BRITTLE_HOSTS_MAX];
+	/* requests by the tick in which they end */
+	unsigned ends[RUN_S * TICKS_PER_S + RUN_TIME_TICKS][BRITTLE_HOSTS_MAX];
+	unsigned total[RUN_S * TICKS_PER_S]; /* in flight */
+	unsigned rejected[RUN_S * TICKS_PER_S];
+	unsigned running;
+	unsigned n_served;
+	GRand *random;
+} brittle_t;
+
+static void arrive(brittle_t *fleet, unsigned host, unsigned tick)
+{
+	const brittle_case_t *options = fleet->options;
+	sr_instance_notices_t *notices = &fleet->notices[host];
+
+	if (!sr_instance_notices_has_room(notices, fleet->in_flight[host]))
+		return;
+	if (fleet->running >= options->slots + options->waiting) {
+		const sr_instance_room_t room = {
+			.slots = options->slots,
+			.n_hosts = options->n_hosts,
+			.in_flight = fleet->in_flight[host],
+		};
+
+		fleet->rejected[tick]++;
+		sr_instance_notices_rejected(notices, &room);
+		return;
+	}
+	fleet->running++;
+	fleet->in_flight[host]++;
+	notices->most_in_flight =
+		MAX(notices->most_in_flight, fleet->in_flight[host]);
+	fleet->ends[tick + RUN_TIME_TICKS][host]++;
+}
+
+static void end_requests(brittle_t *fleet, unsigned tick)
+{
+	for (unsigned host = 0; host < fleet->options->n_hosts; host++) {
+		unsigned n = fleet->ends[tick][host];
+
+		fleet->in_flight[host] -= n;
+		fleet->running -= n;
+		fleet->n_served += n;
+	}
+}
+
+static void update_rooms(brittle_t *fleet, unsigned tick)
+{
+	unsigned total =
+		tick >= STALE_TICKS ? fleet->total[tick - STALE_TICKS] : 0;
+
+	for (unsigned host = 0; host < fleet->options->n_hosts; host++) {
+		const sr_instance_room_t room = {
+			.slots = fleet->options->slots,
+			.n_hosts = fleet->options->n_hosts,
+			.in_flight = fleet->in_flight[host],
+			.peers_in_flight =
+				MAX((double)total - fleet->in_flight[host], 0),
+			.random = g_rand_double(fleet->random),
+		};
+
+		if ((tick + host) % UPDATE_TICKS == 0)
+			sr_instance_notices_update_room(&fleet->notices[host],
+							&room);
+	}
+}
+
+/* Falls: more rejections than the instance bears in a second. */
+static unsigned count_falls(const brittle_t *fleet)
+{
+	unsigned n = 0;
+	unsigned sum = 0;
+
+	for (unsigned tick = CONTACT_TICKS; tick < RUN_S * TICKS_PER_S;
+	     tick++) {
+		sum += fleet->rejected[tick];
+		if (tick >= CONTACT_TICKS + TICKS_PER_S)
+			sum -= fleet->rejected[tick - TICKS_PER_S];
+		if (sum <= REJECTIONS_MAX)
+			continue;
+		n++;
+		tick += TICKS_PER_S; /* it is down */
+		sum = 0;
+	}
+	return n;
+}
+
+static void check_brittle(const brittle_case_t *options, guint32 seed)
+{
+	const sr_notice_t notice = { .is_brittle = TRUE,
+				     .rejections_max = REJECTIONS_MAX };
+	const sr_instance_room_t room = { .slots = options->slots,
+					  .n_hosts = options->n_hosts };
+	double capacity = (double)options->slots / RUN_TIME_TICKS;
+	brittle_t *fleet = g_new0(brittle_t, 1);
+	double due = 0;
+	unsigned n_due;
+
+	fleet->options = options;
+	fleet->random = g_rand_new_with_seed(seed);
+	for (unsigned i = 0; i < options->n_hosts; i++) {
+		sr_instance_notices_hear(&fleet->notices[i], &notice, 1);
+		sr_instance_notices_begin_room(&fleet->notices[i], &room);
+	}
+	for (unsigned tick = 0; tick < RUN_S * TICKS_PER_S; tick++) {
+		end_requests(fleet, tick);
+		due += options->demand * capacity;
+		n_due = (unsigned)due;
+		due -= n_due;
+		for (unsigned i = 0; i < n_due; i++)
+			arrive(fleet,
+			       (unsigned)g_rand_int_range(
+				       fleet->random, 0,
+				       (gint32)options->n_hosts),
+			       tick);
+		fleet->total[tick] = fleet->running;
+		update_rooms(fleet, tick);
+	}
+	print_message("%u hosts, %u slots: %u falls, %.2f of capacity used\n",
+		      options->n_hosts, options->slots, count_falls(fleet),
+		      fleet->n_served / (capacity * RUN_S * TICKS_PER_S));
+	assert_true(count_falls(fleet) <= FALLS_MAX);
+	assert_true(fleet->n_served >= 0.5 * MIN(options->demand, 1) *
+					       capacity * RUN_S * TICKS_PER_S);
+	g_rand_free(fleet->random);
+	g_free(fleet);
+}
+
+/* Guards against LIMIT of brittle instances at many hosts, each of which has
+ * too few requests there to learn how full the instance is. */
+static void test_hosts_stay_within_the_room_of_a_brittle_instance(void **state)
+{
+	static const brittle_case_t cases[] = {
+		{ 4, 6, 1, 2 },	   { 9, 6, 1, 2 },     { 9, 64, 2, 2 },
+		{ 75, 32, 1, 2 },  { 75, 32, 1, 0.8 }, { 75, 6, 1, 2 },
+		{ 195, 32, 1, 2 }, { 195, 6, 1, 2 },
+	};
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (guint32 seed = 1; seed <= BRITTLE_SEEDS; seed++)
+			check_brittle(&cases[i], seed);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -206,6 +373,8 @@
 		cmocka_unit_test(test_limit_that_is_not_named_ends),
 		cmocka_unit_test(test_leaving_lasts),
 		cmocka_unit_test(test_back_off_is_kept_to_its_end),
+		cmocka_unit_test(
+			test_hosts_stay_within_the_room_of_a_brittle_instance),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform_brittle_test.c
+++ b/test/platform_brittle_test.c
@@ -1,5 +1,5 @@
-/* Entry hosts in front of instances that fall over if they have to turn too many
- * requests away. */
+/* Entry hosts in front of instances that fall over if they have to turn too
+ * many requests away. */
 #define REQUEST_MS 2
 #include "platform_reach_bed.h"
 
