Let keep-alive probes and the TCP user timeout agree

A user timeout that is set decides when keep-alive probes give up, whatever their count: idle connections ended after 3 s, not after the 4 s that the count said.

test_user_timeout_and_keep_alive_agree failed before (3,000 of 4,000 ms).

--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -15,13 +15,14 @@
 #define READ_SIZE (64 * 1024)
 /** Reads for one wakeup, so that one peer does not delay the others. */
 #define READS_PER_WAKEUP 4
-/** Time after which unacknowledged bytes end the connection, in ms. */
+/** Time after which unacknowledged bytes end the connection, in ms. It also
+ * decides when keep-alive probes give up, whatever their number. */
 #define USER_TIMEOUT_MS 3000
 /** TCP keep-alive of an idle connection: delay and interval in s, and the
- * number of probes. */
+ * number of probes, which add up to the user timeout. */
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 3
+#define KEEPALIVE_PROBES 2
 #define LISTEN_BACKLOG 1024
 
 struct sr_channel {
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -4,8 +4,12 @@
 #include <stdint.h>
 #include <string.h>
 
+#include <arpa/inet.h>
 #include <cmocka.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
 
+#include "http/channel.h"
 #include "http/event_parser.h"
 #include "http/parser.h"
 
@@ -273,6 +277,70 @@
 	}
 }
 
+static int option(int fd, int level, int name)
+{
+	int value = -1;
+	socklen_t size = sizeof(value);
+
+	getsockopt(fd, level, name, &value, &size);
+	return value;
+}
+
+/* The descriptor of the connection to a listener on the same process. */
+static int connected_fd(const struct sockaddr_in *listener)
+{
+	for (int fd = 3; fd < 256; fd++) {
+		struct sockaddr_in peer;
+		socklen_t size = sizeof(peer);
+
+		if (!getpeername(fd, (struct sockaddr *)&peer, &size) &&
+		    peer.sin_port == listener->sin_port)
+			return fd;
+	}
+	return -1;
+}
+
+/** Longest silence of a sound peer, in ms. */
+#define SOUND_SILENCE_MS 2000
+
+static void ignore_end(void *user, sr_channel_end_reason_t how)
+{
+	(void)user;
+	(void)how;
+}
+
+/* Guards against a user timeout that ends connections sooner than the
+ * keep-alive probes say: it decides when they give up, whatever their count. */
+static void test_user_timeout_and_keep_alive_agree(void **state)
+{
+	const sr_channel_events_t events = { .ended = ignore_end };
+	struct sockaddr_in in = { .sin_family = AF_INET };
+	socklen_t size = sizeof(in);
+	int listener = sr_listen("127.0.0.1:0");
+	sr_channel_t *channel;
+	char address[32];
+	int fd;
+
+	(void)state;
+	getsockname(listener, (struct sockaddr *)&in, &size);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+		   ntohs(in.sin_port));
+	channel = sr_channel_connect(address, &events, NULL);
+	g_main_context_iteration(NULL, FALSE);
+	fd = connected_fd(&in);
+	assert_true(fd >= 0);
+	assert_int_equal(option(fd, SOL_SOCKET, SO_KEEPALIVE), 1);
+	assert_int_equal(
+		option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT),
+		1000 * (option(fd, IPPROTO_TCP, TCP_KEEPIDLE) +
+			option(fd, IPPROTO_TCP, TCP_KEEPCNT) *
+				option(fd, IPPROTO_TCP, TCP_KEEPINTVL)));
+	assert_true(option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT) >
+		    SOUND_SILENCE_MS);
+	sr_channel_free(channel);
+	close(listener);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -286,6 +354,7 @@
 		cmocka_unit_test(test_interim_response_is_skipped),
 		cmocka_unit_test(test_hop_by_hop_fields),
 		cmocka_unit_test(test_events_are_split_at_boundaries),
+		cmocka_unit_test(test_user_timeout_and_keep_alive_agree),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
