--- a/test/platform_notice_test.c
+++ b/test/platform_notice_test.c
@@ -113,6 +113,35 @@
 	bed_free(bed);
 }
 
+/* Guards against BUDGET where all instances turn the host away: none of them is
+ * a way out for the others' requests. */
+static void test_all_instances_are_spared_for_their_time(void **state)
+{
+	bed_t *bed = bed_with_notice("Retry-After", "3");
+	gint64 turned_away = 0;
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(bed->upstreams); i++) {
+		bed->upstreams[i].turns_away = TRUE;
+		bed->upstreams[i].notice_name = "Retry-After";
+		bed->upstreams[i].notice_value = "3";
+	}
+	send_requests(bed, 500);
+	for (unsigned i = 0; i < G_N_ELEMENTS(bed->upstreams); i++) {
+		const upstream_t *upstream = &bed->upstreams[i];
+
+		assert_true(upstream->times->len > 0);
+		turned_away = MAX(turned_away, time_at(upstream, 0));
+	}
+	send_requests(bed, 2400);
+	for (unsigned i = 0; i < G_N_ELEMENTS(bed->upstreams); i++)
+		assert_true(count_requests(&bed->upstreams[i],
+					   turned_away + BACK_OFF_SETTLE_US,
+					   2 * G_USEC_PER_SEC) <=
+			    BACK_OFF_REQUESTS);
+	bed_free(bed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -120,6 +149,7 @@
 		cmocka_unit_test(test_leaving_instance_gets_no_request),
 		cmocka_unit_test(
 			test_instance_is_spared_for_the_time_that_it_names),
+		cmocka_unit_test(test_all_instances_are_spared_for_their_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
