--- a/src/core/instance_notices.c
+++ b/src/core/instance_notices.c
@@ -205,18 +205,18 @@
 {
 	unsigned most = MAX(notices->most_in_flight, room->in_flight);
 
-	if (notices->n_cautious > 0)
-		notices->n_cautious--;
-	if (notices->n_blocked > 0)
-		notices->n_blocked--;
+	if (notices->rejected_for > 0)
+		notices->rejected_for--;
+	if (notices->blocked_for > 0)
+		notices->blocked_for--;
 	if (most >= notices->room && room->random < growth(room))
 		notices->room++;
 	else if (most < notices->room && !is_idle(room))
 		notices->room--;
 	notices->most_in_flight = room->in_flight;
 	notices->is_idle =
-		notices->n_cautious == 0 && is_idle(room) &&
-		(notices->n_blocked == 0 || room->random < growth(room));
+		notices->rejected_for == 0 && is_idle(room) &&
+		(notices->blocked_for == 0 || room->random < growth(room));
 }
 
 gboolean sr_instance_notices_has_room(sr_instance_notices_t *notices,
@@ -226,7 +226,7 @@
 		return TRUE;
 	if (in_flight == 0 && notices->is_idle)
 		return TRUE;
-	notices->n_blocked = BLOCKED_UPDATES;
+	notices->blocked_for = BLOCKED_UPDATES;
 	return FALSE;
 }
 
@@ -236,7 +236,7 @@
 	double rejections = MAX(notices->rejections_max, REJECTIONS_MIN);
 
 	notices->room = MIN(notices->room, room->in_flight);
-	notices->n_cautious =
+	notices->rejected_for =
 		(unsigned)ceil(room->n_hosts * SR_INSTANCE_ROOM_UPDATES_PER_S /
 			       (REJECTIONS_USED * rejections));
 	notices->is_idle = FALSE;
--- a/src/core/instance_notices.h
+++ b/src/core/instance_notices.h
@@ -42,8 +42,8 @@
 	unsigned room;		 /* requests that this host may have there */
 	unsigned most_in_flight; /* since the last update of the room */
 	gboolean is_idle;	 /* it has room for one more of each host */
-	unsigned n_cautious; /* updates until this host relies on that again */
-	unsigned n_blocked;  /* updates since it last had no room, down to 0 */
+	unsigned rejected_for; /* updates left until is_idle counts again... */
+	unsigned blocked_for;  /* ...after a rejection, or a lack of room */
 } sr_instance_notices_t;
 
 /** sr_notice_change_t - effects of a notice, as bits. */
