--- a/test/http_test.c
+++ b/test/http_test.c
@@ -290,7 +290,7 @@
 static int connected_fd(const struct sockaddr_in *listener)
 {
 	for (int fd = 3; fd < 256; fd++) {
-		struct sockaddr_in peer;
+		struct sockaddr_in peer = { 0 };
 		socklen_t size = sizeof(peer);
 
 		if (!getpeername(fd, (struct sockaddr *)&peer, &size) &&
