--- a/test/gateway_rig.h
+++ b/test/gateway_rig.h
@@ -26,6 +26,9 @@
 
 typedef struct rig rig_t;
 
+/** Choices of ports for a gateway, until it can listen on all of them. */
+#define RIG_START_ATTEMPTS 10
+
 /** fake_instance_t - an upstream instance that records its requests. */
 typedef struct {
 	rig_t *rig;
@@ -301,11 +304,15 @@
 		observation->outcome != SR_OUTCOME_ANSWERED;
 }
 
-static void rig_open_instance(fake_instance_t *instance)
+/** rig_open_instance - take connections; FALSE if the port is in use. */
+static gboolean rig_open_instance(fake_instance_t *instance)
 {
 	instance->listener = sr_listen(instance->address);
+	if (instance->listener < 0)
+		return FALSE;
 	instance->accept_source = g_unix_fd_add(instance->listener, G_IO_IN,
 						rig_on_accept, instance);
+	return TRUE;
 }
 
 /** rig_refuse_connections - at the instance; old ones live on. */
@@ -346,23 +353,32 @@
 	rig->serve = serve;
 	rig->clock = sr_clock_new_real();
 	rig->metrics = sr_metrics_new();
-	rig_unused_address(rig->caller_address);
-	rig_unused_address(rig->ready_address);
-	rig_unused_address(rig->relay_address);
 	options.caller_address = rig->caller_address;
 	options.ready_address = rig->ready_address;
 	options.relay_address = rig->relay_address;
 	options.clock = rig->clock;
 	options.metrics = rig->metrics;
-	rig->gateway = sr_gateway_new(&options);
-	g_assert(!sr_gateway_start(rig->gateway, &detail));
+	/* another process may take a port between its choice and its use */
+	for (unsigned i = 0; i < RIG_START_ATTEMPTS; i++) {
+		rig_unused_address(rig->caller_address);
+		rig_unused_address(rig->ready_address);
+		rig_unused_address(rig->relay_address);
+		rig->gateway = sr_gateway_new(&options);
+		if (!sr_gateway_start(rig->gateway, &detail))
+			break;
+		sr_gateway_free(rig->gateway);
+		rig->gateway = NULL;
+		g_clear_pointer(&detail, g_free);
+	}
+	g_assert(rig->gateway);
 	for (unsigned i = 0; i < RIG_INSTANCES; i++) {
 		fake_instance_t *instance = &rig->instances[i];
 
 		instance->rig = rig;
 		g_snprintf(instance->name, sizeof(instance->name), "i%u", i);
-		rig_unused_address(instance->address);
-		rig_open_instance(instance);
+		do
+			rig_unused_address(instance->address);
+		while (!rig_open_instance(instance));
 		instance->request_heads = g_string_new(NULL);
 		instance->request_bodies = g_string_new(NULL);
 		instance->connections =
--- a/test/relay_test.c
+++ b/test/relay_test.c
@@ -50,7 +50,7 @@
 static void open_instances(rig_t *rig)
 {
 	for (unsigned i = 0; i < RIG_INSTANCES; i++)
-		rig_open_instance(&rig->instances[i]);
+		assert_true(rig_open_instance(&rig->instances[i]));
 }
 
 /* A request to a gateway whose instances refuse shows that it reaches none. */
