--- a/test/platform_crash_bed.h
+++ b/test/platform_crash_bed.h
@@ -26,6 +26,10 @@
 /** Time from a crash until the instance is registered again, in ms. */
 #define RESTART_MS 1500
 
+/** Tries to take the port of an instance again, and the pause between them. */
+#define LISTEN_RETRIES 20
+#define LISTEN_RETRY_US 20000
+
 typedef struct crash_bed crash_bed_t;
 
 typedef struct {
@@ -234,7 +238,13 @@
 		"\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
 		"\"born\":%" G_GINT64_FORMAT "}",
 		instance->address, instance->born);
+	/* another process may have the port for a moment after a restart */
 	instance->listener = sr_listen(instance->address);
+	for (unsigned i = 0; instance->listener < 0 && i < LISTEN_RETRIES;
+	     i++) {
+		g_usleep(LISTEN_RETRY_US);
+		instance->listener = sr_listen(instance->address);
+	}
 	assert_true(instance->listener >= 0);
 	instance->accept_source = g_unix_fd_add(instance->listener, G_IO_IN,
 						on_instance_accept, instance);
