Serve evacuations of failure domains and bound requests to cold instances

Cause: no source read the platform's evacuations, nor the rate that cold instances bear.

Change: the hosts that watch the store for their failure domain also watch its evacuations, if the settings name a bound for them, and gossip what they see under a kind of rumour that older builds ignore. Instances of an evacuated domain count as absent; the plan of instances orders nothing there. Instances that may be cold (by their entry, after a failed connection, after an evacuation) are paced: a few hosts of their domain divide the rate by token buckets, with a window that grows by answers.

Ruled out: a fourth feed in the notices of watchers, since an older build rejects a notice with another number of feeds.

--- a/src/core/fleet_plan.c
+++ b/src/core/fleet_plan.c
@@ -141,7 +141,7 @@
 	for (guint i = 0; list && i < list->len; i++) {
 		const sr_instance_t *instance = list->pdata[i];
 
-		if (!instance->draining &&
+		if (!instance->draining && !instance->is_evacuated &&
 		    !instance->reclaimable == !reclaimable &&
 		    (!domain || !g_strcmp0(instance->failure_domain, domain)))
 			n++;
@@ -219,9 +219,24 @@
 	return price ? *price : 1;
 }
 
-/* Counts the cheaper domains; ties are broken by name. */
-static unsigned price_rank(const sr_scaling_t *scaling, const char *domain)
+/* Failure domains in which instances can serve, at least 1. */
+static unsigned count_open_domains(const context_t *context)
 {
+	GHashTableIter iter;
+	gpointer domain;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, context->service->scaling->domain_prices);
+	while (g_hash_table_iter_next(&iter, &domain, NULL))
+		n += !sr_instances_is_evacuated(context->instances, domain);
+	return MAX(n, 1);
+}
+
+/* Counts the cheaper domains in which instances can serve; ties are broken by
+ * name. */
+static unsigned price_rank(const context_t *context, const char *domain)
+{
+	const sr_scaling_t *scaling = context->service->scaling;
 	double own_price = domain_price(scaling, domain);
 	GHashTableIter iter;
 	gpointer other;
@@ -232,8 +247,9 @@
 	while (g_hash_table_iter_next(&iter, &other, &price)) {
 		double value = *(double *)price;
 
-		if (value < own_price ||
-		    (value == own_price && g_strcmp0(other, domain) < 0))
+		if (!sr_instances_is_evacuated(context->instances, other) &&
+		    (value < own_price ||
+		     (value == own_price && g_strcmp0(other, domain) < 0)))
 			rank++;
 	}
 	return rank;
@@ -273,9 +289,9 @@
 static unsigned regular_in_domain(const context_t *context, const char *domain)
 {
 	const sr_scaling_t *scaling = context->service->scaling;
-	unsigned n = g_hash_table_size(scaling->domain_prices);
+	unsigned n = count_open_domains(context);
 	unsigned total = regular_total(context);
-	unsigned rank = price_rank(scaling, domain);
+	unsigned rank = price_rank(context, domain);
 
 	return MIN(total / n + (rank < total % n ? 1 : 0), scaling->max);
 }
@@ -286,7 +302,7 @@
 				      const char *domain)
 {
 	const sr_scaling_t *scaling = context->service->scaling;
-	unsigned n = g_hash_table_size(scaling->domain_prices);
+	unsigned n = count_open_domains(context);
 	unsigned other_domains = n > 1 ? n - 1 : 1;
 	unsigned desired = (unsigned)ceil(context->need * RECLAIMABLE_FACTOR /
 					  other_domains);
@@ -433,6 +449,10 @@
 	context.n_releasing = count_releasing(plan, &context);
 	g_hash_table_iter_init(&iter, input->service->scaling->domain_prices);
 	while (g_hash_table_iter_next(&iter, &domain, NULL)) {
+		/* what is ordered there could not serve, what is given back
+		 * would be missing afterwards */
+		if (sr_instances_is_evacuated(input->instances, domain))
+			continue;
 		if (try_order(plan, now, &context, domain, TRUE, order) ||
 		    try_order(plan, now, &context, domain, FALSE, order))
 			return TRUE;
--- a/src/core/gossip.h
+++ b/src/core/gossip.h
@@ -49,7 +49,9 @@
 	SR_RUMOUR_USAGE,       /* key = "node/account"; value = requests in
 				* flight */
 	SR_RUMOUR_STATUS,      /* key = node; value = generation in force and
-				* whether the node drains */
+				* whether the node drains. Among entry hosts of
+				* a gateway key = failure domain, version as in
+				* sr_evacuations_version() */
 	SR_RUMOUR_ROLLOUT,     /* key = "service/version"; version = step */
 	SR_RUMOUR_ROUTE_TABLE, /* key "", version = that of the route table */
 	SR_RUMOUR_INSTANCE,    /* key = instance; version = 2 * revision of its
--- a/src/core/instances.c
+++ b/src/core/instances.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "core/evacuation/evacuations.h"
+
 /** removal_t - the last removal of a name. An instance that was draining has
  * ended; an older copy of its entry may still turn up under a later revision,
  * and is told by its start. */
@@ -17,6 +19,7 @@
 	GHashTable *by_service; /* char * -> GPtrArray of sr_instance_t */
 	GHashTable *removed;	/* char * -> removal_t */
 	GPtrArray *all;
+	sr_evacuations_t *evacuations;
 	guint32 next_id;
 };
 
@@ -60,6 +63,7 @@
 	instances->removed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	instances->all = g_ptr_array_new();
+	instances->evacuations = sr_evacuations_new();
 	instances->next_id = 1;
 	return instances;
 }
@@ -72,6 +76,7 @@
 	g_hash_table_unref(instances->by_name);
 	g_hash_table_unref(instances->removed);
 	g_ptr_array_unref(instances->all);
+	sr_evacuations_free(instances->evacuations);
 	g_free(instances);
 }
 
@@ -129,6 +134,8 @@
 	instance->version = g_strdup(entry->version);
 	instance->start_unix_ms = entry->start_unix_ms;
 	instance->added_at = now;
+	instance->is_evacuated = sr_evacuations_has(instances->evacuations,
+						    entry->failure_domain);
 	update_instance(instance, entry, now);
 	return instance;
 }
@@ -222,6 +229,32 @@
 	return instances->all;
 }
 
+gboolean sr_instances_set_evacuation(sr_instances_t *instances,
+				     const char *domain, guint64 version)
+{
+	if (!sr_evacuations_apply(instances->evacuations, domain, version))
+		return FALSE;
+	for (guint i = 0; i < instances->all->len; i++) {
+		sr_instance_t *instance = instances->all->pdata[i];
+
+		if (!strcmp(instance->failure_domain, domain))
+			instance->is_evacuated =
+				!sr_evacuations_is_end(version);
+	}
+	return TRUE;
+}
+
+gboolean sr_instances_is_evacuated(const sr_instances_t *instances,
+				   const char *domain)
+{
+	return sr_evacuations_has(instances->evacuations, domain);
+}
+
+unsigned sr_instances_count_evacuated(const sr_instances_t *instances)
+{
+	return sr_evacuations_count(instances->evacuations);
+}
+
 sr_usec_t sr_instances_opens_in(const sr_instances_t *instances,
 				const char *service, sr_usec_t now)
 {
@@ -250,8 +283,8 @@
 
 gboolean sr_instance_is_present(const sr_instance_t *instance)
 {
-	return !instance->is_removed && !instance->draining &&
-	       !instance->notices.leaving;
+	return !instance->is_removed && !instance->is_evacuated &&
+	       !instance->draining && !instance->notices.leaving;
 }
 
 gboolean sr_instance_is_usable(const sr_instance_t *instance, sr_usec_t now)
--- a/src/core/instances.h
+++ b/src/core/instances.h
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "core/ejection.h"
 #include "core/instance_notices.h"
+#include "core/pace/instance_pace.h"
 
 /**
  * The registered upstream instances of the gateway: their registry entries and
@@ -45,17 +46,20 @@
 	guint64 revision;
 	gboolean draining;
 	gboolean reclaimable;
-	gboolean is_removed; /* no longer registered */
+	gboolean is_removed;   /* no longer registered */
+	gboolean is_evacuated; /* its failure domain takes no requests */
 	sr_usec_t added_at;
 	sr_usec_t cold_until;
 	sr_usec_t terminates_at; /* 0 if unknown */
 	sr_ejection_t ejection;
 	sr_instance_notices_t notices;
+	sr_instance_pace_t pace;
 	sr_usec_t reported_ended_at; /* by this host; 0 for not */
 	sr_usec_t unreached_at;	     /* last failed connection; 0 for none */
 	unsigned references;
 	/* load of this entry host */
 	unsigned in_flight;
+	unsigned n_waiting;	      /* of in_flight, without any output yet */
 	double pending_prompt_tokens; /* of prompts without a first event */
 	/* load of the other entry hosts, as they last reported it */
 	double peers_in_flight;
@@ -114,8 +118,25 @@
 /** sr_instances_all - registered ones, of sr_instance_t; borrowed. */
 const GPtrArray *sr_instances_all(const sr_instances_t *instances);
 
-/** sr_instance_is_present - registered and not leaving, by its registration or
- * its responses. */
+/**
+ * sr_instances_set_evacuation - apply a change of a failure domain's evacuation
+ *
+ * See sr_evacuations_t. Returns TRUE if the instances of the domain are
+ * evacuated now and weren't before, or the other way round; also those that are
+ * added later.
+ */
+gboolean sr_instances_set_evacuation(sr_instances_t *instances,
+				     const char *domain, guint64 version);
+
+/** sr_instances_is_evacuated - whether a failure domain is evacuated. */
+gboolean sr_instances_is_evacuated(const sr_instances_t *instances,
+				   const char *domain);
+
+/** sr_instances_count_evacuated - number of evacuated failure domains. */
+unsigned sr_instances_count_evacuated(const sr_instances_t *instances);
+
+/** sr_instance_is_present - registered, not evacuated, and not leaving, by its
+ * registration or its responses. */
 gboolean sr_instance_is_present(const sr_instance_t *instance);
 
 /** sr_instance_is_usable - present and not ejected. */
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -186,7 +186,7 @@
 		guint64 score;
 
 		if (!sr_instance_is_usable(instance, now) ||
-		    instance->notices.is_limited ||
+		    instance->notices.is_limited || instance->pace.is_paced ||
 		    !is_allowed_version(request, instance))
 			continue;
 		score = sr_rendezvous_score(instance->name, key);
@@ -296,6 +296,8 @@
 	    !sr_instance_notices_allow(&instance->notices, now) ||
 	    !sr_instance_notices_has_room(&instance->notices,
 					  instance->in_flight) ||
+	    !sr_instance_pace_allows(&instance->pace, instance->n_waiting,
+				     now) ||
 	    !is_allowed_version(request, instance) ||
 	    !is_among_first(request, list, instance, now))
 		return FALSE;
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -58,6 +58,13 @@
 	GHashTable *domain_prices; /* failure domain -> double *, per second */
 } sr_scaling_t;
 
+/** sr_warm_up_t - instances of a service that have become cold; all zero if the
+ * platform names nothing. */
+typedef struct {
+	sr_usec_t duration; /* for which an instance is cold after its start */
+	double rate;	    /* requests/s that a cold instance bears */
+} sr_warm_up_t;
+
 /** sr_gateway_service_t - a service that routes refer to. */
 typedef struct {
 	char *name;
@@ -67,6 +74,7 @@
 	unsigned slots;		  /* of an engine; concurrent requests */
 	guint64 memory_tokens;	  /* of an engine; KV cache capacity */
 	sr_scaling_t *scaling;	  /* NULL if instances are not ordered */
+	sr_warm_up_t warm_up;
 } sr_gateway_service_t;
 
 /** sr_caller_limits_t - limits on the requests of callers. */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -195,6 +195,8 @@
 		     "version", revision, "source", source, NULL);
 	if (change != SR_INSTANCE_UPDATED)
 		sr_notice_gossip_restore(fleet, entry->name);
+	sr_gateway_pace_registered(fleet->options.gateway, entry->name,
+				   entry->cold_for);
 	return TRUE;
 }
 
@@ -281,6 +283,9 @@
 	case SR_RUMOUR_RECALL:
 		sr_crash_gossip_receive_state(fleet, rumour);
 		break;
+	case SR_RUMOUR_STATUS:
+		sr_evacuation_gossip_receive(fleet, rumour);
+		break;
 	case SR_RUMOUR_HOST_STATE:
 		sr_notice_gossip_receive(fleet, rumour);
 		break;
@@ -295,11 +300,16 @@
 	}
 }
 
+gboolean sr_fleet_is_settled(const sr_fleet_t *fleet)
+{
+	return sr_fleet_now(fleet) - fleet->started_at >= SETTLE_TIME;
+}
+
 unsigned sr_fleet_sharing_hosts(const sr_fleet_t *fleet)
 {
 	unsigned n = sr_fleet_host_count(fleet);
 
-	if (sr_fleet_now(fleet) - fleet->started_at < SETTLE_TIME)
+	if (!sr_fleet_is_settled(fleet))
 		return MAX(n, fleet->expected_hosts > 0 ?
 				      fleet->expected_hosts :
 				      UNSETTLED_HOSTS);
@@ -454,6 +464,7 @@
 					  sr_fleet_sharing_hosts(fleet));
 		sr_usage_exchange_send(fleet);
 		sr_notice_gossip_tick(fleet);
+		sr_pace_tick(fleet);
 		sr_fleet_drops_tick(fleet);
 		sr_pool_requests_tick(fleet);
 	}
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -95,6 +95,14 @@
 void sr_fleet_remove_instance(sr_fleet_t *fleet, const char *name,
 			      guint64 revision);
 
+/** sr_fleet_set_evacuation - apply what the platform says of a failure domain:
+ * evacuated, or not any more. */
+void sr_fleet_set_evacuation(sr_fleet_t *fleet, const char *domain,
+			     guint64 revision, gboolean is_evacuated);
+
+/** sr_fleet_share_pace - decide whether this host sends to a paced instance. */
+void sr_fleet_share_pace(sr_fleet_t *fleet, sr_instance_t *instance);
+
 /** sr_fleet_count_request - count a request of the account that an instance
  * has executed, or may have. */
 void sr_fleet_count_request(sr_fleet_t *fleet, const char *account);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -150,6 +150,23 @@
  * have said of it. */
 void sr_notice_gossip_restore(sr_fleet_t *fleet, const char *instance);
 
+/** sr_notice_gossip_sharing - number of hosts that divide what an instance
+ * takes, most at most; 0 if this host is none of them. */
+unsigned sr_notice_gossip_sharing(const sr_fleet_t *fleet,
+				  const sr_instance_t *instance, unsigned most);
+
+/* evacuation_gossip.c: evacuated failure domains, and paced instances */
+
+void sr_evacuation_gossip_receive(sr_fleet_t *fleet, const sr_rumour_t *rumour);
+
+/** sr_pace_tick - update which hosts send to paced instances; call once a
+ * second. */
+void sr_pace_tick(sr_fleet_t *fleet);
+
+/** sr_fleet_is_settled - FALSE in the first moments after a start, in which
+ * other hosts may not be known yet. */
+gboolean sr_fleet_is_settled(const sr_fleet_t *fleet);
+
 /* crash_gossip.c: instances that ended, and what requests held then */
 
 void sr_crash_gossip_receive_report(sr_fleet_t *fleet,
--- a/src/fleet/notice_gossip.c
+++ b/src/fleet/notice_gossip.c
@@ -11,11 +11,9 @@
 /* The hosts of the instance's own failure domain divide its limit, in an order
  * that they agree on. If none of them is known, the delegates of all domains
  * do. */
-static unsigned sharing_hosts(const sr_fleet_t *fleet,
-			      const sr_instance_t *instance)
+unsigned sr_notice_gossip_sharing(const sr_fleet_t *fleet,
+				  const sr_instance_t *instance, unsigned most)
 {
-	unsigned most =
-		sr_instance_notices_max_hosts(instance->notices.rate_limit);
 	GPtrArray *names = sr_members_names_in_domain(fleet->members,
 						      instance->failure_domain);
 	guint64 own = sr_rendezvous_score(fleet->options.node, instance->name);
@@ -39,9 +37,13 @@
 
 static void update_sharing(const sr_fleet_t *fleet, sr_instance_t *instance)
 {
-	sr_instance_notices_set_sharing(&instance->notices,
-					sharing_hosts(fleet, instance),
-					sr_fleet_now(fleet));
+	unsigned most =
+		sr_instance_notices_max_hosts(instance->notices.rate_limit);
+
+	sr_instance_notices_set_sharing(
+		&instance->notices,
+		sr_notice_gossip_sharing(fleet, instance, most),
+		sr_fleet_now(fleet));
 }
 
 void sr_notice_gossip_tick(sr_fleet_t *fleet)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -73,6 +73,12 @@
 	metrics->services_unreached = sr_metrics_gauge(
 		registry, "sassafras_gateway_services_unreached",
 		"services of which this host reaches no instance", NULL);
+	metrics->evacuated_domains = sr_metrics_gauge(
+		registry, "sassafras_gateway_evacuated_domains",
+		"failure domains whose instances get no requests", NULL);
+	metrics->paced = sr_metrics_gauge(
+		registry, "sassafras_gateway_paced_instances",
+		"instances that may be cold and get few requests", NULL);
 	metrics->relayed =
 		sr_metrics_counter(registry, "sassafras_gateway_relayed_total",
 				   "requests passed on to another host", NULL);
@@ -236,6 +242,7 @@
 		sr_session_sweep(sr_session_of_link(link), now);
 	sr_transactions_sweep(gateway);
 	sr_gateway_update_rooms(gateway);
+	sr_gateway_update_paces(gateway);
 	sr_connection_pool_sweep(gateway->connection_pool, now);
 	sr_connection_pool_sweep(gateway->relay_pool, now);
 	advance_stop(gateway, now);
@@ -349,6 +356,8 @@
 	if (!instance)
 		return;
 	sr_connection_pool_evict(gateway->connection_pool, instance->id);
+	if (instance->pace.is_paced)
+		sr_gauge_add(gateway->metrics.paced, -1);
 	sr_prefix_index_remove_upstream(gateway->prefix_index, instance->id);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,11 +54,15 @@
 	double retry_ratio;	/* retries per request; 0: default */
 	double retry_slack; /* burst of retries over all hosts; 0: default */
 	sr_allowance_tolerance_t allowance; /* zeroes for none */
-	const sr_dialect_t *dialect;	    /* borrowed */
-	sr_clock_t *clock;		    /* borrowed */
-	sr_log_t *log;			    /* borrowed; may be NULL */
-	sr_metrics_t *metrics;		    /* borrowed */
-	guint64 seed;			    /* of the random numbers */
+	/* Requests that a cold instance bears in a second, beside the rate of
+	 * its service; see sr_pace_bound_t. */
+	double warm_up_overage;
+	double warm_up_slack;
+	const sr_dialect_t *dialect; /* borrowed */
+	sr_clock_t *clock;	     /* borrowed */
+	sr_log_t *log;		     /* borrowed; may be NULL */
+	sr_metrics_t *metrics;	     /* borrowed */
+	guint64 seed;		     /* of the random numbers */
 	/* An instance has executed a request of the account, or may have;
 	 * called once per request. May be NULL. */
 	void (*request_executed)(void *user, const char *account);
@@ -69,6 +73,9 @@
 	/* An instance has said something new of itself in a response; may be
 	 * NULL. */
 	void (*instance_noticed)(void *user, sr_instance_t *instance);
+	/* An instance is paced from now on; may be NULL, which lets this host
+	 * send nothing to it meanwhile. */
+	void (*instance_paced)(void *user, sr_instance_t *instance);
 	/* An instance has ended under requests of this host; may be NULL. */
 	void (*instance_ended)(void *user, const sr_crash_report_t *report);
 	/* A request has survived whose fingerprint was suspect; may be NULL. */
@@ -143,6 +150,17 @@
 void sr_gateway_apply_notice(sr_gateway_t *gateway, sr_instance_t *instance,
 			     const sr_notice_t *notice);
 
+/** sr_gateway_pace_registered - a registration says for how long an instance is
+ * cold. */
+void sr_gateway_pace_registered(sr_gateway_t *gateway, const char *name,
+				sr_usec_t cold_for);
+
+/** sr_gateway_set_evacuation - apply a change of a failure domain's evacuation;
+ * returns as sr_instances_set_evacuation(). At its end the instances of the
+ * domain may be cold. */
+gboolean sr_gateway_set_evacuation(sr_gateway_t *gateway, const char *domain,
+				   guint64 version);
+
 /** sr_gateway_suspects - quarantined fingerprints of requests and those that
  * may become so; borrowed. Change them by the functions below. */
 const sr_crash_suspects_t *sr_gateway_suspects(const sr_gateway_t *gateway);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -50,6 +50,8 @@
 	sr_counter_t *probes;
 	sr_gauge_t *quarantined;
 	sr_gauge_t *services_unreached;
+	sr_gauge_t *evacuated_domains;
+	sr_gauge_t *paced;
 	sr_counter_t *relayed;
 	sr_histogram_t *duration;    /* s */
 	sr_histogram_t *first_event; /* s */
@@ -333,6 +335,15 @@
  * be called periodically. */
 void sr_gateway_update_rooms(sr_gateway_t *gateway);
 
+/* pace.c: instances that may be cold */
+
+/** sr_gateway_pace_unreached - no connection to the instance could be
+ * established: it may have ended, and come back cold. */
+void sr_gateway_pace_unreached(sr_gateway_t *gateway, sr_instance_t *instance);
+
+/** sr_gateway_update_paces - ends what is due; to be called periodically. */
+void sr_gateway_update_paces(sr_gateway_t *gateway);
+
 /* instance_check.c: whether an instance that cut off attempts has ended */
 
 /**
--- a/src/gateway/reach.c
+++ b/src/gateway/reach.c
@@ -257,6 +257,7 @@
 	if (!sr_instance_is_present(instance))
 		return;
 	instance->unreached_at = now;
+	sr_gateway_pace_unreached(gateway, instance);
 	sr_gateway_probe_service(gateway, instance->service);
 	if (!sr_reach_failed(reach, now, instance->id, how, n_present))
 		return;
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -18,6 +18,19 @@
 #define STOP_TIME_MIN SR_SEC
 #define STOP_DURATION_FACTOR 4
 
+/* The first output of an attempt shows the pace that its instance bears. */
+static void record_output(const sr_transaction_t *transaction)
+{
+	sr_usec_t target = transaction->route->latency_target;
+	sr_usec_t elapsed =
+		sr_transaction_now(transaction) - transaction->sent_at;
+
+	if (transaction->attempt && !sr_attempt_is_relay(transaction->attempt))
+		sr_instance_pace_answered(
+			&sr_attempt_instance(transaction->attempt)->pace,
+			target <= 0 || elapsed <= target);
+}
+
 static void record_event(sr_transaction_t *transaction)
 {
 	sr_gateway_service_state_t *state = sr_gateway_service_state(
@@ -36,8 +49,10 @@
 	transaction->prefill_backlog = -1;
 	sr_transaction_release_prefill(transaction);
 	sr_transaction_report_execution(transaction);
-	if (transaction->n_events++ == 0)
+	if (transaction->n_events++ == 0) {
 		transaction->output_at = sr_transaction_now(transaction);
+		record_output(transaction);
+	}
 	sr_transaction_report_output(transaction);
 }
 
@@ -226,9 +241,12 @@
 	sr_usec_t now = sr_transaction_now(transaction);
 
 	instance->in_flight++;
+	instance->n_waiting++;
+	transaction->is_waiting = TRUE;
 	instance->notices.most_in_flight =
 		MAX(instance->notices.most_in_flight, instance->in_flight);
 	sr_instance_notices_sent(&instance->notices, now);
+	sr_instance_pace_sent(&instance->pace, now);
 	sr_ejection_begin(&instance->ejection, now);
 	transaction->expected_first_event_s = choice->first_event_s;
 	transaction->prefill_tokens = choice->uncached_tokens;
@@ -276,6 +294,8 @@
 	if (transaction->attempt)
 		return;
 	choice->instance->in_flight--;
+	choice->instance->n_waiting--;
+	transaction->is_waiting = FALSE;
 	choice->instance->pending_prompt_tokens -= transaction->prefill_tokens;
 	transaction->n_unsent++;
 	sr_transaction_conclude_attempt(
@@ -357,6 +377,7 @@
 		break;
 	case SR_ATTEMPT_REJECTED:
 		sr_ejection_abandoned(ejection);
+		sr_instance_pace_rejected(&instance->pace);
 		if (sr_attempt_message(transaction->attempt)->status == 503)
 			sr_gateway_instance_is_full(transaction->gateway,
 						    instance);
@@ -526,8 +547,11 @@
 		if (transaction->route->kind != SR_ROUTE_STREAM)
 			sr_transaction_report_execution(transaction);
 	}
-	if (outcome == SR_ATTEMPT_ANSWERED)
+	if (outcome == SR_ATTEMPT_ANSWERED) {
 		observe_duration(transaction);
+		if (transaction->n_events == 0)
+			record_output(transaction);
+	}
 	if (outcome == SR_ATTEMPT_ANSWERED &&
 	    sr_transaction_is_event_stream(transaction))
 		sr_transaction_finish_stream(transaction);
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -37,6 +37,7 @@
 	sr_usec_t first_event_at;
 	/* Share of the prompt in the instance's pending_prompt_tokens. */
 	double prefill_tokens;
+	gboolean is_waiting; /* counts in the instance's n_waiting */
 	/* The instance's pending_prompt_tokens after sending; -1 after the
 	 * first event. */
 	double prefill_backlog;
@@ -159,8 +160,9 @@
 /** sr_transaction_report_execution - calls options.request_executed, once. */
 void sr_transaction_report_execution(sr_transaction_t *transaction);
 
-/** sr_transaction_release_prefill - removes the prompt from the instance's
- * pending_prompt_tokens, as it was read or never will be. */
+/** sr_transaction_release_prefill - removes the request from those that wait
+ * at the instance and its prompt from the pending ones, as it was read or never
+ * will be. */
 void sr_transaction_release_prefill(sr_transaction_t *transaction);
 
 /** sr_transaction_drop_attempt - cancels the current attempt, if any. */
--- a/src/gateway/transaction_response.c
+++ b/src/gateway/transaction_response.c
@@ -12,11 +12,16 @@
 
 void sr_transaction_release_prefill(sr_transaction_t *transaction)
 {
+	sr_instance_t *instance;
+
 	if (!transaction->attempt)
 		return;
-	sr_attempt_instance(transaction->attempt)->pending_prompt_tokens -=
-		transaction->prefill_tokens;
+	instance = sr_attempt_instance(transaction->attempt);
+	instance->pending_prompt_tokens -= transaction->prefill_tokens;
 	transaction->prefill_tokens = 0;
+	if (transaction->is_waiting)
+		instance->n_waiting--;
+	transaction->is_waiting = FALSE;
 }
 
 void sr_transaction_drop_attempt(sr_transaction_t *transaction)
--- a/test/platform_bed.h
+++ b/test/platform_bed.h
@@ -16,6 +16,8 @@
 	bed_t *bed;
 	SoupServer *server;
 	const char *version;
+	const char *failure_domain;
+	unsigned cold_ms; /* that its registration names */
 	unsigned n_requests;
 	gboolean fails;	     /* every other request */
 	gboolean turns_away; /* with 503, not run */
@@ -80,8 +82,11 @@
 	char *key = g_strdup_printf("servers/i-%u", i);
 	char *spec = g_strdup_printf(
 		"{\"service\":\"desk\",\"address\":\"127.0.0.1:%d\",\"zone\":"
-		"\"z\",\"version\":\"%s\",\"slots\":8,\"state\":\"ready\"}",
-		port_of(bed->upstreams[i].server), bed->upstreams[i].version);
+		"\"%s\",\"version\":\"%s\",\"slots\":8,\"state\":\"ready\","
+		"\"cold_remaining_ms\":%u}",
+		port_of(bed->upstreams[i].server),
+		bed->upstreams[i].failure_domain, bed->upstreams[i].version,
+		bed->upstreams[i].cold_ms);
 
 	put_text(&bed->store, key, spec);
 	g_free(spec);
@@ -103,19 +108,22 @@
 
 	bed->clock = sr_clock_new_real();
 	store_init(&bed->store);
-	put_text(&bed->store, "config/main",
-		 "{\"version\":1,\"route_table\":[{\"name\":\"book\",\"host\":"
-		 "\"h.example\",\"path_prefix\":\"/\",\"kind\":"
-		 "\"non_idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":"
-		 "500,\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,"
-		 "\"public\":true}],\"services\":[{\"name\":\"desk\"}],"
-		 "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":"
-		 "65536},\"tenants\":[]}");
+	put_text(
+		&bed->store, "config/main",
+		"{\"version\":1,\"route_table\":[{\"name\":\"book\",\"host\":"
+		"\"h.example\",\"path_prefix\":\"/\",\"kind\":"
+		"\"non_idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":"
+		"500,\"priority\":1,\"service\":\"desk\",\"max_attempts\":2,"
+		"\"public\":true}],\"services\":[{\"name\":\"desk\",\"cold_start_s\":3,"
+		"\"cold_per_s\":9.5}],"
+		"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":"
+		"65536},\"tenants\":[]}");
 	for (unsigned i = 0; i < G_N_ELEMENTS(versions); i++) {
 		upstream_t *upstream = &bed->upstreams[i];
 
 		upstream->bed = bed;
 		upstream->version = versions[i];
+		upstream->failure_domain = "z";
 		upstream->server = listen_local(on_upstream_call, upstream);
 		upstream->times = g_array_new(FALSE, FALSE, sizeof(gint64));
 	}
--- a/test/platform_store.h
+++ b/test/platform_store.h
@@ -25,6 +25,7 @@
 typedef struct {
 	SoupServer *server;
 	json_object *objects; /* "KIND/NAME" -> object */
+	json_object *removed; /* "KIND/NAME" -> object, as last seen */
 	gint64 revision;
 } store_t;
 
@@ -116,11 +117,21 @@
 	put(store, key, "spec", value);
 }
 
-static json_object *list_kind(store_t *store, const char *kind, gint64 after)
+static inline void remove_object(store_t *store, const char *key)
 {
-	json_object *items = json_object_new_array();
+	json_object *object = NULL;
 
-	json_object_object_foreach(store->objects, key, object)
+	assert_true(json_object_object_get_ex(store->objects, key, &object));
+	json_object_get(object);
+	json_object_object_del(store->objects, key);
+	touch(store, object);
+	json_object_object_add(store->removed, key, object);
+}
+
+static void list_objects(json_object *objects, const char *kind, gint64 after,
+			 gboolean are_removed, json_object *items)
+{
+	json_object_object_foreach(objects, key, object)
 	{
 		if (strncmp(key, kind, strlen(kind)) != 0 ||
 		    key[strlen(kind)] != '/' || revision_of(object) <= after)
@@ -132,11 +143,21 @@
 
 			json_object_object_add(event, "object",
 					       json_object_get(object));
-			json_object_object_add(event, "removed",
-					       json_object_new_boolean(FALSE));
+			json_object_object_add(
+				event, "removed",
+				json_object_new_boolean(are_removed));
 			json_object_array_add(items, event);
 		}
 	}
+}
+
+static json_object *list_kind(store_t *store, const char *kind, gint64 after)
+{
+	json_object *items = json_object_new_array();
+
+	list_objects(store->objects, kind, after, FALSE, items);
+	if (after >= 0)
+		list_objects(store->removed, kind, after, TRUE, items);
 	return items;
 }
 
@@ -275,6 +296,7 @@
 static void store_init_at(store_t *store, int port)
 {
 	store->objects = json_object_new_object();
+	store->removed = json_object_new_object();
 	store->server = listen_at(port, on_store_call, store);
 }
 
@@ -287,6 +309,7 @@
 {
 	g_object_unref(store->server);
 	json_object_put(store->objects);
+	json_object_put(store->removed);
 }
 
 /* The entry host. */
@@ -321,7 +344,8 @@
 		"\"allowance_slack\":190000,\"usage_window_s\":5,"
 		"\"usage_due_s\":10,\"lease_ms\":1000,\"apply_ms\":2000,"
 		"\"drain_ms\":2000,\"exposure_share\":0.1,"
-		"\"exposure_slack\":50}}",
+		"\"exposure_slack\":50,\"evacuate_ms\":5000,"
+		"\"warm_up_overage\":1.5,\"warm_up_slack\":5}}",
 		place->node, place->failure_domain, ip, place->caller_port, ip,
 		unused_port(), ip, unused_port(), ip, place->peer_port, ip,
 		place->relay_port, place->seeds, place->store_port,
