Grant small requests first when an account asks for more than its limit

Change: a pool keeps up to a quarter of what it may grant for the requests that cost less than half of the account's average, as far as these are asked for and not granted yet. The sum of grants is bounded as before.

Ruled out: a fixed part for small requests, which is lost where all cost the same.

Result: test_hot_account_gets_its_small_requests fails before and passes now, also with equal costs, where nothing is kept back.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -34,6 +34,22 @@
  * the same reason and for pools that change their holder. */
 #define POOL_USED_FRACTION 0.92
 
+/** Requests that cost less than this fraction of the average are small. When an
+ * account asks for more than its limit, many small ones are granted in place of
+ * one large one: a third of a mix of long and short prompts costs a tenth of
+ * its tokens. */
+#define SMALL_COST_RATIO 0.5
+
+/** Largest fraction of a pool that is kept for small requests. */
+#define SMALL_FRACTION_MAX 0.25
+
+/** Time constant of the demand of small requests, in s: known before an account
+ * that becomes hot has used up what a window allows. */
+#define SMALL_DEMAND_TIME_CONSTANT_S 1.0
+
+/** Weight of a request in the average cost of an account. */
+#define MEAN_COST_WEIGHT 0.02
+
 /** Fraction of a limit that is kept by the hosts if they are few; the rest is
  * in its pools. With more than FEW_HOSTS it falls with their number. */
 #define LOCAL_FRACTION 0.5
@@ -74,8 +90,11 @@
 
 /** pool_t - what a pool has granted in the last window, by slots of time. */
 typedef struct {
-	double granted[POOL_SLOTS]; /* ring, by slot number */
-	gint64 slot;		    /* the latest one */
+	double granted[POOL_SLOTS];	  /* ring, by slot number */
+	double granted_small[POOL_SLOTS]; /* part of it; see SMALL_COST_RATIO */
+	double small_per_s; /* moving average, whether or not granted */
+	sr_usec_t demanded_at;
+	gint64 slot; /* the latest one */
 } pool_t;
 
 typedef struct {
@@ -88,7 +107,8 @@
 	double share; /* fraction of the rate; follows target_share() */
 	sr_usec_t share_updated_at;
 	demand_t own;
-	GHashTable *peers;		  /* host name -> demand_t */
+	GHashTable *peers; /* host name -> demand_t */
+	double mean_cost;  /* of the requests to the pools; 0 for none */
 	pool_t pools[SR_ALLOWANCE_POOLS]; /* used while this host holds them */
 	gboolean is_held[SR_ALLOWANCE_POOLS];
 	gboolean is_restored[SR_ALLOWANCE_POOLS];
@@ -407,19 +427,26 @@
 
 	if (slot - pool->slot >= POOL_SLOTS)
 		pool->slot = slot - POOL_SLOTS;
-	while (pool->slot < slot)
+	while (pool->slot < slot) {
 		pool->granted[++pool->slot % POOL_SLOTS] = 0;
+		pool->granted_small[pool->slot % POOL_SLOTS] = 0;
+	}
 }
 
-static double sum_granted(const pool_t *pool)
+static double sum_slots(const double *slots)
 {
 	double sum = 0;
 
 	for (unsigned i = 0; i < POOL_SLOTS; i++)
-		sum += pool->granted[i];
+		sum += slots[i];
 	return sum;
 }
 
+static double sum_granted(const pool_t *pool)
+{
+	return sum_slots(pool->granted);
+}
+
 /* Time until the grants of the window have fallen by an amount. */
 static sr_usec_t time_until_freed(const sr_allowance_t *allowance,
 				  const pool_t *pool, sr_usec_t now,
@@ -555,6 +582,37 @@
 	get_bucket(allowance, now, account)->is_held[pool] = FALSE;
 }
 
+/* Records what the account asks of the pool; returns whether the request is
+ * small. */
+static gboolean record_pool_demand(bucket_t *bucket, pool_t *pool,
+				   sr_usec_t now, double amount)
+{
+	gboolean is_small = amount < SMALL_COST_RATIO * bucket->mean_cost;
+
+	if (bucket->mean_cost <= 0)
+		bucket->mean_cost = amount;
+	bucket->mean_cost += MEAN_COST_WEIGHT * (amount - bucket->mean_cost);
+	pool->small_per_s *= exp(-seconds_since(pool->demanded_at, now) /
+				 SMALL_DEMAND_TIME_CONSTANT_S);
+	if (is_small)
+		pool->small_per_s += amount / SMALL_DEMAND_TIME_CONSTANT_S;
+	pool->demanded_at = now;
+	return is_small;
+}
+
+/* What is kept for the small requests that are expected within a window and
+ * have not been granted yet. */
+static double kept_for_small(const sr_allowance_t *allowance,
+			     const pool_t *pool, double limit)
+{
+	double window_s = (double)allowance->tolerance.window / SR_SEC;
+	double expected = pool->small_per_s * window_s;
+
+	return MAX(MIN(expected, SMALL_FRACTION_MAX * limit) -
+			   sum_slots(pool->granted_small),
+		   0);
+}
+
 sr_usec_t sr_allowance_take_from_pool(sr_allowance_t *allowance, sr_usec_t now,
 				      const char *account, unsigned pool,
 				      double amount)
@@ -563,10 +621,14 @@
 	double limit = pool_limit(allowance, bucket);
 	pool_t *from = &bucket->pools[pool];
 	double granted;
+	gboolean is_small;
 
 	if (limit <= 0)
 		return SR_SEC; /* limit or fraction not set yet */
 	advance_pool(allowance, from, now);
+	is_small = record_pool_demand(bucket, from, now, amount);
+	if (!is_small)
+		limit -= kept_for_small(allowance, from, limit);
 	granted = sum_granted(from);
 	/* a request that is larger than the limit takes the whole pool */
 	if (granted > 0 && granted + amount > limit)
@@ -574,6 +636,8 @@
 					    granted + amount - limit),
 			   1);
 	from->granted[from->slot % POOL_SLOTS] += amount;
+	if (is_small)
+		from->granted_small[from->slot % POOL_SLOTS] += amount;
 	return 0;
 }
 
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -677,6 +677,60 @@
 	assert_true(fraction > 0.98);
 }
 
+/* Tokens granted by one pool to an account that asks for four times its limit
+ * for a window. Every third request costs large, the others small; sets the
+ * number of small ones refused. */
+static double grant_hot_mix(double small, double large, double *refused)
+{
+	sr_allowance_t *holder = sr_allowance_new();
+	const sr_allowance_tolerance_t window = { .window = 8 * SR_SEC };
+	const double rate = 1e6;
+	const double asked_per_s = 4 * rate / SR_ALLOWANCE_POOLS;
+	sr_usec_t now = SR_MINUTE;
+	double granted = 0;
+	double asked = 0;
+	unsigned n_small = 0;
+	unsigned n_refused = 0;
+
+	sr_allowance_set_host_count(holder, 63);
+	sr_allowance_set_tolerance(holder, &window);
+	sr_allowance_enable_pools(holder);
+	sr_allowance_set_pool_fraction(holder, 1);
+	sr_allowance_set_limit(holder, now, "a", rate, rate);
+	now += 20 * SR_SEC;
+	for (unsigned i = 0; asked < asked_per_s * 8; i++) {
+		double cost = i % 3 == 0 ? large : small;
+		gboolean is_granted =
+			!sr_allowance_take_from_pool(holder, now, "a", 0, cost);
+
+		asked += cost;
+		granted += is_granted ? cost : 0;
+		n_small += i % 3 != 0;
+		n_refused += !is_granted && i % 3 != 0;
+		now += (sr_usec_t)(cost / asked_per_s * SR_SEC);
+	}
+	sr_allowance_free(holder);
+	*refused = (double)n_refused / n_small;
+	return granted;
+}
+
+/* Load: a hot account with long and short prompts at many hosts. Guards against
+ * the refusals of 2026-12-04 on trouble-1 of a customer: 3,467 of 6,742 cost
+ * less than 2,500 tokens, while long prompts took the limit. With equal costs
+ * nothing of the limit is kept back. */
+static void test_hot_account_gets_its_small_requests(void **state)
+{
+	double refused;
+	double of_equal = grant_hot_mix(8000, 8000, &refused);
+	double of_mix = grant_hot_mix(400, 16000, &refused);
+
+	(void)state;
+	/* by lot three quarters would be refused */
+	assert_true(refused <= 0.25);
+	assert_true(of_mix <= 1.01 * of_equal);
+	assert_true(of_mix >= 0.95 * of_equal);
+}
+
 static void test_refusal_returns_wait(void **state)
 {
 	sr_allowance_t *host = new_host(SR_SEC, FALSE);
@@ -711,6 +765,7 @@
 		cmocka_unit_test(test_burst_within_the_window_is_admitted),
 		cmocka_unit_test(test_hot_account_at_hundreds_of_hosts),
 		cmocka_unit_test(test_account_below_limit_at_hundreds_of_hosts),
+		cmocka_unit_test(test_hot_account_gets_its_small_requests),
 		cmocka_unit_test(test_refusal_returns_wait),
 	};
 
