Spread the datagrams of the load exchange over time

A collector sent the load of all instances, six datagrams, to each of the 16 hosts of its failure domain at once, four times a second; links of 10 Mbit/s drop what overruns their queue, and a total of which a part is missing is not used. Placement, admission and the plan of instances work on nothing then.

Change: datagrams of the exchange pass a queue that sends 256 kB a second, a fifth of the slowest link, and the next sum is made once the queue is empty. The interval therefore grows with the size of the sum instead of the loss.

Ruled out: processor time (0.04 of a core at most, 0.12 given), the size limit of a sum (no control-dropped line).

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -452,7 +452,7 @@
 		if (sr_fleet_host_count(fleet) <= DEMAND_HOSTS_MAX)
 			sr_demand_gossip_publish(fleet);
 	}
-	if (now >= fleet->next_load_at) {
+	if (now >= fleet->next_load_at && !sr_load_report_is_sending(fleet)) {
 		fleet->next_load_at =
 			now + sr_load_exchange_interval(fleet->load_exchange);
 		sr_load_report_tick(fleet);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -7,6 +7,7 @@
 #include "daemon/members.h"
 #include "fleet/fleet.h"
 #include "fleet/load_exchange.h"
+#include "fleet/send_queue.h"
 #include "peer/peer.h"
 
 /** Shared by the source files of sr_fleet_t only. */
@@ -44,6 +45,7 @@
 	sr_usec_t behind_since; /* 0 if not behind the peers */
 	/* load of all hosts, and engine work of this one; load_report.c */
 	sr_load_exchange_t *load_exchange;
+	sr_send_queue_t *load_datagrams;
 	GHashTable *engine_work; /* service -> work_t */
 	gboolean is_load_known;	 /* as logged last */
 	sr_rollouts_t *rollouts;
@@ -115,6 +117,9 @@
  * the gateway's table of instances; call at the interval of the exchange. */
 void sr_load_report_tick(sr_fleet_t *fleet);
 
+/** sr_load_report_is_sending - datagrams of the last tick are still waiting. */
+gboolean sr_load_report_is_sending(const sr_fleet_t *fleet);
+
 /** sr_load_report_total - the latest load of all hosts, NULL if there is none;
  * is_known is FALSE if it includes too few of them. */
 const sr_load_sum_t *sr_load_report_total(const sr_fleet_t *fleet,
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -12,6 +12,13 @@
 /** The same for the use of pools: the holder of one may be any host. */
 #define USE_FRACTION_MIN 0.95
 
+/** Interval at which datagrams are sent, and the most bytes of one: 256 kB a
+ * second, a fifth of a link of 10 Mbit/s. A collector that sent a total to all
+ * hosts of its domain at once overran the queue of such a link, and a total of
+ * which one datagram is missing is of no use. */
+#define SEND_INTERVAL (10 * SR_MSEC)
+#define SEND_BYTES_MAX 2560
+
 /** work_t - engine time that the prompts of this host need at a service. */
 typedef struct {
 	double total_s; /* only grows */
@@ -19,10 +26,22 @@
 	sr_usec_t updated_at;
 } work_t;
 
+static void send_now(void *user, const char *address, const guint8 *data,
+		     gsize size)
+{
+	sr_peer_send_datagram(((sr_fleet_t *)user)->peer, address, data, size);
+}
+
+gboolean sr_load_report_is_sending(const sr_fleet_t *fleet)
+{
+	return !sr_send_queue_is_empty(fleet->load_datagrams);
+}
+
 static void send_datagram(void *user, const char *address, const guint8 *data,
 			  gsize size)
 {
-	sr_peer_send_datagram(((sr_fleet_t *)user)->peer, address, data, size);
+	sr_send_queue_push(((sr_fleet_t *)user)->load_datagrams, address, data,
+			   size);
 }
 
 static const work_t *update_work(sr_fleet_t *fleet, const char *service,
@@ -133,7 +152,15 @@
 		.total_changed = apply_total,
 		.user = fleet,
 	};
+	const sr_send_queue_options_t queue = {
+		.clock = fleet->options.clock,
+		.interval = SEND_INTERVAL,
+		.bytes_max = SEND_BYTES_MAX,
+		.send = send_now,
+		.user = fleet,
+	};
 
+	fleet->load_datagrams = sr_send_queue_new(&queue);
 	fleet->load_exchange =
 		sr_load_exchange_new(&options, sr_fleet_now(fleet));
 	fleet->engine_work =
@@ -142,6 +169,7 @@
 
 void sr_load_report_clear(sr_fleet_t *fleet)
 {
+	sr_send_queue_free(fleet->load_datagrams);
 	sr_load_exchange_free(fleet->load_exchange);
 	g_hash_table_unref(fleet->engine_work);
 }
