Explain where a request would go, without sending it

The reasons are those of the selection itself, which now returns them (sr_placement_exclusion_t) where it returned only whether an instance is a candidate.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -283,6 +283,52 @@
 	return instance->cold_until > now ? seconds * COLD_FACTOR : seconds;
 }
 
+const char *sr_placement_exclusion_name(sr_placement_exclusion_t exclusion)
+{
+	switch (exclusion) {
+	case SR_PLACEMENT_CANDIDATE:
+		break;
+	case SR_PLACEMENT_EJECTED:
+		return "ejected";
+	case SR_PLACEMENT_TRIED:
+		return "tried";
+	case SR_PLACEMENT_LEAVING:
+		return "leaving";
+	case SR_PLACEMENT_EVACUATED:
+		return "evacuated";
+	case SR_PLACEMENT_LIMITED:
+		return "limited";
+	case SR_PLACEMENT_PACED:
+		return "paced";
+	case SR_PLACEMENT_OTHER_VERSION:
+		return "other-version";
+	}
+	return "candidate";
+}
+
+static sr_placement_exclusion_t
+exclusion_of(const sr_placement_request_t *request, const GPtrArray *list,
+	     sr_instance_t *instance, sr_usec_t now)
+{
+	if (was_tried(request, instance->id))
+		return SR_PLACEMENT_TRIED;
+	if (instance->is_evacuated)
+		return SR_PLACEMENT_EVACUATED;
+	if (!sr_instance_is_present(instance))
+		return SR_PLACEMENT_LEAVING;
+	if (!is_allowed_version(request, instance) ||
+	    !is_among_first(request, list, instance, now))
+		return SR_PLACEMENT_OTHER_VERSION;
+	if (!sr_instance_notices_allow(&instance->notices, now) ||
+	    !sr_instance_notices_has_room(&instance->notices,
+					  instance->in_flight))
+		return SR_PLACEMENT_LIMITED;
+	if (!sr_instance_pace_allows(&instance->pace, instance->n_waiting, now))
+		return SR_PLACEMENT_PACED;
+	return sr_instance_is_usable(instance, now) ? SR_PLACEMENT_CANDIDATE :
+						      SR_PLACEMENT_EJECTED;
+}
+
 typedef enum {
 	CANDIDATES_HEALTHY, /* present and not ejected */
 	CANDIDATES_ALL,	    /* present, possibly ejected */
@@ -292,17 +338,11 @@
 			     const GPtrArray *list, sr_instance_t *instance,
 			     candidate_filter_t filter, sr_usec_t now)
 {
-	if (was_tried(request, instance->id) ||
-	    !sr_instance_notices_allow(&instance->notices, now) ||
-	    !sr_instance_notices_has_room(&instance->notices,
-					  instance->in_flight) ||
-	    !sr_instance_pace_allows(&instance->pace, instance->n_waiting,
-				     now) ||
-	    !is_allowed_version(request, instance) ||
-	    !is_among_first(request, list, instance, now))
-		return FALSE;
-	return filter == CANDIDATES_ALL ? sr_instance_is_present(instance) :
-					  sr_instance_is_usable(instance, now);
+	sr_placement_exclusion_t exclusion =
+		exclusion_of(request, list, instance, now);
+
+	return exclusion == SR_PLACEMENT_CANDIDATE ||
+	       (exclusion == SR_PLACEMENT_EJECTED && filter == CANDIDATES_ALL);
 }
 
 static sr_placement_choice_t evaluate(const sr_placement_t *placement,
@@ -346,7 +386,7 @@
 		if (!is_candidate(request, list, instance, filter, now))
 			continue;
 		choice = evaluate(placement, request, instance,
-				  instance == home, now);
+				  home && instance == home, now);
 		if (!best.instance || choice.first_event_s < best.first_event_s)
 			best = choice;
 	}
@@ -372,3 +412,32 @@
 				      now);
 	return choice;
 }
+
+void sr_placement_foreach(const sr_placement_t *placement,
+			  const sr_placement_request_t *request, sr_usec_t now,
+			  void (*fn)(void *user,
+				     const sr_placement_view_t *view),
+			  void *user)
+{
+	const GPtrArray *list =
+		sr_instances_of_service(placement->instances, request->service);
+	const sr_instance_t *home;
+
+	if (!list)
+		return;
+	home = find_home(request, list, now);
+	for (guint i = 0; i < list->len; i++) {
+		sr_instance_t *instance = list->pdata[i];
+		/* asking for room leaves a mark, which a mere look must not */
+		sr_instance_notices_t notices = instance->notices;
+		sr_placement_view_t view = {
+			.exclusion = exclusion_of(request, list, instance, now),
+			.is_home = home && instance == home,
+		};
+
+		instance->notices = notices;
+		view.choice = evaluate(placement, request, instance,
+				       view.is_home, now);
+		fn(user, &view);
+	}
+}
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -95,6 +95,36 @@
 	double occupancy;     /* requests in flight per slot */
 } sr_placement_choice_t;
 
+/** sr_placement_exclusion_t - why an instance can't be selected. */
+typedef enum {
+	SR_PLACEMENT_CANDIDATE,
+	SR_PLACEMENT_EJECTED, /* a candidate if no other one is usable */
+	SR_PLACEMENT_TRIED,
+	SR_PLACEMENT_LEAVING,
+	SR_PLACEMENT_EVACUATED,
+	SR_PLACEMENT_LIMITED, /* by what it has said of itself */
+	SR_PLACEMENT_PACED,
+	SR_PLACEMENT_OTHER_VERSION,
+} sr_placement_exclusion_t;
+
+/** sr_placement_exclusion_name - for operators; a static string. */
+const char *sr_placement_exclusion_name(sr_placement_exclusion_t exclusion);
+
+/** sr_placement_view_t - an instance of the service, as a selection sees it. */
+typedef struct {
+	sr_placement_exclusion_t exclusion;
+	gboolean is_home;	      /* the first one */
+	sr_placement_choice_t choice; /* what it would cost */
+} sr_placement_view_t;
+
+/** sr_placement_foreach - call fn for each instance of the service; view is
+ * valid only during the call. */
+void sr_placement_foreach(const sr_placement_t *placement,
+			  const sr_placement_request_t *request, sr_usec_t now,
+			  void (*fn)(void *user,
+				     const sr_placement_view_t *view),
+			  void *user);
+
 /**
  * sr_placement_choose - select an instance
  *
--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -302,6 +302,44 @@
 	return SR_EXIT_OK;
 }
 
+/* Where a request would go; the server is the metrics address of an entry host
+ * of a gateway. */
+static sr_exit_t explain(sr_admin_client_t *client,
+			 const sr_command_line_t *line)
+{
+	char *host;
+	char *route;
+	char *path;
+	char *response = NULL;
+	sr_exit_t result;
+
+	if (line->n_operands < 2 || line->n_operands > 3) {
+		g_printerr("sassafrasctl: explain takes HOST, PATH and maybe "
+			   "an account\n");
+		return SR_EXIT_USAGE;
+	}
+	host = g_uri_escape_string(line->operands[0], NULL, FALSE);
+	route = g_uri_escape_string(line->operands[1], NULL, FALSE);
+	path = g_strdup_printf("/explain?host=%s&path=%s", host, route);
+	if (line->n_operands == 3) {
+		char *account =
+			g_uri_escape_string(line->operands[2], NULL, FALSE);
+		char *longer = g_strdup_printf("%s&account=%s", path, account);
+
+		g_free(account);
+		g_free(path);
+		path = longer;
+	}
+	result = sr_admin_client_call(client, "GET", path, NULL, &response);
+	if (result == SR_EXIT_OK)
+		fputs(response, stdout);
+	g_free(response);
+	g_free(path);
+	g_free(route);
+	g_free(host);
+	return result;
+}
+
 typedef struct {
 	const char *name;
 	sr_exit_t (*run)(sr_admin_client_t *client,
@@ -318,6 +356,7 @@
 	{ "drain", drain },
 	{ "watch", watch },
 	{ "hash-token", hash_token },
+	{ "explain", explain },
 };
 
 const char *sr_commands_help(void)
@@ -331,7 +370,9 @@
 	       "  recall SERVICE VERSION take a version out of service\n"
 	       "  journal                list requests with unknown outcomes\n"
 	       "  drain                  drain the daemon and stop it\n"
-	       "  hash-token             SHA-256 of the token on stdin\n";
+	       "  hash-token             SHA-256 of the token on stdin\n"
+	       "  explain HOST PATH [ACCOUNT]\n"
+	       "                         where a request would go now, and why\n";
 }
 
 sr_exit_t sr_commands_run(sr_admin_client_t *client,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -335,6 +335,26 @@
  * be called periodically. */
 void sr_gateway_update_rooms(sr_gateway_t *gateway);
 
+/* transaction.c: what a selection depends on */
+
+sr_placement_t sr_gateway_placement(const sr_gateway_t *gateway);
+
+/** sr_gateway_placement_request - the first attempt of a request; prompt is
+ * borrowed. */
+sr_placement_request_t
+sr_gateway_placement_request(sr_gateway_t *gateway,
+			     const sr_route_table_t *table, const char *service,
+			     const sr_prompt_parts_t *prompt);
+
+/* explain.c: where a request would go */
+
+/** sr_gateway_explain - append where a request would go now, and why, without
+ * sending it. The query of the message has host, path and maybe account; its
+ * headers describe the prompt as those of the request. FALSE if it can't be
+ * told, with the reason as text. */
+gboolean sr_gateway_explain(sr_gateway_t *gateway, const sr_message_t *message,
+			    GString *text);
+
 /* pace.c: instances that may be cold */
 
 /** sr_gateway_pace_unreached - no connection to the instance could be
--- a/src/gateway/monitor.c
+++ b/src/gateway/monitor.c
@@ -5,6 +5,9 @@
 /** Maximum size of a request's head and of its body, in bytes. */
 #define MAX_REQUEST_BYTES (8 * 1024)
 
+/** Path of explanations at the metrics address. */
+#define EXPLAIN_PATH "/explain"
+
 /** monitor_t - one connection to the readiness or metrics address */
 typedef struct {
 	sr_gateway_t *gateway;
@@ -51,6 +54,23 @@
 	g_string_free(text, TRUE);
 }
 
+static gboolean asks_to_explain(const char *target)
+{
+	return g_str_has_prefix(target, EXPLAIN_PATH) &&
+	       (target[strlen(EXPLAIN_PATH)] == '?' ||
+		target[strlen(EXPLAIN_PATH)] == '\0');
+}
+
+static void respond_explanation(monitor_t *monitor)
+{
+	GString *text = g_string_new(NULL);
+	gboolean is_explained = sr_gateway_explain(
+		monitor->gateway, sr_parser_message(monitor->parser), text);
+
+	respond(monitor, is_explained ? "200 OK" : "404 Not Found", text->str);
+	g_string_free(text, TRUE);
+}
+
 static void handle_request(monitor_t *monitor)
 {
 	const sr_dialect_t *dialect = monitor->gateway->options.dialect;
@@ -58,6 +78,8 @@
 
 	if (monitor->serves_metrics && !strcmp(target, dialect->metrics_path))
 		respond_metrics(monitor);
+	else if (monitor->serves_metrics && asks_to_explain(target))
+		respond_explanation(monitor);
 	else if (monitor->serves_metrics || strcmp(target, dialect->ready_path))
 		respond(monitor, "404 Not Found", "no such page\n");
 	else if (sr_gateway_is_ready(monitor->gateway))
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -119,31 +119,45 @@
 	return sr_placement_choose(placement, request, now);
 }
 
-static sr_placement_choice_t choose_instance(sr_transaction_t *transaction)
+sr_placement_t sr_gateway_placement(const sr_gateway_t *gateway)
 {
-	sr_gateway_t *gateway = transaction->gateway;
-	const sr_gateway_service_t *service = sr_route_table_service(
-		transaction->table, transaction->service);
-	const sr_placement_t placement = {
+	return (sr_placement_t){
 		.instances = gateway->instances,
 		.index = gateway->prefix_index,
 		.failure_domain = gateway->options.failure_domain,
 	};
-	sr_version_trial_t *trial =
-		sr_gateway_service_state(gateway, transaction->service)->trial;
-	sr_placement_request_t request = {
-		.service = transaction->service,
-		.is_engine = service && service->is_engine,
-		.prompt = &transaction->prompt,
-		.speed =
-			&sr_gateway_service_state(gateway, transaction->service)
-				 ->speed,
-		.tried = (const guint32 *)(void *)
-				 transaction->tried_instances->data,
-		.n_tried = transaction->tried_instances->len,
+}
+
+sr_placement_request_t
+sr_gateway_placement_request(sr_gateway_t *gateway,
+			     const sr_route_table_t *table, const char *service,
+			     const sr_prompt_parts_t *prompt)
+{
+	const sr_gateway_service_t *config =
+		sr_route_table_service(table, service);
+
+	return (sr_placement_request_t){
+		.service = service,
+		.is_engine = config && config->is_engine,
+		.prompt = prompt,
+		.speed = &sr_gateway_service_state(gateway, service)->speed,
 		.jitter = g_rand_double(gateway->rng),
 	};
+}
+
+static sr_placement_choice_t choose_instance(sr_transaction_t *transaction)
+{
+	sr_gateway_t *gateway = transaction->gateway;
+	const sr_placement_t placement = sr_gateway_placement(gateway);
+	sr_version_trial_t *trial =
+		sr_gateway_service_state(gateway, transaction->service)->trial;
+	sr_placement_request_t request = sr_gateway_placement_request(
+		gateway, transaction->table, transaction->service,
+		&transaction->prompt);
 
+	request.tried =
+		(const guint32 *)(void *)transaction->tried_instances->data;
+	request.n_tried = transaction->tried_instances->len;
 	if (trial)
 		return choose_version(transaction, &placement, &request, trial);
 	return sr_placement_choose(&placement, &request,
--- a/test/evacuation_test.c
+++ b/test/evacuation_test.c
@@ -119,8 +119,8 @@
 	assert_string_equal(choose_domain(&service, 0), "a");
 	assert_true(set_evacuated(&service, "a", 1, TRUE));
 	add_instance(&service, "a"); /* one that starts meanwhile */
-	for (double jitter = 0; jitter < 1; jitter += 0.05)
-		assert_string_not_equal(choose_domain(&service, jitter), "a");
+	for (unsigned i = 0; i < 20; i++)
+		assert_string_not_equal(choose_domain(&service, i / 20.0), "a");
 	assert_true(set_evacuated(&service, "a", 2, FALSE));
 	assert_string_equal(choose_domain(&service, 0), "a");
 	service_free(&service);
--- a/test/instance_pace_test.c
+++ b/test/instance_pace_test.c
@@ -15,7 +15,8 @@
 #define RUN_TICKS (6 * TICKS_PER_S)
 #define SLOTS 32
 
-static const sr_pace_bound_t bound = { .rate = 9.5, .overage = 1.5,
+static const sr_pace_bound_t bound = { .rate = 9.5,
+				       .overage = 1.5,
 				       .slack = 5 };
 
 typedef struct {
@@ -151,8 +152,8 @@
 	assert_false(sr_instance_pace_allows(&pace, 2, now));
 }
 
-/* Guards against an instance that is left idle: the pace ends with its time once
- * it has answered enough, and a second later where nothing was learned. */
+/* Guards against an instance that is left idle: the pace ends with its time
+ * once it has answered enough, and a second later where nothing was learned. */
 static void test_pace_ends(void **state)
 {
 	sr_instance_pace_t used = { 0 };
--- a/test/platform_evacuation_test.c
+++ b/test/platform_evacuation_test.c
@@ -43,9 +43,9 @@
 	put_text(&bed->store, "evacuations/z", "{}");
 	acknowledged = g_get_monotonic_time();
 	send_requests(bed, 6000);
-	assert_int_equal(count_since(&bed->upstreams[0],
-				     acknowledged + EVACUATION_US),
-			 0);
+	assert_int_equal(
+		count_since(&bed->upstreams[0], acknowledged + EVACUATION_US),
+		0);
 	assert_int_equal(bed->n_ok, bed->n_sent);
 	remove_object(&bed->store, "evacuations/z");
 	ended = g_get_monotonic_time();
@@ -92,10 +92,10 @@
 
 		if (from < cold_at)
 			continue;
-		assert_true(count_since(upstream, from) -
-				    count_since(upstream,
-						from + G_USEC_PER_SEC) <=
-			    COLD_MAX);
+		assert_true(
+			count_since(upstream, from) -
+				count_since(upstream, from + G_USEC_PER_SEC) <=
+			COLD_MAX);
 	}
 	assert_int_equal(bed->n_ok, bed->n_sent);
 	send_requests(bed, 3000);
@@ -104,6 +104,65 @@
 	bed_free(bed);
 }
 
+static void on_explained(GObject *source, GAsyncResult *result, gpointer user)
+{
+	*(GBytes **)user = soup_session_send_and_read_finish(
+		SOUP_SESSION(source), result, NULL);
+}
+
+static char *explain(const bed_t *bed, const char *query)
+{
+	char *url = g_strdup_printf("http://%s/explain?%s",
+				    bed->settings->metrics_address, query);
+	SoupMessage *message = soup_message_new("GET", url);
+	GBytes *body = NULL;
+	char *text;
+
+	soup_session_send_and_read_async(bed->session, message,
+					 G_PRIORITY_DEFAULT, NULL, on_explained,
+					 &body);
+	while (!body)
+		g_main_context_iteration(NULL, TRUE);
+	text = g_strndup(g_bytes_get_data(body, NULL), g_bytes_get_size(body));
+	g_bytes_unref(body);
+	g_object_unref(message);
+	g_free(url);
+	return text;
+}
+
+/* Guards against an explanation that differs from what is done, or that sends
+ * the request. */
+static void test_explanation_names_what_excludes_an_instance(void **state)
+{
+	bed_t *bed = bed_with_two_domains();
+	char *text;
+
+	(void)state;
+	text = explain(bed, "host=h.example&path=/x");
+	assert_non_null(strstr(text, "route: book"));
+	assert_non_null(strstr(text, "decision: sent"));
+	assert_non_null(strstr(text, "i-0 z candidate"));
+	g_free(text);
+	put_text(&bed->store, "evacuations/z", "{}");
+	run_for(1000);
+	text = explain(bed, "host=h.example&path=/x");
+	assert_non_null(strstr(text, "i-0 z evacuated"));
+	assert_non_null(strstr(text, "i-1 y candidate"));
+	assert_non_null(strstr(text, "decision: sent"));
+	g_free(text);
+	put_text(&bed->store, "evacuations/y", "{}");
+	run_for(1000);
+	text = explain(bed, "host=h.example&path=/x");
+	assert_non_null(strstr(text, "decision: refused, not run"));
+	g_free(text);
+	text = explain(bed, "host=other.example&path=/x");
+	assert_non_null(strstr(text, "no route"));
+	g_free(text);
+	assert_int_equal(bed->upstreams[0].n_requests, 0);
+	assert_int_equal(bed->upstreams[1].n_requests, 0);
+	bed_free(bed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -112,6 +171,8 @@
 		cmocka_unit_test(
 			test_request_without_another_domain_is_refused),
 		cmocka_unit_test(test_cold_instance_gets_no_more_than_it_bears),
+		cmocka_unit_test(
+			test_explanation_names_what_excludes_an_instance),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
