--- a/src/gateway/explain.c
+++ b/src/gateway/explain.c
@@ -70,6 +70,25 @@
 			(double)result.retry_after / SR_MSEC);
 }
 
+/* views: the best one first */
+static void append_decision(const sr_gateway_route_t *route,
+			    const GPtrArray *views, GString *text)
+{
+	const sr_placement_view_t *first;
+
+	if (views->len == 0) {
+		g_string_append(text, "decision: refused, not run; the service "
+				      "has no instance\n");
+		return;
+	}
+	first = views->pdata[0];
+	if (first->exclusion > SR_PLACEMENT_EJECTED)
+		g_string_append(text, "decision: refused, not run; no instance "
+				      "can be selected\n");
+	else
+		append_admission(route, &first->choice, text);
+}
+
 static void append_instances(sr_gateway_t *gateway,
 			     const sr_gateway_route_t *route,
 			     const char *service,
@@ -82,17 +101,11 @@
 		.gateway = gateway,
 		.views = g_ptr_array_new_with_free_func(g_free),
 	};
-	const sr_placement_view_t *first;
 
 	sr_placement_foreach(&placement, &request, sr_gateway_now(gateway),
 			     collect, &collection);
 	g_ptr_array_sort(collection.views, compare_views);
-	first = collection.views->len > 0 ? collection.views->pdata[0] : NULL;
-	if (!first || first->exclusion > SR_PLACEMENT_EJECTED)
-		g_string_append(text, "decision: refused, not run; no instance "
-				      "can be selected\n");
-	else
-		append_admission(route, &first->choice, text);
+	append_decision(route, collection.views, text);
 	g_string_append_printf(
 		text,
 		"instances: %u\n"
