Compare a few instances for a request, and count the engine time that it takes

Cause: hosts that know each other's load all sent to the instance that looked best, the same one until the next sum a quarter of a second later, and left the homes of prefixes for it.

Change: from 13 hosts on a request compares the two homes of its prefix and three instances drawn at random. A choice counts beside the expected time three times the engine time of the tokens that aren't cached.

--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/rendezvous.h"
 
@@ -42,6 +43,11 @@
 /** Fewer pending tokens give no sample of the speed: fixed costs dominate. */
 #define SPEED_MIN_TOKENS 1500.0
 
+/** Weight of the engine time that the tokens of a prompt take which aren't
+ * cached: those behind it wait as long, and the parts that it displaces are
+ * read again. */
+#define ENGINE_TIME_WEIGHT 3.0
+
 /** Factor on the processing time of an instance that is warming up. */
 #define COLD_FACTOR 1.6
 
@@ -167,22 +173,27 @@
 	return n_before < request->max_instances;
 }
 
-/* Returns the home instance of the prompt's shared prefix; NULL if none. One
+/** Homes of a prefix: where hosts agree to send it, and where they agree to
+ * send what the first one can't take. */
+#define N_HOMES 2
+
+/* Sets the home instances of the prompt's shared prefix, NULL for none. One
  * that takes few requests is no home. */
-static const sr_instance_t *find_home(const sr_placement_request_t *request,
-				      const GPtrArray *list, sr_usec_t now)
+static void find_homes(const sr_placement_request_t *request,
+		       const GPtrArray *list, sr_usec_t now,
+		       sr_instance_t *homes[N_HOMES])
 {
 	const sr_prompt_parts_t *prompt = request->prompt;
-	const sr_instance_t *home = NULL;
-	guint64 best = 0;
+	guint64 best[N_HOMES] = { 0 };
 	char key[24];
 
+	homes[0] = homes[1] = NULL;
 	if (count_shared_blocks(prompt) == 0)
-		return NULL;
+		return;
 	g_snprintf(key, sizeof(key), "%" G_GINT64_MODIFIER "x",
 		   prompt->blocks[count_shared_blocks(prompt) - 1]);
 	for (guint i = 0; i < list->len; i++) {
-		const sr_instance_t *instance = list->pdata[i];
+		sr_instance_t *instance = list->pdata[i];
 		guint64 score;
 
 		if (!sr_instance_is_usable(instance, now) ||
@@ -190,12 +201,16 @@
 		    !is_allowed_version(request, instance))
 			continue;
 		score = sr_rendezvous_score(instance->name, key);
-		if (!home || score > best) {
-			home = instance;
-			best = score;
+		if (!homes[0] || score > best[0]) {
+			homes[1] = homes[0];
+			best[1] = best[0];
+			homes[0] = instance;
+			best[0] = score;
+		} else if (!homes[1] || score > best[1]) {
+			homes[1] = instance;
+			best[1] = score;
 		}
 	}
-	return home;
 }
 
 /* Expected fill level of the cache of a new instance, 0 to 1. */
@@ -364,31 +379,78 @@
 		choice.wait_s + processing_s(request, instance, uncached, now);
 	if (g_strcmp0(instance->failure_domain, placement->failure_domain))
 		choice.first_event_s += CROSS_DOMAIN_COST_S;
+	choice.cost_s = choice.first_event_s;
+	if (request->is_engine)
+		choice.cost_s += ENGINE_TIME_WEIGHT * uncached /
+				 request->speed->tokens_per_s;
 	return choice;
 }
 
+static void compare(sr_placement_choice_t *best,
+		    const sr_placement_choice_t *choice)
+{
+	if (!best->instance || choice->cost_s < best->cost_s)
+		*best = *choice;
+}
+
+/* A number below n that the host draws; another one for each key. */
+static guint draw(const sr_placement_request_t *request, guint64 key, guint n)
+{
+	return (guint)(XXH64(&request->jitter, sizeof(request->jitter), key) %
+		       n);
+}
+
+/* Steps through the whole list in an order of its own for each request. */
+static guint draw_step(const sr_placement_request_t *request, guint n)
+{
+	guint step = n > 2 ? 1 + draw(request, 1, n - 1) : 1;
+	guint a = n;
+	guint b = step;
+
+	while (b > 0) {
+		guint rest = a % b;
+
+		a = b;
+		b = rest;
+	}
+	return a == 1 ? step : 1; /* others would miss a part of the list */
+}
+
 static sr_placement_choice_t choose_among(const sr_placement_t *placement,
 					  const sr_placement_request_t *request,
 					  const GPtrArray *list,
 					  candidate_filter_t filter,
 					  sr_usec_t now)
 {
-	const sr_instance_t *home = find_home(request, list, now);
 	/* The start is random; otherwise all hosts would select the first of
 	 * several equal instances. */
 	guint first = (guint)(request->jitter * list->len);
+	guint step = draw_step(request, list->len);
+	guint n_left = request->n_sampled > 0 ? request->n_sampled : list->len;
+	sr_instance_t *homes[N_HOMES];
 	sr_placement_choice_t best = { 0 };
 
-	for (guint i = 0; i < list->len; i++) {
-		sr_instance_t *instance = list->pdata[(i + first) % list->len];
+	find_homes(request, list, now, homes);
+	for (unsigned i = 0; i < N_HOMES; i++) {
+		sr_placement_choice_t choice;
+
+		if (!homes[i] ||
+		    !is_candidate(request, list, homes[i], filter, now))
+			continue;
+		choice = evaluate(placement, request, homes[i], i == 0, now);
+		compare(&best, &choice);
+	}
+	for (guint i = 0; i < list->len && n_left > 0; i++) {
+		sr_instance_t *instance =
+			list->pdata[(first + (guint64)i * step) % list->len];
 		sr_placement_choice_t choice;
 
-		if (!is_candidate(request, list, instance, filter, now))
+		if (instance == homes[0] || instance == homes[1] ||
+		    !is_candidate(request, list, instance, filter, now))
 			continue;
-		choice = evaluate(placement, request, instance,
-				  home && instance == home, now);
-		if (!best.instance || choice.first_event_s < best.first_event_s)
-			best = choice;
+		choice = evaluate(placement, request, instance, FALSE, now);
+		compare(&best, &choice);
+		n_left--;
 	}
 	return best;
 }
@@ -421,18 +483,18 @@
 {
 	const GPtrArray *list =
 		sr_instances_of_service(placement->instances, request->service);
-	const sr_instance_t *home;
+	sr_instance_t *homes[N_HOMES];
 
 	if (!list)
 		return;
-	home = find_home(request, list, now);
+	find_homes(request, list, now, homes);
 	for (guint i = 0; i < list->len; i++) {
 		sr_instance_t *instance = list->pdata[i];
 		/* asking for room leaves a mark, which a mere look must not */
 		sr_instance_notices_t notices = instance->notices;
 		sr_placement_view_t view = {
 			.exclusion = exclusion_of(request, list, instance, now),
-			.is_home = home && instance == home,
+			.is_home = homes[0] && instance == homes[0],
 		};
 
 		instance->notices = notices;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -8,8 +8,9 @@
 #include "core/prefix_index.h"
 
 /**
- * Selects the instance with the lowest expected time to the first event for
- * a gateway request.
+ * Selects the instance with the lowest cost for a gateway request: the expected
+ * time to the first event, and the engine time that the prompt takes from the
+ * requests of others.
  *
  * The expected time is the sum of the wait for a slot, the processing of the
  * prompt tokens that are queued at the instance, and the processing of those
@@ -18,7 +19,12 @@
  * Each prompt has a home instance, found by rendezvous hashing of its shared
  * prefix, so that entry hosts agree on where the prefix is cached without
  * knowing each other's requests. Another instance is selected if the queue at
- * the home costs more than processing the prompt elsewhere.
+ * the home costs more than processing the prompt elsewhere: first the second
+ * home, so that a hot prefix isn't read anew everywhere.
+ *
+ * The load of other hosts is known a moment late. Many hosts that all select
+ * the least loaded instance send it more within that moment than it can
+ * process, so that they compare a few instances only.
  */
 
 /** sr_prompt_parts_t - prompt of a request; all zero for plain requests. */
@@ -78,6 +84,9 @@
 	const guint32 *tried; /* ids of instances to exclude */
 	unsigned n_tried;
 	double jitter; /* random, 0 to 1; selects among equal instances */
+	/* instances that are compared beside the homes of the prompt, at
+	 * random; 0 for all */
+	unsigned n_sampled;
 	sr_placement_versions_t versions;
 	const char *version; /* that versions refers to */
 	/* instances of the version that are candidates, the same ones on all
@@ -92,7 +101,9 @@
 	double uncached_tokens;
 	double wait_s; /* part of first_event_s spent behind earlier requests */
 	double first_event_s; /* expected time to the first event */
-	double occupancy;     /* requests in flight per slot */
+	/* what is compared: the time, and the engine time taken from others */
+	double cost_s;
+	double occupancy; /* requests in flight per slot */
 } sr_placement_choice_t;
 
 /** sr_placement_exclusion_t - why an instance can't be selected. */
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -6,6 +6,12 @@
 /** Timeout of a request if neither the route nor the caller sets one. */
 #define DEFAULT_TIMEOUT (60 * SR_SEC)
 
+/** Instances that are compared for a request beside the homes of its prefix,
+ * and the number of hosts from which not all of them are: with fewer, the
+ * requests of a moment don't fill an instance. */
+#define SAMPLED_INSTANCES 3
+#define SAMPLING_HOSTS_MIN 12
+
 /** Number of failures that an attempt counts for in the ejection of its
  * instance. An unreachable instance is ejected at once, others after several
  * failures in a row. */
@@ -142,6 +148,9 @@
 		.prompt = prompt,
 		.speed = &sr_gateway_service_state(gateway, service)->speed,
 		.jitter = g_rand_double(gateway->rng),
+		.n_sampled = gateway->n_hosts > SAMPLING_HOSTS_MIN ?
+				     SAMPLED_INSTANCES :
+				     0,
 	};
 }
 
