Log the window that a pace ended with, and count paced instances anew

The line instance-pace-ended showed the window after it had been reset, and the gauge of paced instances kept one that was restarted while it was paced. Found by reading; platform_evacuation_test passes.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -356,8 +356,6 @@
 	if (!instance)
 		return;
 	sr_connection_pool_evict(gateway->connection_pool, instance->id);
-	if (instance->pace.is_paced)
-		sr_gauge_add(gateway->metrics.paced, -1);
 	sr_prefix_index_remove_upstream(gateway->prefix_index, instance->id);
 }
 
--- a/src/gateway/pace.c
+++ b/src/gateway/pace.c
@@ -22,16 +22,16 @@
 
 static void log_pace(const sr_gateway_t *gateway, const char *event,
 		     const sr_instance_t *instance, const char *cause,
-		     sr_usec_t lasts)
+		     sr_usec_t lasts, double window)
 {
-	char window[24];
+	char window_text[24];
 	char ms[24];
 
-	g_snprintf(window, sizeof(window), "%.0f", instance->pace.window);
+	g_snprintf(window_text, sizeof(window_text), "%.0f", window);
 	g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT, lasts / SR_MSEC);
 	sr_log_event(gateway->options.log, SR_LOG_INFO, event, "what",
 		     instance->name, "service", instance->service, "cause",
-		     cause, "ms", ms, "window", window, NULL);
+		     cause, "ms", ms, "window", window_text, NULL);
 }
 
 static void begin(sr_gateway_t *gateway, sr_instance_t *instance,
@@ -47,8 +47,8 @@
 
 	if (!sr_instance_pace_begin(&instance->pace, &bound, now + lasts, now))
 		return;
-	sr_gauge_add(gateway->metrics.paced, 1);
-	log_pace(gateway, "instance-paced", instance, cause, lasts);
+	log_pace(gateway, "instance-paced", instance, cause, lasts,
+		 instance->pace.window);
 	if (gateway->options.instance_paced)
 		gateway->options.instance_paced(gateway->options.user,
 						instance);
@@ -100,16 +100,19 @@
 {
 	const GPtrArray *all = sr_instances_all(gateway->instances);
 	sr_usec_t now = sr_gateway_now(gateway);
+	unsigned n_paced = 0;
 
 	for (guint i = 0; i < all->len; i++) {
 		sr_instance_t *instance = all->pdata[i];
 		sr_usec_t over = now - instance->pace.until;
 
-		if (!sr_instance_pace_update(&instance->pace, instance->slots,
-					     now))
-			continue;
-		sr_gauge_add(gateway->metrics.paced, -1);
-		log_pace(gateway, "instance-pace-ended", instance, "time",
-			 over);
+		double window = instance->pace.window;
+
+		if (sr_instance_pace_update(&instance->pace, instance->slots,
+					    now))
+			log_pace(gateway, "instance-pace-ended", instance,
+				 "time", over, window);
+		n_paced += instance->pace.is_paced;
 	}
+	sr_gauge_set(gateway->metrics.paced, n_paced);
 }
