Test that an evacuated instance counts as absent

The mutant that lets it count as present survived, since the selection names the evacuation by itself; homes, probes and the reach of a service rest on it.

--- a/test/evacuation_test.c
+++ b/test/evacuation_test.c
@@ -126,6 +126,24 @@
 	service_free(&service);
 }
 
+/* Guards against an evacuated instance that is the home of a prefix, is probed,
+ * or counts for whether its service is reached. */
+static void test_evacuated_instance_counts_as_absent(void **state)
+{
+	service_t service = service_new(1);
+	const GPtrArray *all = sr_instances_all(service.instances);
+
+	(void)state;
+	set_evacuated(&service, "b", 1, TRUE);
+	for (guint i = 0; i < all->len; i++) {
+		const sr_instance_t *instance = all->pdata[i];
+
+		assert_int_equal(sr_instance_is_present(instance),
+				 instance->failure_domain[0] != 'b');
+	}
+	service_free(&service);
+}
+
 /* Guards against EVAC where only the evacuated domain has room: all others are
  * ejected, and a service without another instance tries ejected ones. */
 static void test_evacuated_domain_is_no_last_resort(void **state)
@@ -195,6 +213,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_highest_version_counts_in_any_order),
 		cmocka_unit_test(test_evacuated_domain_takes_no_request),
+		cmocka_unit_test(test_evacuated_instance_counts_as_absent),
 		cmocka_unit_test(test_evacuated_domain_is_no_last_resort),
 		cmocka_unit_test(test_plan_replaces_the_evacuated_domain),
 	};
