Show bytes that follow a stream's answer without a body

On a streaming route the answers to HEAD and a worker's 204 are passed on as chunked, and the bytes of an empty last chunk follow them, where the client expects the next answer of its kept channel.

Cause: the streaming path writes a chunked body for each success.

--- a/review/2/case.c
+++ b/review/2/case.c
@@ -78,8 +78,8 @@
 int main(int argc, char **argv)
 {
 	static const worker_options_t workers[] = {
-		{ "i-1", "ledger", "127.0.0.1", "zone-1", 20 },
-		{ "i-2", "ledger", "127.0.0.1", "zone-2", 20 },
+		{ "i-1", "ledger", "127.0.0.1", "zone-1", 20, NULL },
+		{ "i-2", "ledger", "127.0.0.1", "zone-2", 20, NULL },
 	};
 	unsigned n_missed;
 	gint64 until;
--- a/review/stand_in/http.c
+++ b/review/stand_in/http.c
@@ -184,29 +184,49 @@
 	}
 }
 
-message_t *message_read(connection_t *connection)
+message_t *message_read_head(connection_t *connection)
 {
 	message_t *message = g_new0(message_t, 1);
-	const char *length;
-	const char *coding;
-	gboolean is_complete;
 
 	message->fields = g_ptr_array_new_with_free_func(g_free);
 	message->body = g_byte_array_new();
-	is_complete = take_head(connection, message);
-	length = message_field(message, "Content-Length");
-	coding = message_field(message, "Transfer-Encoding");
-	if (is_complete && length)
-		is_complete = take_body(connection, message,
-					strtoul(length, NULL, 10));
-	else if (is_complete && coding)
-		is_complete = take_chunks(connection, message);
-	if (is_complete)
+	if (take_head(connection, message))
 		return message;
 	message_free(message);
 	return NULL;
 }
 
+gboolean message_read_body(connection_t *connection, message_t *message)
+{
+	const char *length = message_field(message, "Content-Length");
+	const char *coding = message_field(message, "Transfer-Encoding");
+
+	if (length)
+		return take_body(connection, message,
+				 strtoul(length, NULL, 10));
+	return !coding || take_chunks(connection, message);
+}
+
+message_t *message_read(connection_t *connection)
+{
+	message_t *message = message_read_head(connection);
+
+	if (!message || message_read_body(connection, message))
+		return message;
+	message_free(message);
+	return NULL;
+}
+
+gboolean message_read_line(connection_t *connection)
+{
+	char *line = take_line(connection);
+
+	if (line)
+		record("a line: '%s'", line);
+	g_free(line);
+	return line != NULL;
+}
+
 void message_free(message_t *message)
 {
 	g_free(message->first);
--- a/review/stand_in/stand_in.h
+++ b/review/stand_in/stand_in.h
@@ -55,6 +55,13 @@
 /** message_read - NULL if the connection ends before the message does. */
 message_t *message_read(connection_t *connection);
 void message_free(message_t *message);
+
+/** message_read_head, message_read_body - the parts of a message. */
+message_t *message_read_head(connection_t *connection);
+gboolean message_read_body(connection_t *connection, message_t *message);
+
+/** message_read_line - records the next line; FALSE if there is none. */
+gboolean message_read_line(connection_t *connection);
 const char *message_field(const message_t *message, const char *name);
 
 /** send_text - FALSE if the peer has gone. */
@@ -108,14 +115,24 @@
 
 typedef struct worker worker_t;
 
+/** answer_fn - answers a request that the worker named has begun to run; FALSE
+ * closes the connection. */
+typedef gboolean (*answer_fn)(const char *name, int fd,
+			      const message_t *request);
+
 typedef struct {
 	const char *name;
 	const char *service;
 	const char *ip;
 	const char *zone;
 	int work_ms;
+	answer_fn answer; /* NULL for a short success */
 } worker_options_t;
 
+/** worker_fields - the lines that each answer to a request has; freed by the
+ * caller. */
+char *worker_fields(const char *name, const message_t *request);
+
 /** worker_start - serves, and registers itself every 1,200 ms. */
 worker_t *worker_start(const worker_options_t *options);
 
--- a/review/stand_in/worker.c
+++ b/review/stand_in/worker.c
@@ -11,6 +11,14 @@
 
 static gint n_runs;
 
+char *worker_fields(const char *name, const message_t *request)
+{
+	const char *id = message_field(request, name_of("request_id"));
+
+	return g_strdup_printf("%s: %s\r\n%s: %s.%s\r\n", name_of("request_id"),
+			       id, name_of("signature"), name, id);
+}
+
 static gboolean on_request(void *user, int fd, const message_t *request)
 {
 	const worker_t *worker = user;
@@ -36,9 +44,10 @@
 	g_atomic_int_inc(&n_runs);
 	record("run %s at %s", id, worker->options.name);
 	sleep_ms(worker->options.work_ms);
-	fields = g_strdup_printf(
-		"%s: %s\r\n%s: %s.%s\r\n", name_of("request_id"), id,
-		name_of("signature"), worker->options.name, id);
+	if (worker->options.answer)
+		return worker->options.answer(worker->options.name, fd,
+					      request);
+	fields = worker_fields(worker->options.name, request);
 	is_sent = respond(fd, 200, fields, "done");
 	g_free(fields);
 	return is_sent;
