--- a/review/stand_in/duties.c
+++ b/review/stand_in/duties.c
@@ -7,6 +7,9 @@
 	GHashTable *reports; /* window -> char *, its counts */
 	unsigned n_reports;
 	unsigned n_conflicts;
+	GHashTable *holders; /* subject and epoch -> char *, the first holder */
+	unsigned n_shared;
+	char *last_holder;
 } duties;
 
 static gint compare_words(gconstpointer a, gconstpointer b)
@@ -56,6 +59,33 @@
 	g_free(counts);
 }
 
+/* The subjects are usage, and a service in a zone. */
+static void note_holder(const char *path, json_object *body, const char *holder,
+			const char *epoch)
+{
+	json_object *service = NULL;
+	json_object *zone = NULL;
+	const char *before;
+	char *key;
+
+	json_object_object_get_ex(body, "service", &service);
+	json_object_object_get_ex(body, "zone", &zone);
+	key = g_strdup_printf("%s %s %s %s", path,
+			      json_object_get_string(service),
+			      json_object_get_string(zone), epoch);
+	before = g_hash_table_lookup(duties.holders, key);
+	if (before && strcmp(before, holder) != 0) {
+		record("BROKEN epoch %s was sent by %s before", epoch, before);
+		duties.n_shared++;
+	}
+	if (!before)
+		g_hash_table_insert(duties.holders, g_strdup(key),
+				    g_strdup(holder));
+	g_free(key);
+	g_free(duties.last_holder);
+	duties.last_holder = g_strdup(holder);
+}
+
 static gboolean on_call(void *user, int fd, const message_t *request)
 {
 	const char *holder = message_field(request, name_of("holder"));
@@ -69,6 +99,8 @@
 	g_mutex_lock(&duties.lock);
 	record("duty %s by %s, epoch %s: %s", request->second,
 	       holder ? holder : "nobody", epoch ? epoch : "none", text);
+	if (holder && epoch)
+		note_holder(request->second, body, holder, epoch);
 	if (!strcmp(request->second, name_of("usage")) &&
 	    json_object_object_get_ex(body, "window_id", &window))
 		accept_report(json_object_to_json_string(window),
@@ -83,6 +115,8 @@
 {
 	duties.reports =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	duties.holders =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return serve(ip, on_call, NULL);
 }
 
@@ -117,3 +151,29 @@
 	g_free(key);
 	return is_known;
 }
+
+unsigned duties_shared_epochs(void)
+{
+	unsigned n;
+
+	g_mutex_lock(&duties.lock);
+	n = duties.n_shared;
+	g_mutex_unlock(&duties.lock);
+	return n;
+}
+
+unsigned duties_last_holder(void)
+{
+	unsigned machine = MACHINES_MAX;
+
+	g_mutex_lock(&duties.lock);
+	for (unsigned i = 0; duties.last_holder && i < MACHINES_MAX; i++) {
+		char *name = machine_name(i);
+
+		if (!strcmp(name, duties.last_holder))
+			machine = i;
+		g_free(name);
+	}
+	g_mutex_unlock(&duties.lock);
+	return machine;
+}
--- a/review/stand_in/machine.c
+++ b/review/stand_in/machine.c
@@ -147,6 +147,11 @@
 	atexit(machines_end);
 }
 
+char *machine_name(unsigned i)
+{
+	return g_strdup_printf("edge-zone-%u-1", i + 1);
+}
+
 const char *machine_ip(unsigned i)
 {
 	return ips[i];
--- a/review/stand_in/stand_in.h
+++ b/review/stand_in/stand_in.h
@@ -108,6 +108,13 @@
  * accepted. */
 unsigned duties_conflicts(void);
 
+/** duties_shared_epochs - calls with an epoch number that another holder has
+ * sent for the same duty and subject. */
+unsigned duties_shared_epochs(void);
+
+/** duties_last_holder - the machine that called last; MACHINES_MAX for none. */
+unsigned duties_last_holder(void);
+
 /** duties_has_report - whether a report of the window was accepted. */
 gboolean duties_has_report(gint64 window);
 
@@ -153,6 +160,8 @@
 } machines_options_t;
 
 void machines_init(const machines_options_t *options);
+/** machine_name - freed by the caller. */
+char *machine_name(unsigned i);
 const char *machine_ip(unsigned i);
 int machine_port(void);
 void machine_start(unsigned i);
