--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,7 +1,11 @@
 # Runs the program of a case; to be sourced by its run.sh, which sets $number.
 # The program ends all processes that it starts, also when it is ended itself.
-cd "$(dirname "$0")/../.." || exit 2
-program=build-review/case-$number
+cd "$(dirname "$0")/.." || exit 2
+while [ ! -d review ]; do
+	cd .. || exit 2
+	[ "$PWD" != / ] || exit 2
+done
+program=build-review/case-$(echo "$number" | tr / -)
 daemon=target/sassafrasd-platform
 [ -x "$program" ] && [ -x "$daemon" ] || {
 	echo "build first: the build line of deploy/system.toml, review/build.sh"
