Don't take a read of the lease for a write of an earlier era

The lease named the version that it knew in its reads, and the adapter took the answer to such a read for a conditional write on a version of an earlier era, that is for a conflict. So the object was never read again, and each claim was made on a version that no object has: the log shows duties-claim 'another host was faster' once a second on both hosts.

A read has no condition, and only writes are checked for the era.

--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -229,7 +229,8 @@
 		.class = lease->class,
 		.key = lease->key,
 		.value = value,
-		.if_version = lease->version,
+		/* a read has no condition */
+		.if_version = op == SR_STORE_GET ? 0 : lease->version,
 		.done = done,
 		.user = lease,
 	};
--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -583,7 +583,8 @@
 	store->era = "4"; /* seen with the answer to the next write */
 	call_and_wait(objects, SR_STORE_UPDATE, version, &reply);
 	assert_int_equal(reply.status, SR_STORE_CONFLICT);
-	call_and_wait(objects, SR_STORE_GET, 0, &reply);
+	/* a read by a caller that knows the object from the earlier era */
+	call_and_wait(objects, SR_STORE_GET, version, &reply);
 	assert_int_equal(reply.status, SR_STORE_OK);
 	assert_true(reply.version > version);
 	store->era = "3"; /* a late answer */
--- a/test/platform_drill_bed.h
+++ b/test/platform_drill_bed.h
@@ -277,8 +277,7 @@
 	char *text = settings_text(&place);
 
 	bed->settings[host] = g_strdup_printf("%s/%s.json", bed->folder, node);
-	assert_true(
-		g_file_set_contents(bed->settings[host], text, -1, NULL));
+	assert_true(g_file_set_contents(bed->settings[host], text, -1, NULL));
 	g_free(text);
 	g_free(seeds);
 	g_free(node);
--- a/test/platform_drill_test.c
+++ b/test/platform_drill_test.c
@@ -29,7 +29,7 @@
 	unsigned copy_age_ms; /* before the store goes away */
 	unsigned away_ms;
 	unsigned n_drills;
-	int holder_signal;   /* sent to the holder of the duties; 0 for none */
+	int holder_signal; /* sent to the holder of the duties; 0 for none */
 	gboolean is_handed_over; /* the stop comes before the drill, which takes
 				  * back that another host took the duties */
 	gboolean kills_all;
@@ -56,6 +56,37 @@
 	  .n_drills = 2,
 	  .holder_signal = SIGTERM,
 	  .is_handed_over = TRUE },
+	/* After a drill no usage was reported any more, by any host: the read
+	 * of a lease that was known from the earlier era was taken for a write.
+	 */
+	{ .name = "drill alone",
+	  .n_hosts = 2,
+	  .copy_age_ms = 5000,
+	  .away_ms = 1000,
+	  .n_drills = 1 },
+	{ .name = "two drills",
+	  .n_hosts = 3,
+	  .copy_age_ms = 11000,
+	  .away_ms = 1000,
+	  .n_drills = 2 },
+	{ .name = "away for longer than the lease",
+	  .n_hosts = 3,
+	  .copy_age_ms = 5000,
+	  .away_ms = 4000,
+	  .n_drills = 1 },
+	{ .name = "holder is killed, starts while the store is away",
+	  .n_hosts = 3,
+	  .copy_age_ms = 5000,
+	  .away_ms = 3000,
+	  .n_drills = 1,
+	  .holder_signal = SIGKILL,
+	  .starts_away = TRUE },
+	{ .name = "holder is killed, starts after the drill",
+	  .n_hosts = 3,
+	  .copy_age_ms = 5000,
+	  .away_ms = 1000,
+	  .n_drills = 2,
+	  .holder_signal = SIGKILL },
 };
 
 static pid_t runs[G_N_ELEMENTS(scenarios)];
