Accept late requests of a planned stop by their deadline

After the accept period a request was accepted if four times the average duration of its service's answers was left; a stream of 120 events among usual ones of 10 to 34 takes longer.

Only the deadline bounds an answer, so only a request whose deadline ends before the stop is accepted now. Others get 503 and Connection: close before they are sent anywhere. Requests that other hosts pass on to a stopping one get this bound at once; they were accepted without one for the accept period.

test_planned_stop_refuses_what_it_may_cut failed before (accepted instead of 503).

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -217,8 +217,10 @@
  *
  * The readiness check fails from now on. New connections are accepted until
  * options.accept_grace has passed, each response closes its connection, and
- * unfinished requests are completed. options.stopped is called when no
- * connection is left, at the latest after options.stop_timeout.
+ * unfinished requests are completed. After options.accept_grace, and from other
+ * hosts at once, only requests whose deadline ends before the stop are
+ * accepted. options.stopped is called when no connection is left, at the latest
+ * after options.stop_timeout.
  */
 void sr_gateway_stop(sr_gateway_t *gateway);
 
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -18,11 +18,9 @@
 #define EJECTION_WEIGHT_UNREACHABLE 4
 #define EJECTION_WEIGHT_FAILURE 1
 
-/** Time that must be left of a planned stop for a request to be accepted, at
- * least and as a multiple of the average duration of its service's responses,
- * which few of them exceed. */
-#define STOP_TIME_MIN SR_SEC
-#define STOP_DURATION_FACTOR 4
+/** Time that must be left of a planned stop after a request's deadline, to
+ * write its response. */
+#define STOP_MARGIN (100 * SR_MSEC)
 
 /* The first output of an attempt shows the pace that its instance bears. */
 static void record_output(const sr_transaction_t *transaction)
@@ -688,20 +686,21 @@
 	}
 }
 
-/* FALSE if the planned stop of this host is likely to cut the response off. A
- * request that comes on an open connection may be sent again elsewhere. */
-static gboolean is_stop_far(const sr_transaction_t *transaction)
+/* FALSE if the planned stop of this host may cut the response off. Only the
+ * deadline bounds a response: how long others took says nothing of the longest
+ * ones. Within the accept period callers may not have another host; other hosts
+ * that pass requests on do. */
+static gboolean ends_before_stop(const sr_transaction_t *transaction)
 {
-	sr_gateway_t *gateway = transaction->gateway;
+	const sr_gateway_t *gateway = transaction->gateway;
 	sr_usec_t now = sr_transaction_now(transaction);
-	double duration_s =
-		sr_gateway_service_state(gateway, transaction->service)
-			->speed.duration_s;
-	sr_usec_t needed = MAX(STOP_TIME_MIN, (sr_usec_t)(STOP_DURATION_FACTOR *
-							  duration_s * SR_SEC));
 
-	return !sr_gateway_is_past_accept_period(gateway, now) ||
-	       sr_gateway_stops_in(gateway, now) >= needed;
+	if (!gateway->stopping ||
+	    (!sr_session_is_relayed(transaction->session) &&
+	     !sr_gateway_is_past_accept_period(gateway, now)))
+		return TRUE;
+	return transaction->deadline + STOP_MARGIN <=
+	       now + sr_gateway_stops_in(gateway, now);
 }
 
 /* Another host that passes a request on may have made attempts itself. */
@@ -730,7 +729,8 @@
 					      0);
 		return;
 	}
-	if (!is_stop_far(transaction)) {
+	set_deadline(transaction);
+	if (!ends_before_stop(transaction)) {
 		sr_transaction_refuse(transaction, SR_ERR_DRAINING,
 				      "this host is stopping",
 				      SR_TRANSACTION_RETRY_AFTER);
@@ -749,7 +749,6 @@
 		&sr_gateway_service_state(gateway, transaction->service)
 			 ->retry_budget);
 	sr_transaction_read_last_event(transaction);
-	set_deadline(transaction);
 	if (pass_quarantine(transaction))
 		sr_transaction_charge(transaction);
 }
--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -604,6 +604,77 @@
 	fixture_free(&fixture);
 }
 
+/* Ends a stream at once for the paths that end in "short". */
+static void serve_by_path(fake_connection_t *connection,
+			  const sr_message_t *request)
+{
+	serve_slowly(connection, request);
+	if (g_str_has_suffix(request->target, "short"))
+		rig_send(connection, "0\r\n\r\n");
+}
+
+/* Guards against LOST of review/5: after many short streams a stream that was
+ * sent late in a planned stop on a kept connection was accepted, and the end of
+ * the stop cut it. It is refused unless its deadline ends before the stop. */
+static void test_planned_stop_refuses_what_it_may_cut(void **state)
+{
+	fixture_t fixture = fixture_new();
+	rig_t *rig = fixture.rig;
+	caller_t *other = caller_new(rig->caller_address);
+	unsigned n_before;
+
+	(void)state;
+	rig->serve = serve_by_path;
+	for (unsigned i = 0; i < 20; i++) {
+		caller_request(fixture.caller, "GET", "/stream/short", "r1", "",
+			       "");
+		assert_true(caller_wait_for(fixture.caller, "0\r\n\r\n", 1000));
+		g_string_truncate(fixture.caller->received, 0);
+	}
+	caller_request(other, "GET", "/stream/x", "r2", "", "");
+	assert_true(caller_wait_for(other, "data: a", 1000));
+	caller_request(fixture.caller, "GET", "/stream/x", "r3", "", "");
+	assert_true(caller_wait_for(fixture.caller, "data: a", 1000));
+	sr_gateway_stop(rig->gateway);
+	rig_run_for(700);
+	rig_send(slow_stream, "0\r\n\r\n");
+	assert_true(caller_wait_for(fixture.caller, "0\r\n\r\n", 1000));
+	n_before = rig->instances[0].n_requests + rig->instances[1].n_requests;
+	/* 1.3 s are left of the stop, 1.5 s of the deadline */
+	caller_request(fixture.caller, "GET", "/stream/short", "r4", "", "");
+	assert_true(caller_wait_for(fixture.caller, "HTTP/1.1 503 ", 1000));
+	assert_non_null(
+		strstr(fixture.caller->received->str, "Connection: close"));
+	assert_int_equal(rig->instances[0].n_requests +
+				 rig->instances[1].n_requests,
+			 n_before);
+	caller_free(other);
+	fixture_free(&fixture);
+}
+
+/* The same with a deadline before the end of the stop: it is served. */
+static void test_planned_stop_serves_what_ends_before_it(void **state)
+{
+	fixture_t fixture = fixture_new();
+
+	(void)state;
+	fixture.rig->serve = serve_by_path;
+	caller_request(fixture.caller, "GET", "/stream/x", "r1", "", "");
+	assert_true(caller_wait_for(fixture.caller, "data: a", 1000));
+	sr_gateway_stop(fixture.rig->gateway);
+	rig_run_for(400);
+	rig_send(slow_stream, "0\r\n\r\n");
+	assert_true(caller_wait_for(fixture.caller, "0\r\n\r\n", 1000));
+	g_string_truncate(fixture.caller->received, 0);
+	caller_send(fixture.caller,
+		    "GET /stream/short HTTP/1.1\r\nHost: h.example\r\n"
+		    "X-Request: r2\r\nX-Left-Ms: 800\r\n"
+		    "Authorization: Bearer secret\r\n\r\n");
+	assert_true(caller_wait_for(fixture.caller, "0\r\n\r\n", 1000));
+	assert_non_null(strstr(fixture.caller->received->str, "HTTP/1.1 200 "));
+	fixture_free(&fixture);
+}
+
 static void test_ignores_older_route_table(void **state)
 {
 	fixture_t fixture = fixture_new();
@@ -764,6 +835,8 @@
 		cmocka_unit_test(test_avoids_draining_instances),
 		cmocka_unit_test(test_planned_stop_serves_open_connections),
 		cmocka_unit_test(test_planned_stop_refuses_late_requests),
+		cmocka_unit_test(test_planned_stop_refuses_what_it_may_cut),
+		cmocka_unit_test(test_planned_stop_serves_what_ends_before_it),
 		cmocka_unit_test(test_ignores_older_route_table),
 		cmocka_unit_test(test_unread_request_keeps_an_idle_connection),
 		cmocka_unit_test(
