Don't report windows that a lost payload may have reported

A payload now names the era in which it was written. A new holder whose payload is of an earlier era reports no window that had ended when it first saw the present era: a window is closed by a write after its end, and none of the earlier era was accepted since. The bound is kept in the payload for later holders, and reports of such a payload are not sent again. Payloads of older builds name no era and count as earlier. So that a drill alone costs no window, a holder whose lease is still valid in a new era claims it anew at once, with its own payload.

--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -43,6 +43,7 @@
 	sr_usec_t earliest_claim;
 	guint64 era;	     /* of the store; 0 if not known */
 	sr_usec_t era_since; /* first tick after it was seen */
+	gboolean is_claimed; /* in this era, by this node, while it holds */
 	GRand *random;
 
 	/* the object as last read or written */
@@ -197,6 +198,7 @@
 	lease->epoch = lease->write_epoch;
 	set_holder(lease, is_release ? "" : lease->owner);
 	set_payload(lease, lease->write_payload);
+	lease->is_claimed = TRUE;
 	report_claim(lease, SR_LEASE_CLAIM_SUCCEEDED);
 	if (!is_release && lease->wanted)
 		lease->held_until = lease->first_sent + lease->duration;
@@ -251,6 +253,64 @@
 	       lease->write_encoded, on_write);
 }
 
+static void start_write(sr_lease_t *lease, call_kind_t kind, guint64 epoch,
+			GBytes *payload)
+{
+	const char *owner = kind == CALL_RELEASE ? "" : lease->owner;
+
+	g_assert(lease->call_in_flight == CALL_NONE && !lease->in_doubt);
+	lease->write_kind = kind;
+	lease->write_id = ((guint64)g_rand_int(lease->random) << 32) |
+			  g_rand_int(lease->random);
+	lease->write_epoch = epoch;
+	lease->write_payload =
+		payload ? g_bytes_ref(payload) : g_bytes_new(NULL, 0);
+	lease->write_encoded =
+		encode(owner, epoch, lease->write_id, lease->write_payload);
+	lease->first_sent = lease->now;
+	report_claim(lease, SR_LEASE_CLAIM_SENT);
+	send_write(lease);
+}
+
+static guint64 next_epoch(const sr_lease_t *lease)
+{
+	return MAX(lease->epoch, lease->has_eras ? lease->version : 0) + 1;
+}
+
+/* TRUE if this node held the lease when the store was restored, and has not
+ * claimed it in the new era. */
+static gboolean must_reclaim(const sr_lease_t *lease)
+{
+	return lease->state == STATE_HELD && !lease->is_claimed;
+}
+
+/*
+ * Claims a lease that this node holds from the earlier era. No other node can
+ * have claimed it since: each waits in the new era until this lease has ended.
+ * Its payload is the latest one, that of the copy may be older.
+ */
+static void reclaim(sr_lease_t *lease, guint64 version,
+		    const lease_object_t *object)
+{
+	gboolean is_lost =
+		!lease->wanted || (object && object->epoch > lease->epoch);
+
+	if (is_lost) {
+		step_down(lease);
+		if (object)
+			apply_read(lease, version, object);
+	} else {
+		lease->exists = object != NULL;
+		lease->version = version;
+		lease->first_seen = TIME_UNSET;
+	}
+	if (lease->write_encoded)
+		finish_write(lease, SR_ERR_PLATFORM);
+	if (!is_lost && lease->call_in_flight == CALL_NONE)
+		start_write(lease, CALL_CLAIM, next_epoch(lease),
+			    lease->payload);
+}
+
 /* Finds out from a read what became of a write whose reply was lost. */
 static void resolve_in_doubt(sr_lease_t *lease, guint64 version,
 			     const lease_object_t *object)
@@ -289,6 +349,7 @@
 		return;
 	lease->era = reply->era;
 	lease->era_since = TIME_UNSET;
+	lease->is_claimed = FALSE;
 	report_event(lease, SR_LEASE_ERA_BEGAN, lease->epoch);
 }
 
@@ -300,13 +361,18 @@
 	lease->call_in_flight = CALL_NONE;
 	check_era(lease, reply);
 	if (reply->status == SR_STORE_NOT_FOUND) {
-		on_not_found(lease, reply->version);
+		if (must_reclaim(lease))
+			reclaim(lease, reply->version, NULL);
+		else
+			on_not_found(lease, reply->version);
 		return;
 	}
 	if (reply->status != SR_STORE_OK)
 		return;
 	decode(reply->value, &object);
-	if (lease->in_doubt)
+	if (must_reclaim(lease))
+		reclaim(lease, reply->version, &object);
+	else if (lease->in_doubt)
 		resolve_in_doubt(lease, reply->version, &object);
 	else
 		apply_read(lease, reply->version, &object);
@@ -323,7 +389,7 @@
 {
 	/* a repeated write can conflict with its own first copy, so that only
 	 * a read shows whether it took effect */
-	if (!lease->in_doubt) {
+	if (!lease->in_doubt && !must_reclaim(lease)) {
 		report_claim(lease, SR_LEASE_CLAIM_CONFLICT);
 		step_down(lease);
 		finish_write(lease, SR_ERR_STALE_FENCE);
@@ -360,25 +426,6 @@
 	}
 }
 
-static void start_write(sr_lease_t *lease, call_kind_t kind, guint64 epoch,
-			GBytes *payload)
-{
-	const char *owner = kind == CALL_RELEASE ? "" : lease->owner;
-
-	g_assert(lease->call_in_flight == CALL_NONE && !lease->in_doubt);
-	lease->write_kind = kind;
-	lease->write_id = ((guint64)g_rand_int(lease->random) << 32) |
-			  g_rand_int(lease->random);
-	lease->write_epoch = epoch;
-	lease->write_payload =
-		payload ? g_bytes_ref(payload) : g_bytes_new(NULL, 0);
-	lease->write_encoded =
-		encode(owner, epoch, lease->write_id, lease->write_payload);
-	lease->first_sent = lease->now;
-	report_claim(lease, SR_LEASE_CLAIM_SENT);
-	send_write(lease);
-}
-
 /* TRUE if a holder that the store has lost in a restore can't hold the lease
  * any more. */
 static gboolean is_era_settled(const sr_lease_t *lease)
@@ -400,14 +447,9 @@
 	       lease->now - lease->first_seen >= lease->duration;
 }
 
-static guint64 next_epoch(const sr_lease_t *lease)
-{
-	return MAX(lease->epoch, lease->has_eras ? lease->version : 0) + 1;
-}
-
 static void send_next_call(sr_lease_t *lease)
 {
-	if (lease->in_doubt)
+	if (lease->in_doubt || must_reclaim(lease))
 		read_object(lease);
 	else if (lease->state == STATE_HELD)
 		start_write(lease, CALL_RENEW, lease->epoch, lease->payload);
@@ -515,6 +557,11 @@
 	return lease->era;
 }
 
+sr_usec_t sr_lease_era_since(const sr_lease_t *lease)
+{
+	return lease->era_since == TIME_UNSET ? lease->now : lease->era_since;
+}
+
 GBytes *sr_lease_payload(const sr_lease_t *lease)
 {
 	return lease->payload;
--- a/src/core/lease.h
+++ b/src/core/lease.h
@@ -26,7 +26,9 @@
  * them who holds the lease and under which epoch. In the new era a claimant
  * therefore waits for one lease duration from its first contact with the store,
  * whatever the object says; so does a process that has just started, as it
- * can't know of a restore before its start.
+ * can't know of a restore before its start. A holder whose lease is still valid
+ * then is the last one of the earlier era: it claims the lease anew at once,
+ * and holds it without a gap.
  */
 typedef struct sr_lease sr_lease_t;
 
@@ -54,14 +56,15 @@
 	 * after a restore */
 	gboolean has_eras;
 	/* the lease is held from now on; payload is the object's, borrowed,
-	 * empty if the object is new */
+	 * empty if the object is new. Not called if a holder has claimed it
+	 * anew in a later era. */
 	void (*acquired)(void *user, guint64 epoch, GBytes *payload);
 	/* the lease is no longer held; the caller must stop acting on it */
 	void (*lost)(void *user);
 	/* result of sr_lease_write(): SR_OK, SR_ERR_STALE_FENCE (not written,
-	 * the lease is lost), SR_ERR_PLATFORM (not written) or
-	 * SR_ERR_OUTCOME_UNKNOWN (the lease is lost; another holder may have
-	 * read the payload before replacing it) */
+	 * the lease is lost), SR_ERR_PLATFORM (not written, or lost as the
+	 * store was restored) or SR_ERR_OUTCOME_UNKNOWN (the lease is lost;
+	 * another holder may have read the payload before replacing it) */
 	void (*written)(void *user, sr_err_t err);
 	/* optional, for logs: a write by another holder was read, or a claim
 	 * was sent or completed */
@@ -105,6 +108,9 @@
 /** sr_lease_era - era of the store as of the last reply; 0 if not known. */
 guint64 sr_lease_era(const sr_lease_t *lease);
 
+/** sr_lease_era_since - time of the first tick after that era was seen. */
+sr_usec_t sr_lease_era_since(const sr_lease_t *lease);
+
 /** sr_lease_payload - as last read or written; borrowed, may be NULL. */
 GBytes *sr_lease_payload(const sr_lease_t *lease);
 
--- a/src/core/usage_reports.c
+++ b/src/core/usage_reports.c
@@ -8,6 +8,10 @@
  * due. */
 #define REPORTS_MAX 8
 
+/** Line of the payload with the window before which none is closed, as a
+ * payload that was lost may have closed it. */
+#define LOST_WORD "lost"
+
 typedef enum {
 	REPORT_CLOSING, /* write of the counts pending */
 	REPORT_FINAL,	/* counts written, to be sent */
@@ -25,8 +29,9 @@
 	sr_usage_reports_options_t options;
 	GQueue reports; /* report_t, in order of their windows */
 	gboolean write_pending;
-	gint64 receiving_since_ms; /* see sr_usage_reports_load() */
+	gint64 receiving_since_ms; /* see sr_usage_reports_source_t */
 	guint64 reported_before;   /* the same */
+	guint64 lost_before;	   /* the same; kept in the payload */
 };
 
 static void free_report(gpointer data)
@@ -68,6 +73,16 @@
 		free_report(g_queue_pop_head(&reports->reports));
 }
 
+/* "lost WINDOW" */
+static void load_lost(sr_usage_reports_t *reports, const char *text)
+{
+	guint64 window;
+
+	if (text &&
+	    g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &window, NULL))
+		reports->lost_before = MAX(reports->lost_before, window);
+}
+
 /* Parses "WINDOW account=count account=count", accounts escaped as in a URI. */
 static void load_line(sr_usage_reports_t *reports, const char *line)
 {
@@ -75,6 +90,8 @@
 	GHashTable *counts;
 	guint64 window;
 
+	if (!g_strcmp0(words[0], LOST_WORD))
+		load_lost(reports, words[1]);
 	if (!words[0] || !g_ascii_string_to_unsigned(
 				 words[0], 10, 0, G_MAXUINT64, &window, NULL)) {
 		g_strfreev(words);
@@ -96,23 +113,29 @@
 			g_hash_table_insert(counts, account,
 					    g_memdup2(&count, sizeof(count)));
 	}
-	append_report(reports, window, counts, REPORT_FINAL);
+	/* a later payload may have had other counts */
+	append_report(reports, window, counts,
+		      window < reports->lost_before ? REPORT_ACCEPTED :
+						      REPORT_FINAL);
 	g_strfreev(words);
 }
 
-void sr_usage_reports_load(sr_usage_reports_t *reports, GBytes *payload,
-			   sr_usage_windows_t *usage, gint64 receiving_since_ms,
-			   guint64 reported_before)
+void sr_usage_reports_load(sr_usage_reports_t *reports,
+			   const sr_usage_reports_source_t *source,
+			   sr_usage_windows_t *usage)
 {
 	gsize size = 0;
-	const char *data = payload ? g_bytes_get_data(payload, &size) : NULL;
+	const char *data = source->payload ?
+				   g_bytes_get_data(source->payload, &size) :
+				   NULL;
 	char *text = g_strndup(data ? data : "", size);
 	char **lines = g_strsplit(text, "\n", -1);
 
 	g_queue_clear_full(&reports->reports, free_report);
 	reports->write_pending = FALSE;
-	reports->receiving_since_ms = receiving_since_ms;
-	reports->reported_before = reported_before;
+	reports->receiving_since_ms = source->receiving_since_ms;
+	reports->reported_before = source->reported_before;
+	reports->lost_before = source->lost_before;
 	for (char **line = lines; *line; line++) {
 		if (**line == '+')
 			sr_usage_windows_restore(usage, *line);
@@ -132,7 +155,7 @@
 	guint64 first = sr_usage_windows_at(
 		usage, unix_ms - (options->window + options->due) / SR_MSEC);
 
-	first = MAX(first, reports->reported_before);
+	first = MAX(first, MAX(reports->reported_before, reports->lost_before));
 	return last ? MAX(last->window + 1, first) : first;
 }
 
@@ -142,6 +165,10 @@
 	GString *text = g_string_new(NULL);
 	gsize reports_end;
 
+	if (reports->lost_before > 0)
+		g_string_append_printf(text,
+				       LOST_WORD " %" G_GUINT64_FORMAT "\n",
+				       reports->lost_before);
 	for (GList *item = reports->reports.head; item; item = item->next) {
 		const report_t *report = item->data;
 		GHashTableIter iter;
--- a/src/core/usage_reports.h
+++ b/src/core/usage_reports.h
@@ -15,6 +15,10 @@
  * counts that were written are sent. The next holder resends the reports that
  * are in the payload, unchanged, and continues with the windows after them.
  *
+ * If the platform's store was restored from an older copy, the payload may lack
+ * the latest reports. Windows that may have been among them are not reported: a
+ * report that is missing is better than a second one with other counts.
+ *
  * The payload also carries the counts of the windows that are still open, so
  * that they are kept if all hosts stop at once. A new holder waits for the
  * counts of the other hosts before it closes a window, unless the report is
@@ -45,19 +49,30 @@
 /** sr_usage_reports_free - reports may be NULL. */
 void sr_usage_reports_free(sr_usage_reports_t *reports);
 
+/** sr_usage_reports_source_t - what a new holder starts from. */
+typedef struct {
+	GBytes *payload; /* NULL if nothing was written yet */
+	/* since when the counts of the other hosts are received without a gap,
+	 * in Unix milliseconds */
+	gint64 receiving_since_ms;
+	/* windows before this one were reported, as other hosts know; they are
+	 * not closed again */
+	guint64 reported_before;
+	/* the payload may not be the latest one, and a later one may have
+	 * closed windows before this one: they are neither closed nor sent; 0
+	 * if the payload is the latest */
+	guint64 lost_before;
+} sr_usage_reports_source_t;
+
 /**
  * sr_usage_reports_load - replace all reports by those of a payload
  *
- * Counts of open windows in the payload are merged into usage. The payload is
- * NULL if nothing was written yet; malformed lines are ignored.
- * receiving_since_ms is the time since when the counts of the other hosts are
- * received without a gap, in Unix milliseconds. Windows before reported_before
- * are not closed: their reports were sent, though the payload may have been
- * lost.
+ * Counts of open windows in the payload are merged into usage; malformed lines
+ * are ignored.
  */
-void sr_usage_reports_load(sr_usage_reports_t *reports, GBytes *payload,
-			   sr_usage_windows_t *usage, gint64 receiving_since_ms,
-			   guint64 reported_before);
+void sr_usage_reports_load(sr_usage_reports_t *reports,
+			   const sr_usage_reports_source_t *source,
+			   sr_usage_windows_t *usage);
 
 /**
  * sr_usage_reports_close - fix the counts of the windows that have settled
--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -39,6 +39,11 @@
  * entry hosts with the time of writing in Unix milliseconds, what each pool of
  * an account had granted then, the orders of roll-outs, and quarantines. */
 #define HOSTS_WORD "hosts"
+
+/** Line of the payload with the store's era at its writing: a restored copy of
+ * an earlier era may not be the latest payload. */
+#define ERA_WORD "era"
+
 #define GRANTED_WORD "granted"
 
 /** Age from which the lines don't matter any more. */
@@ -87,10 +92,70 @@
 		       SR_MSEC;
 }
 
+/* 0 if the payload does not name it. */
+static guint64 era_of(GBytes *payload)
+{
+	gsize size = 0;
+	const char *data = payload ? g_bytes_get_data(payload, &size) : NULL;
+	char *text = g_strndup(data ? data : "", size);
+	char **lines = g_strsplit(text, "\n", -1);
+	guint64 era = 0;
+
+	for (char **line = lines; *line; line++) {
+		if (g_str_has_prefix(*line, ERA_WORD " "))
+			era = g_ascii_strtoull(*line + strlen(ERA_WORD " "),
+					       NULL, 10);
+	}
+	g_strfreev(lines);
+	g_free(text);
+	return era;
+}
+
+/* Number of the window before which a payload that the store has lost may have
+ * closed windows; 0 if the given one is the latest. A window is closed by a
+ * write after its end, and none of an earlier era was accepted since this host
+ * has seen the present one. */
+static guint64 find_lost_before(sr_duties_t *duties, GBytes *payload,
+				const sr_usage_windows_t *usage)
+{
+	guint64 era = sr_lease_era(duties->lease);
+	sr_usec_t age =
+		current_time(duties) - sr_lease_era_since(duties->lease);
+
+	if (era == 0 || era_of(payload) == era)
+		return 0;
+	return sr_usage_windows_at(
+		usage, sr_clock_unix_ms(duties->options.clock) - age / SR_MSEC);
+}
+
+static void load_reports(sr_duties_t *duties, GBytes *payload)
+{
+	sr_usage_windows_t *usage = sr_fleet_usage(duties->options.fleet_state);
+	sr_usage_reports_source_t source = {
+		.payload = payload,
+		.receiving_since_ms = counts_since_ms(duties),
+		.reported_before =
+			sr_fleet_reported_windows(duties->options.fleet_state),
+	};
+	char text[80];
+
+	if (!usage)
+		return;
+	source.lost_before = find_lost_before(duties, payload, usage);
+	sr_usage_reports_load(duties->reports, &source, usage);
+	g_snprintf(text, sizeof(text),
+		   "era %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+		   ", windows before %" G_GUINT64_FORMAT " may be lost",
+		   era_of(payload), sr_lease_era(duties->lease),
+		   source.lost_before);
+	if (source.lost_before > 0)
+		log_event(duties, "usage-payload-older",
+			  sr_lease_epoch(duties->lease), text);
+}
+
 static void on_lease_acquired(void *user, guint64 epoch, GBytes *payload)
 {
 	sr_duties_t *duties = user;
-	sr_usage_windows_t *usage = sr_fleet_usage(duties->options.fleet_state);
 	char text[80];
 
 	g_snprintf(text, sizeof(text),
@@ -101,11 +166,7 @@
 			   SR_MSEC);
 	log_event(duties, "duties-taken", epoch, text);
 	sr_fleet_announce_duty_holder(duties->options.fleet_state, epoch);
-	if (usage)
-		sr_usage_reports_load(
-			duties->reports, payload, usage,
-			counts_since_ms(duties),
-			sr_fleet_reported_windows(duties->options.fleet_state));
+	load_reports(duties, payload);
 	sr_fleet_plan_reset_orders(duties->plan);
 }
 
@@ -232,10 +293,12 @@
 	GString *text = g_string_new_len(data, (gssize)size);
 
 	/* a time of 0 is too long ago for anything to be restored */
-	g_string_append_printf(
-		text, "\n" HOSTS_WORD " %u %" G_GINT64_FORMAT "\n%s",
-		sr_fleet_host_count(options->fleet_state),
-		is_known ? sr_clock_unix_ms(options->clock) : 0, granted->str);
+	g_string_append_printf(text, "\n" ERA_WORD " %" G_GUINT64_FORMAT "\n",
+			       sr_lease_era(duties->lease));
+	g_string_append_printf(text, HOSTS_WORD " %u %" G_GINT64_FORMAT "\n%s",
+			       sr_fleet_host_count(options->fleet_state),
+			       is_known ? sr_clock_unix_ms(options->clock) : 0,
+			       granted->str);
 	sr_rollouts_save(sr_fleet_rollouts(options->fleet_state), text);
 	sr_fleet_save_quarantines(options->fleet_state, text);
 	g_string_free(granted, TRUE);
@@ -243,16 +306,28 @@
 	return g_string_free_to_bytes(text);
 }
 
+/* A holder keeps the lease through a restore of the store. */
 static void log_era(const sr_duties_t *duties)
 {
+	guint64 epoch = sr_lease_epoch(duties->lease);
 	char detail[80];
 
 	g_snprintf(detail, sizeof(detail),
 		   "era %" G_GUINT64_FORMAT ", no claim for %" G_GINT64_FORMAT
 		   " ms",
 		   sr_lease_era(duties->lease),
-		   hold_off_time(duties) / SR_MSEC);
-	log_event(duties, "duties-era", sr_lease_epoch(duties->lease), detail);
+		   epoch > 0 ? 0 : hold_off_time(duties) / SR_MSEC);
+	log_event(duties, "duties-era", epoch, detail);
+}
+
+/* Other hosts believe the highest epoch. */
+static void announce_epoch(const sr_duties_t *duties)
+{
+	guint64 epoch = sr_lease_epoch(duties->lease);
+
+	if (epoch > 0)
+		sr_fleet_announce_duty_holder(duties->options.fleet_state,
+					      epoch);
 }
 
 /* Every renewal by a holder is reported, once a second; only a change of the
@@ -270,6 +345,8 @@
 		log_era(duties);
 	} else if (event != SR_LEASE_CHANGED) {
 		log_event(duties, "duties-claim", epoch, claim_outcome(event));
+		if (event == SR_LEASE_CLAIM_SUCCEEDED)
+			announce_epoch(duties);
 	} else if (epoch != duties->last_seen_epoch) {
 		duties->last_seen_epoch = epoch;
 		log_event(duties, "duties-seen", epoch, holder);
--- a/test/lease_test.c
+++ b/test/lease_test.c
@@ -265,6 +265,53 @@
 	check_restored(TRUE, TRUE);
 }
 
+/* Guards against duties that rest after each restore: a holder whose lease is
+ * still valid is the last one of the earlier era. It keeps the lease, under a
+ * higher epoch, and its own payload, of which the copy has an older one. */
+static void check_holder_stays(gboolean copy_has_object)
+{
+	GBytes *payload = g_bytes_new_static("late", 4);
+	fake_store_t store;
+	sr_lease_t *lease;
+	sr_lease_t *other;
+	sr_usec_t now;
+	guint64 epoch;
+	GBytes *copy;
+
+	store_init(&store);
+	store.era = 7;
+	store.version = store.era << 40;
+	lease = new_lease(&store, "a/1");
+	now = run_until_held(&store, lease, SR_SEC, 9 * SR_SEC);
+	epoch = sr_lease_epoch(lease);
+	copy = copy_has_object ? g_bytes_ref(store.value) : NULL;
+	assert_int_equal(sr_lease_write(lease, now, payload), SR_OK);
+	reply_to_call(&store);
+	store_restore(&store, copy, copy ? 1 : 0);
+	other = new_lease(&store, "b/1");
+	for (; now < 30 * SR_SEC; now += TICK) {
+		tick(&store, lease, now);
+		tick(&store, other, now);
+		assert_true(sr_lease_is_held(lease, now, 0));
+		assert_false(sr_lease_is_held(other, now, 0));
+	}
+	assert_true(sr_lease_epoch(lease) > MAX(epoch, store.era << 40));
+	assert_true(g_bytes_equal(sr_lease_payload(lease), payload));
+	assert_true(g_bytes_equal(sr_lease_payload(other), payload));
+	sr_lease_free(lease);
+	sr_lease_free(other);
+	g_clear_pointer(&copy, g_bytes_unref);
+	g_bytes_unref(payload);
+	store_clear(&store);
+}
+
+static void test_holder_stays_over_a_restore(void **state)
+{
+	(void)state;
+	check_holder_stays(FALSE);
+	check_holder_stays(TRUE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -272,6 +319,7 @@
 		cmocka_unit_test(test_no_claim_while_deferred),
 		cmocka_unit_test(test_deferred_holder_releases),
 		cmocka_unit_test(test_restored_store_has_one_holder),
+		cmocka_unit_test(test_holder_stays_over_a_restore),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
