Read lists of the store entry by entry

The answer of the store was parsed as a whole with a depth of at most 32; the log has store-lost 'list failed' and no entry-unreadable.

Answers are divided into their entries without recursion, and each is parsed by itself; of one that can't be parsed its name and revision are kept.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -15,6 +15,10 @@
 #define SR_MINUTE (60 * SR_SEC)
 #define SR_HOUR (60 * SR_MINUTE)
 
+/** Longest duration that is taken from others: a time and several of them can
+ * be added without an overflow. */
+#define SR_DURATION_MAX (10000 * SR_HOUR)
+
 /**
  * sr_clock_t - source of time and timers
  *
--- a/src/fleet/registration_codec.c
+++ b/src/fleet/registration_codec.c
@@ -57,8 +57,9 @@
 	entry->slots = (unsigned)MIN(numbers[FIELD_SLOTS], G_MAXINT32);
 	entry->draining = numbers[FIELD_DRAINING] != 0;
 	entry->reclaimable = numbers[FIELD_RECLAIMABLE] != 0;
-	entry->terminates_in = numbers[FIELD_TERMINATES_IN];
-	entry->cold_for = numbers[FIELD_COLD_FOR];
+	entry->terminates_in =
+		MIN(numbers[FIELD_TERMINATES_IN], SR_DURATION_MAX);
+	entry->cold_for = MIN(numbers[FIELD_COLD_FOR], SR_DURATION_MAX);
 	entry->start_unix_ms = numbers[FIELD_START_TIME];
 	return TRUE;
 }
--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -12,6 +12,7 @@
 #include "era.h"
 #include "feed.h"
 #include "json.h"
+#include "json_entries.h"
 #include "manifest.h"
 #include "registry.h"
 #include "settings.h"
@@ -623,6 +624,181 @@
 	fake_store_free(store);
 }
 
+/* A body of a list or a watch with elements before one of a sound object. */
+static char *body_around(const char *key, const char *odd, const char *sound,
+			 unsigned revision)
+{
+	return g_strdup_printf("{\"%s\":[%s,%s],\"truncated\":false,"
+			       "\"current_rev\":%u}",
+			       key, odd, sound, revision);
+}
+
+static char *nested(unsigned depth)
+{
+	GString *text = g_string_new(NULL);
+
+	for (unsigned i = 0; i < depth; i++)
+		g_string_append(text, i % 2 ? "{\"x\":" : "[");
+	g_string_append(text, "1");
+	for (unsigned i = depth; i > 0; i--)
+		g_string_append(text, (i - 1) % 2 ? "}" : "]");
+	return g_string_free(text, FALSE);
+}
+
+/* Values that another writer may leave in an entry. */
+static GPtrArray *odd_values(void)
+{
+	static const char *const texts[] = {
+		"\"\xff\xfe\"",
+		"1e999",
+		"-1e999",
+		"NaN",
+		"99999999999999999999",
+		"nul",
+		"\"\\ud800\"",
+		"{\"a\":1,\"a\":[]}",
+		"\"]}{[\\\"\"",
+	};
+	GPtrArray *values = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; i < G_N_ELEMENTS(texts); i++)
+		g_ptr_array_add(values, g_strdup(texts[i]));
+	g_ptr_array_add(values, nested(40));
+	g_ptr_array_add(values, nested(200000));
+	g_ptr_array_add(values, g_strnfill(1000000, ' '));
+	return values;
+}
+
+/* Guards against RECOVER of review/3, and against processes that end: an odd
+ * entry made the list or all events of a watch unreadable. */
+static void test_feed_reads_around_odd_entries(void **state)
+{
+	GPtrArray *values = odd_values();
+
+	(void)state;
+	for (guint i = 0; i < values->len; i++) {
+		const char *value = values->pdata[i];
+		fake_store_t *store = fake_store_new();
+		char *item = g_strdup_printf(
+			"{\"metadata\":{\"name\":\"odd\",\"revision\":7},"
+			"\"spec\":{\"address\":%s,\"slots\":3}}",
+			value);
+		char *event = g_strdup_printf(
+			"{\"removed\":false,\"object\":%s}", item);
+		char *list = body_around("items", item,
+					 "{\"metadata\":{\"name\":\"z\","
+					 "\"revision\":8}}",
+					 9);
+		char *watch = body_around("events", event,
+					  "{\"removed\":false,\"object\":{"
+					  "\"metadata\":{\"name\":\"y\","
+					  "\"revision\":19}}}",
+					  20);
+
+		store->list = list;
+		assert_true(wait_for_events(store, "+odd@7 +z@8 ", 1000));
+		store->watch = watch;
+		assert_true(wait_for_events(store, "+y@19 ", 1000));
+		assert_int_equal(sr_object_feed_revision(store->feed), 20);
+		fake_store_free(store);
+		g_free(item);
+		g_free(event);
+		g_free(list);
+		g_free(watch);
+	}
+	g_ptr_array_unref(values);
+}
+
+/* An entry that another writer has broken off, without a name, or next to
+ * something that is no entry, must not hide the others. */
+static void test_entries_without_a_name_are_left_out(void **state)
+{
+	const char *text = "{\"items\":[{\"metadata\":{\"name\":5}},7,"
+			   "[[]],{\"spec\":nul},{\"metadata\":{\"name\":"
+			   "\"a\",\"revision\":3}}],\"current_rev\":9}";
+	GBytes *bytes = bytes_of(text);
+	json_object *object = sr_platform_json_read_entries(bytes, "items");
+	json_object *items = sr_platform_json_array(object, "items");
+	size_t n;
+
+	(void)state;
+	assert_int_equal(sr_platform_json_integer(object, "current_rev", 0), 9);
+	assert_non_null(items);
+	n = json_object_array_length(items);
+	assert_true(n >= 1);
+	assert_string_equal(
+		sr_platform_json_string(
+			sr_platform_json_object(
+				json_object_array_get_idx(items, n - 1),
+				"metadata"),
+			"name"),
+		"a");
+	json_object_put(object);
+	g_bytes_unref(bytes);
+	for (gsize size = 0; size < strlen(text); size++) {
+		GBytes *part = g_bytes_new_static(text, size);
+
+		json_object_put(sr_platform_json_read_entries(part, "items"));
+		(void)sr_platform_json_scan_revision(part);
+		g_bytes_unref(part);
+	}
+}
+
+static gboolean decodes(const char *member, const char *value,
+			sr_registration_t *entry)
+{
+	char *text = g_strdup_printf(
+		"{\"spec\":{\"service\":\"s\",\"zone\":\"z\",\"version\":"
+		"\"v\",\"slots\":8,\"state\":\"ready\",\"address\":"
+		"\"127.0.0.1:80\",\"%s\":%s}}",
+		member, value);
+	json_object *object = json_tokener_parse(text);
+	gboolean is_valid;
+
+	is_valid = sr_platform_registration_decode("i", object, 1, entry);
+	json_object_put(object);
+	g_free(text);
+	return is_valid;
+}
+
+/* Guards against processes that end: a number that is too large overflowed the
+ * times that are computed from it, and a port must be one. */
+static void test_odd_numbers_of_an_entry(void **state)
+{
+	static const char *const addresses[] = {
+		"\"127.0.0.1:65536\"",
+		"\"127.0.0.1:99999999999999999999\"",
+		"\"127.0.0.1:-1\"",
+		"\"127.0.0.1:0\"",
+		"\"127.0.0.1:\"",
+		"\":80\"",
+		"80",
+		"\"127.0.0.1\"",
+		"\"host:80\"",
+	};
+	static const char *const numbers[] = { "1e308", "1e999", "-1e308",
+					       "9223372036854775807", "NaN" };
+	char *long_text = g_strnfill(1000002, 'x');
+	sr_registration_t entry;
+
+	(void)state;
+	assert_true(decodes("x", "1", &entry));
+	long_text[0] = long_text[1000001] = '"';
+	assert_true(decodes("x", long_text, &entry));
+	assert_false(decodes("version", long_text, &entry));
+	g_free(long_text);
+	for (guint i = 0; i < G_N_ELEMENTS(addresses); i++)
+		assert_false(decodes("address", addresses[i], &entry));
+	for (guint i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		assert_true(decodes("cold_remaining_ms", numbers[i], &entry));
+		assert_in_range(entry.cold_for, 0, SR_DURATION_MAX);
+		assert_true(decodes("leaves_ms", numbers[i], &entry));
+		assert_in_range(entry.terminates_in, 0, SR_DURATION_MAX);
+		(void)decodes("slots", numbers[i], &entry);
+		(void)decodes("born", numbers[i], &entry);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -641,6 +817,9 @@
 		cmocka_unit_test(test_versions_are_compared_within_their_era),
 		cmocka_unit_test(test_feed_ignores_removal_before_return),
 		cmocka_unit_test(test_feed_survives_malformed_bodies),
+		cmocka_unit_test(test_feed_reads_around_odd_entries),
+		cmocka_unit_test(test_entries_without_a_name_are_left_out),
+		cmocka_unit_test(test_odd_numbers_of_an_entry),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
