End answers without a body with their head on routes of streams

Any success on such a route was taken for a stream, while the way for whole answers has a condition of its own. One function says whether a response may have a body, and both ways use it.

test_response_without_a_body_ends_with_its_head failed before.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -179,11 +179,13 @@
 	return SR_ATTEMPT_ANSWERED;
 }
 
-static gboolean is_streaming_success(const sr_attempt_t *attempt)
+gboolean sr_attempt_is_event_stream(const sr_attempt_t *attempt)
 {
 	const sr_message_t *response = sr_parser_message(attempt->parser);
 
-	return attempt->options.is_stream && response->status < 300;
+	return attempt->options.is_stream && response->status < 300 &&
+	       sr_http_has_body(attempt->options.is_head_only,
+				response->status);
 }
 
 /* Passes stream data to the transaction; FALSE if that freed the attempt. */
@@ -193,7 +195,7 @@
 	gsize size;
 	const guint8 *data;
 
-	if (!is_streaming_success(attempt) ||
+	if (!sr_attempt_is_event_stream(attempt) ||
 	    sr_parser_message(attempt->parser)->body->len == 0)
 		return TRUE;
 	part = sr_parser_take_body(attempt->parser);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -235,6 +235,10 @@
 /** sr_attempt_message - the response as far as it was read; borrowed. */
 const sr_message_t *sr_attempt_message(const sr_attempt_t *attempt);
 
+/** sr_attempt_is_event_stream - the response is passed on as it arrives: a
+ * success with a body on a route of streams. */
+gboolean sr_attempt_is_event_stream(const sr_attempt_t *attempt);
+
 /** sr_attempt_cause - why it ended, for the log; a static string. */
 const char *sr_attempt_cause(const sr_attempt_t *attempt);
 
--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -186,8 +186,8 @@
 {
 	const sr_message_t *request = sr_parser_message(session->parser);
 	GString *head = format_head(session, response);
-	gboolean has_body = g_strcmp0(request->method, "HEAD") != 0 &&
-			    response->status != 204 && response->status != 304;
+	gboolean has_body = sr_http_has_body(
+		!g_strcmp0(request->method, "HEAD"), response->status);
 
 	if (has_body)
 		g_string_append_printf(head, "Content-Length: %zu\r\n",
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -486,11 +486,10 @@
 outcome_for_stream(const sr_transaction_t *transaction,
 		   sr_attempt_outcome_t outcome)
 {
-	const sr_message_t *message = sr_attempt_message(transaction->attempt);
-
 	if (!transaction->is_streaming)
 		return outcome;
-	if (outcome == SR_ATTEMPT_ANSWERED && message->status < 300)
+	if (outcome == SR_ATTEMPT_ANSWERED &&
+	    sr_attempt_is_event_stream(transaction->attempt))
 		return outcome;
 	return SR_ATTEMPT_TRUNCATED;
 }
@@ -503,14 +502,6 @@
 	sr_transaction_end_stream(transaction);
 }
 
-gboolean sr_transaction_is_event_stream(const sr_transaction_t *transaction)
-{
-	const sr_message_t *message = sr_attempt_message(transaction->attempt);
-
-	return transaction->route->kind == SR_ROUTE_STREAM &&
-	       message->status < 300;
-}
-
 static void observe_duration(const sr_transaction_t *transaction)
 {
 	sr_gateway_service_state_t *state = sr_gateway_service_state(
@@ -527,7 +518,7 @@
 {
 	const sr_message_t *message = sr_attempt_message(transaction->attempt);
 
-	if (!sr_transaction_is_event_stream(transaction))
+	if (!sr_attempt_is_event_stream(transaction->attempt))
 		return FALSE;
 	if (message->ends_at_close && transaction->n_events == 0)
 		return TRUE;
@@ -574,7 +565,7 @@
 			record_output(transaction);
 	}
 	if (outcome == SR_ATTEMPT_ANSWERED &&
-	    sr_transaction_is_event_stream(transaction))
+	    sr_attempt_is_event_stream(transaction->attempt))
 		sr_transaction_finish_stream(transaction);
 	else
 		sr_transaction_conclude_attempt(
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -118,9 +118,6 @@
 				     sr_attempt_outcome_t outcome,
 				     const char *cause);
 
-/** sr_transaction_is_event_stream - whether the current response is one. */
-gboolean sr_transaction_is_event_stream(const sr_transaction_t *transaction);
-
 /** sr_transaction_finish_stream - completes the stream; frees the transaction.
  */
 void sr_transaction_finish_stream(sr_transaction_t *transaction);
--- a/src/gateway/transaction_relay.c
+++ b/src/gateway/transaction_relay.c
@@ -218,7 +218,7 @@
 				   sr_attempt_outcome_t outcome)
 {
 	if (outcome == SR_ATTEMPT_ANSWERED &&
-	    sr_transaction_is_event_stream(transaction)) {
+	    sr_attempt_is_event_stream(transaction->attempt)) {
 		sr_transaction_finish_stream(transaction);
 		return;
 	}
--- a/src/http/parser.c
+++ b/src/http/parser.c
@@ -372,3 +372,8 @@
 {
 	return parser->has_input;
 }
+
+gboolean sr_http_has_body(gboolean is_head, unsigned status)
+{
+	return !is_head && status >= 200 && status != 204 && status != 304;
+}
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -85,4 +85,8 @@
 /** sr_parser_has_input - TRUE once a byte of the message was parsed. */
 gboolean sr_parser_has_input(const sr_parser_t *parser);
 
+/** sr_http_has_body - whether a response with this status may have a body;
+ * is_head: it is one to HEAD. */
+gboolean sr_http_has_body(gboolean is_head, unsigned status);
+
 #endif
--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -88,6 +88,20 @@
 	}
 }
 
+/* Responds with a status that has no body, and a body if the action asks for
+ * one. */
+static void serve_status(fake_connection_t *connection, const char *id,
+			 const char *action)
+{
+	rig_send(connection,
+		 "HTTP/1.1 %.3s Status\r\nX-Request: %s\r\n"
+		 "X-Signature: s\r\n%s",
+		 action, id,
+		 g_str_has_suffix(action, "-with-body") ?
+			 "Content-Length: 6\r\n\r\nwrong!" :
+			 "\r\n");
+}
+
 /* The last segment of the path selects the behaviour of the instance. */
 static void serve(fake_connection_t *connection, const sr_message_t *request)
 {
@@ -160,6 +174,8 @@
 			rig_send(connection, "f\r\nid: 2\ndata: b\n\n\r\n"
 					     "0\r\n\r\n");
 		}
+	} else if (g_ascii_isdigit(*action)) {
+		serve_status(connection, id, action);
 	} else if (g_str_has_prefix(action, "endless-")) {
 		serve_endless(connection, action);
 	} else if (g_str_has_prefix(action, "unframed-")) {
@@ -396,6 +412,47 @@
 	return n > 0;
 }
 
+/* Guards against MIXED of review/more/bodyless: on a route of streams the last
+ * chunk followed a response without a body, where the next response belongs. */
+static void test_response_without_a_body_ends_with_its_head(void **state)
+{
+	static const char *const cases[][2] = {
+		{ "HEAD", "/stream/ok" },
+		{ "HEAD", "/stream/events" },
+		{ "POST", "/stream/204" },
+		{ "POST", "/stream/304" },
+		{ "HEAD", "/stream/204" },
+		{ "POST", "/safe/204" },
+		{ "POST", "/stream/204-with-body" },
+		{ "HEAD", "/safe/ok" },
+	};
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t fixture = fixture_new();
+		const char *received;
+
+		caller_request(fixture.caller, cases[i][0], cases[i][1], "r1",
+			       "", "");
+		assert_true(caller_wait_for(fixture.caller, "\r\n\r\n", 1000));
+		rig_run_for(30);
+		received = fixture.caller->received->str;
+		if (!g_str_has_suffix(received, "\r\n\r\n") ||
+		    strstr(received, "0\r\n\r\n") ||
+		    strstr(received, "Transfer-Encoding"))
+			fail_msg("%s %s: %s", cases[i][0], cases[i][1],
+				 received);
+		/* the connection carries the next response */
+		g_string_truncate(fixture.caller->received, 0);
+		caller_request(fixture.caller, "POST", "/safe/ok", "r2", "",
+			       "");
+		assert_true(caller_wait_for(fixture.caller, "hello", 1000));
+		assert_true(g_str_has_prefix(fixture.caller->received->str,
+					     "HTTP/1.1 200 "));
+		fixture_free(&fixture);
+	}
+}
+
 /* Guards against bytes without end from an instance: they are given up long
  * before the time limit, and the connection is closed. */
 static void test_response_without_end_is_given_up(void **state)
@@ -827,6 +884,8 @@
 		cmocka_unit_test(test_response_by_attempt_outcome),
 		cmocka_unit_test(test_response_without_end_is_given_up),
 		cmocka_unit_test(test_discards_response_to_other_request),
+		cmocka_unit_test(
+			test_response_without_a_body_ends_with_its_head),
 		cmocka_unit_test(test_truncated_stream_has_no_final_chunk),
 		cmocka_unit_test(test_resumed_stream_has_one_head),
 		cmocka_unit_test(test_resumed_stream_skips_repeated_events),
