--- a/test/gateway_test.c
+++ b/test/gateway_test.c
@@ -485,7 +485,7 @@
 	for (gsize i = 0; i < G_N_ELEMENTS(answers); i++) {
 		fixture_t fixture = fixture_new();
 		char *path = g_strdup_printf("/resume/then-%s", answers[i]);
-		const char *received = fixture.caller->received->str;
+		const char *received;
 
 		caller_request(fixture.caller, "POST", path, "r1", "", "");
 		caller_wait_for(fixture.caller, "0\r\n\r\n", 600);
