Ask other hosts before the first configuration of a start

The other hosts keep what is in force; a process that starts has nothing to compare with.

The state of readiness follows each table that is put in force, whoever sent it.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -42,9 +42,6 @@
  * what ten hosts publish once a second, each rumour sent about three times. */
 #define GOSSIP_RATE (24 * 1024)
 
-/** Key under which a peer serves the text of its table. */
-#define TABLE_KEY "table"
-
 /** Low bits of a rumour's version, which number the rumours of one
  * incarnation; the incarnation is in the bits above. */
 #define SEQUENCE_BITS 20
@@ -85,8 +82,7 @@
 		     "version", text, "source", source, NULL);
 }
 
-/* Puts a table in force if it is newer than the one in force. */
-static void apply_table(sr_fleet_t *fleet, GBytes *text, const char *source)
+void sr_fleet_apply_table(sr_fleet_t *fleet, GBytes *text, const char *source)
 {
 	sr_route_table_t *table = fleet->options.decode(text);
 
@@ -103,13 +99,17 @@
 				 table->version, "", 0);
 		log_change(fleet, "table-in-force", "table", table->version,
 			   source);
+		if (fleet->options.table_applied)
+			fleet->options.table_applied(fleet->options.user);
 	}
 	sr_route_table_unref(table);
 }
 
 void sr_fleet_set_table(sr_fleet_t *fleet, GBytes *text)
 {
-	apply_table(fleet, text, "platform");
+	if (fleet->table_version > 0 ||
+	    !sr_start_table_hold(fleet->start_table, text))
+		sr_fleet_apply_table(fleet, text, "platform");
 }
 
 static void fetch_after(sr_fleet_t *fleet, sr_usec_t delay);
@@ -120,7 +120,7 @@
 
 	fleet->is_fetching = FALSE;
 	if (value)
-		apply_table(fleet, value, "peer");
+		sr_fleet_apply_table(fleet, value, "peer");
 	if (fleet->table_version < fleet->peer_table_version)
 		fetch_after(fleet, FETCH_DELAY);
 }
@@ -141,7 +141,7 @@
 		return;
 	}
 	fleet->is_fetching = TRUE;
-	sr_peer_fetch(fleet->peer, address, TABLE_KEY, FETCH_TIMEOUT,
+	sr_peer_fetch(fleet->peer, address, SR_FLEET_TABLE_KEY, FETCH_TIMEOUT,
 		      on_fetched, fleet);
 }
 
@@ -414,7 +414,11 @@
 {
 	sr_fleet_t *fleet = user;
 
-	if (strcmp(key, TABLE_KEY) != 0)
+	GBytes *version = sr_start_table_answer(fleet, key);
+
+	if (version)
+		return version;
+	if (strcmp(key, SR_FLEET_TABLE_KEY) != 0)
 		return fleet->options.fetch(fleet->options.user, key);
 	return fleet->table_text ? g_bytes_ref(fleet->table_text) : NULL;
 }
@@ -594,6 +598,7 @@
 	sr_fleet_drops_init(fleet);
 	create_rollouts(fleet);
 	sr_load_report_init(fleet);
+	fleet->start_table = sr_start_table_new(fleet);
 	on_tick(fleet);
 	return fleet;
 }
@@ -605,6 +610,7 @@
 	sr_timer_cancel(fleet->timer);
 	sr_timer_cancel(fleet->fetch_timer);
 	sr_pool_requests_clear(fleet);
+	sr_start_table_free(fleet->start_table);
 	sr_peer_free(fleet->peer);
 	sr_gossip_free(fleet->gossip);
 	sr_load_report_clear(fleet);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -60,6 +60,8 @@
 	/* writes the status of a roll-out, see sr_rollouts_options_t */
 	void (*write_rollout_status)(void *user,
 				     const sr_rollout_order_t *order);
+	/* a table was put in force; may be NULL */
+	void (*table_applied)(void *user);
 	/* peers have newer data than the platform has sent to this host */
 	void (*behind)(void *user);
 	/* another host of the failure domain has sent a notice */
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -15,6 +15,11 @@
 /** Number of kinds of drops, see sr_fleet_drop_t. */
 #define SR_FLEET_DROPS 3
 
+/** Key under which a host serves the text of its table. */
+#define SR_FLEET_TABLE_KEY "table"
+
+typedef struct sr_start_table sr_start_table_t;
+
 struct sr_fleet {
 	sr_fleet_options_t options;
 	char *owner_id; /* "NODE@INCARNATION" */
@@ -37,6 +42,7 @@
 	GBytes *table_text;
 	guint64 table_version;
 	guint64 peer_table_version;
+	sr_start_table_t *start_table;
 	sr_timer_t *fetch_timer;
 	gboolean is_fetching;
 	/* highest registration revision from the platform, and from peers */
@@ -93,6 +99,31 @@
 void sr_fleet_publish_own(sr_fleet_t *fleet, sr_rumour_kind_t kind,
 			  const char *key, const char *text, sr_usec_t ttl);
 
+/** sr_fleet_apply_table - put a table in force if it is newer than the one in
+ * force; source is for the log. */
+void sr_fleet_apply_table(sr_fleet_t *fleet, GBytes *text, const char *source);
+
+/**
+ * start_table.c: the first table of a host that starts
+ *
+ * The platform's store may have been restored from a copy with an older table
+ * than the other hosts have in force, and this host can't tell. It asks the
+ * hosts that it was told of for their versions; the platform's first table
+ * waits for the answers, for a moment at most, and an older one gives way to
+ * theirs.
+ */
+sr_start_table_t *sr_start_table_new(sr_fleet_t *fleet);
+
+/** sr_start_table_free - start may be NULL. */
+void sr_start_table_free(sr_start_table_t *start);
+
+/** sr_start_table_hold - FALSE if the platform's table need not wait. */
+gboolean sr_start_table_hold(sr_start_table_t *start, GBytes *text);
+
+/** sr_start_table_answer - value of a key that a host that starts asks for;
+ * NULL for other keys. The caller unrefs it. */
+GBytes *sr_start_table_answer(const sr_fleet_t *fleet, const char *key);
+
 /* drops.c: control messages that were left out at a size limit */
 
 /** sr_fleet_drop_t - kinds of them. */
