Release the buffers of large messages

The send buffer is released when it is empty and was large, only what the socket doesn't take at once is copied into it, and an attempt frees its copy of the request once it is written.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -50,7 +50,7 @@
 		return;
 	sr_parser_free(attempt->parser);
 	sr_instance_unref(attempt->options.instance);
-	g_byte_array_unref(attempt->options.bytes);
+	g_clear_pointer(&attempt->options.bytes, g_byte_array_unref);
 	g_free(attempt);
 }
 
@@ -338,6 +338,7 @@
 				       attempt->options.instance);
 	sr_channel_write(attempt->channel, attempt->options.bytes->data,
 			 attempt->options.bytes->len);
+	g_clear_pointer(&attempt->options.bytes, g_byte_array_unref);
 }
 
 static void on_connected(void *user)
--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -24,6 +24,9 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 #define LISTEN_BACKLOG 1024
+/** Largest send buffer that is kept when it is empty, in bytes: thousands of
+ * connections may each have carried a large message once. */
+#define SEND_BUFFER_KEPT (64 * 1024)
 
 struct sr_channel {
 	int fd;
@@ -68,12 +71,13 @@
 	g_source_modify_unix_fd(channel->source, channel->tag, wanted);
 }
 
-static void flush(sr_channel_t *channel)
+/* Returns the number of bytes that the socket has taken. */
+static gsize send_some(sr_channel_t *channel, const guint8 *data, gsize size)
 {
-	while (channel->sent < channel->send_buffer->len) {
-		ssize_t n = send(channel->fd,
-				 channel->send_buffer->data + channel->sent,
-				 channel->send_buffer->len - channel->sent,
+	gsize sent = 0;
+
+	while (sent < size) {
+		ssize_t n = send(channel->fd, data + sent, size - sent,
 				 MSG_NOSIGNAL);
 
 		if (n < 0) {
@@ -82,12 +86,29 @@
 			channel->has_failed = errno != EAGAIN;
 			break;
 		}
-		channel->sent += (gsize)n;
+		sent += (gsize)n;
+	}
+	return sent;
+}
+
+static void clear_send_buffer(sr_channel_t *channel)
+{
+	if (channel->send_buffer->len > SEND_BUFFER_KEPT) {
+		g_byte_array_unref(channel->send_buffer);
+		channel->send_buffer = g_byte_array_new();
 	}
-	if (channel->sent < channel->send_buffer->len)
-		return;
 	g_byte_array_set_size(channel->send_buffer, 0);
 	channel->sent = 0;
+}
+
+static void flush(sr_channel_t *channel)
+{
+	channel->sent +=
+		send_some(channel, channel->send_buffer->data + channel->sent,
+			  channel->send_buffer->len - channel->sent);
+	if (channel->sent < channel->send_buffer->len)
+		return;
+	clear_send_buffer(channel);
 	if (channel->shutdown_pending)
 		shutdown(channel->fd, SHUT_WR);
 }
@@ -96,8 +117,7 @@
 {
 	channel->paused = TRUE;
 	channel->has_failed = FALSE;
-	g_byte_array_set_size(channel->send_buffer, 0);
-	channel->sent = 0;
+	clear_send_buffer(channel);
 	update_condition(channel);
 	channel->events.ended(channel->user, how);
 }
@@ -308,9 +328,15 @@
 
 void sr_channel_write(sr_channel_t *channel, const void *data, gsize size)
 {
+	gsize sent = 0;
+
 	if (channel->has_failed || channel->freed)
 		return;
-	g_byte_array_append(channel->send_buffer, data, (guint)size);
+	/* only what the socket does not take at once is copied */
+	if (!channel->connecting && channel->send_buffer->len == 0)
+		sent = send_some(channel, data, size);
+	g_byte_array_append(channel->send_buffer, (const guint8 *)data + sent,
+			    (guint)(size - sent));
 	if (channel->send_buffer->len - channel->sent >
 	    SR_CHANNEL_SEND_BUFFER_MAX)
 		channel->has_failed = TRUE;
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <cmocka.h>
+#include <malloc.h>
 #include <netinet/tcp.h>
 #include <unistd.h>
 
@@ -341,6 +342,58 @@
 	close(listener);
 }
 
+#define LARGE_WRITE ((gsize)4 * 1024 * 1024)
+#define N_CHANNELS 16
+
+static gsize heap_in_use(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+/* Guards against memory that grows with the number of connections: one kept the
+ * buffer of the largest message that it had carried. */
+static void test_buffer_of_a_large_write_is_released(void **state)
+{
+	const sr_channel_events_t events = { .ended = ignore_end };
+	static char data[64 * 1024];
+	char *message = g_malloc0(LARGE_WRITE);
+	sr_channel_t *channels[N_CHANNELS];
+	int peers[N_CHANNELS];
+	gsize before;
+
+	(void)state;
+	for (unsigned i = 0; i < N_CHANNELS; i++) {
+		int fds[2];
+
+		assert_false(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0,
+					fds));
+		channels[i] = sr_channel_new_from_fd(fds[0], &events, NULL);
+		peers[i] = fds[1];
+	}
+	before = heap_in_use();
+	for (unsigned i = 0; i < N_CHANNELS; i++) {
+		gsize received = 0;
+
+		sr_channel_write(channels[i], message, LARGE_WRITE);
+		while (received < LARGE_WRITE) {
+			ssize_t n = recv(peers[i], data, sizeof(data), 0);
+
+			received += n > 0 ? (gsize)n : 0;
+			g_main_context_iteration(NULL, FALSE);
+		}
+		while (!sr_channel_is_flushed(channels[i]))
+			g_main_context_iteration(NULL, FALSE);
+	}
+	assert_true(heap_in_use() < before + LARGE_WRITE);
+	for (unsigned i = 0; i < N_CHANNELS; i++) {
+		sr_channel_free(channels[i]);
+		close(peers[i]);
+	}
+	g_free(message);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -355,6 +408,7 @@
 		cmocka_unit_test(test_hop_by_hop_fields),
 		cmocka_unit_test(test_events_are_split_at_boundaries),
 		cmocka_unit_test(test_user_timeout_and_keep_alive_agree),
+		cmocka_unit_test(test_buffer_of_a_large_write_is_released),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
