--- a/src/core/ejection.c
+++ b/src/core/ejection.c
@@ -17,10 +17,12 @@
 	return SR_EJECTION_PROBATION;
 }
 
-void sr_ejection_begin(sr_ejection_t *ejection, sr_usec_t now)
+gboolean sr_ejection_begin(sr_ejection_t *ejection, sr_usec_t now)
 {
-	if (sr_ejection_state(ejection, now) == SR_EJECTION_PROBATION)
-		ejection->probe_in_flight = TRUE;
+	if (sr_ejection_state(ejection, now) != SR_EJECTION_PROBATION)
+		return FALSE;
+	ejection->probe_in_flight = TRUE;
+	return TRUE;
 }
 
 void sr_ejection_succeeded(sr_ejection_t *ejection)
--- a/src/fleet/start_table.c
+++ b/src/fleet/start_table.c
@@ -164,9 +164,9 @@
 	if (start->n_pending == 0)
 		decide(start);
 	else if (!start->timer)
-		start->timer = sr_timer_start(start->fleet->options.clock,
-					      ANSWER_TIMEOUT, on_timeout,
-					      start);
+		start->timer =
+			sr_timer_start(start->fleet->options.clock,
+				       ANSWER_TIMEOUT, on_timeout, start);
 	return TRUE;
 }
 
