--- a/src/core/ejection.c
+++ b/src/core/ejection.c
@@ -17,12 +17,10 @@
 	return SR_EJECTION_PROBATION;
 }
 
-gboolean sr_ejection_begin(sr_ejection_t *ejection, sr_usec_t now)
+void sr_ejection_begin(sr_ejection_t *ejection, sr_usec_t now)
 {
-	if (sr_ejection_state(ejection, now) != SR_EJECTION_PROBATION)
-		return FALSE;
-	ejection->probe_in_flight = TRUE;
-	return TRUE;
+	if (sr_ejection_state(ejection, now) == SR_EJECTION_PROBATION)
+		ejection->probe_in_flight = TRUE;
 }
 
 void sr_ejection_succeeded(sr_ejection_t *ejection)
--- a/src/core/ejection.h
+++ b/src/core/ejection.h
@@ -29,9 +29,8 @@
 sr_ejection_state_t sr_ejection_state(const sr_ejection_t *ejection,
 				      sr_usec_t now);
 
-/** sr_ejection_begin - a request is sent; TRUE if it is the probe, each end of
- * which has to be reported. */
-gboolean sr_ejection_begin(sr_ejection_t *ejection, sr_usec_t now);
+/** sr_ejection_begin - a request is sent; on probation it is the probe. */
+void sr_ejection_begin(sr_ejection_t *ejection, sr_usec_t now);
 
 /** sr_ejection_succeeded - a request succeeded. */
 void sr_ejection_succeeded(sr_ejection_t *ejection);
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -268,8 +268,7 @@
 		MAX(instance->notices.most_in_flight, instance->in_flight);
 	sr_instance_notices_sent(&instance->notices, now);
 	sr_instance_pace_sent(&instance->pace, now);
-	transaction->probes_ejected =
-		sr_ejection_begin(&instance->ejection, now);
+	sr_ejection_begin(&instance->ejection, now);
 	transaction->expected_first_event_s = choice->first_event_s;
 	transaction->prefill_tokens = choice->uncached_tokens;
 	count_work(transaction);
@@ -386,7 +385,6 @@
 	sr_ejection_t *ejection = &instance->ejection;
 	sr_usec_t now = sr_transaction_now(transaction);
 
-	transaction->probes_ejected = FALSE;
 	switch (outcome) {
 	case SR_ATTEMPT_NOT_SENT:
 		sr_ejection_failed(ejection, now, EJECTION_WEIGHT_UNREACHABLE);
@@ -593,11 +591,6 @@
 
 	transaction->deadline_timer = NULL;
 	sr_transaction_observe_deadline(transaction);
-	/* a probe without any response does not readmit its instance */
-	if (transaction->probes_ejected && transaction->n_events == 0)
-		update_ejection(transaction,
-				sr_attempt_instance(transaction->attempt),
-				SR_ATTEMPT_FAILED);
 	if (transaction->is_streaming) {
 		sr_transaction_abort(transaction, "deadline exceeded");
 	} else if (sent || transaction->may_have_run) {
--- a/src/gateway/transaction.h
+++ b/src/gateway/transaction.h
@@ -58,9 +58,8 @@
 	gboolean is_execution_reported; /* by options.request_executed */
 	/* Streams. */
 	sr_event_parser_t *event_parser; /* of the instance's stream */
-	gboolean probes_ejected; /* the attempt does, see sr_ejection_begin() */
-	gboolean is_streaming;	 /* the head was sent to the caller */
-	char *stream_type;	 /* Content-Type of that head; NULL before it */
+	gboolean is_streaming;		 /* the head was sent to the caller */
+	char *stream_type; /* Content-Type of that head; NULL before it */
 	gboolean has_last_event;
 	guint64 last_event; /* id of the last event the caller has */
 };
--- a/src/gateway/transaction_relay.c
+++ b/src/gateway/transaction_relay.c
@@ -85,8 +85,7 @@
 	sr_counter_add(transaction->gateway->metrics.relayed, 1);
 	log_relay(transaction, host);
 	host->in_flight++;
-	transaction->probes_ejected = sr_ejection_begin(
-		&host->ejection, sr_transaction_now(transaction));
+	sr_ejection_begin(&host->ejection, sr_transaction_now(transaction));
 	transaction->sent_at = sr_transaction_now(transaction);
 	transaction->prefill_tokens = 0;
 	transaction->prefill_backlog = -1;
--- a/src/gateway/transaction_response.c
+++ b/src/gateway/transaction_response.c
@@ -29,10 +29,6 @@
 	if (!transaction->attempt)
 		return;
 	sr_transaction_release_prefill(transaction);
-	if (transaction->probes_ejected)
-		sr_ejection_abandoned(
-			&sr_attempt_instance(transaction->attempt)->ejection);
-	transaction->probes_ejected = FALSE;
 	sr_attempt_instance(transaction->attempt)->in_flight--;
 	sr_attempt_free(transaction->attempt);
 	transaction->attempt = NULL;
