--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -141,8 +141,8 @@
 		return;
 	}
 	fleet->is_fetching = TRUE;
-	sr_peer_fetch(fleet->peer, address, SR_FLEET_TABLE_KEY, FETCH_TIMEOUT,
-		      on_fetched, fleet);
+	sr_fleet_fetch(fleet, address, SR_FLEET_TABLE_KEY, FETCH_TIMEOUT,
+		       on_fetched, fleet);
 }
 
 static void fetch_after(sr_fleet_t *fleet, sr_usec_t delay)
@@ -592,6 +592,7 @@
 		g_free(fleet);
 		return NULL;
 	}
+	sr_fetches_init(fleet);
 	sr_usage_exchange_init(fleet);
 	sr_pool_requests_init(fleet);
 	create_gossip(fleet);
@@ -611,6 +612,7 @@
 	sr_timer_cancel(fleet->fetch_timer);
 	sr_pool_requests_clear(fleet);
 	sr_start_table_free(fleet->start_table);
+	sr_fetches_clear(fleet);
 	sr_peer_free(fleet->peer);
 	sr_gossip_free(fleet->gossip);
 	sr_load_report_clear(fleet);
@@ -661,18 +663,6 @@
 	return sr_members_domain_rank(fleet->members);
 }
 
-void sr_fleet_fetch(sr_fleet_t *fleet, const char *address, const char *key,
-		    sr_usec_t timeout, void (*done)(void *user, GBytes *value),
-		    void *user)
-{
-	sr_peer_fetch(fleet->peer, address, key, timeout, done, user);
-}
-
-void sr_fleet_cancel_fetches(sr_fleet_t *fleet, void *user)
-{
-	sr_peer_cancel_calls(fleet->peer, user);
-}
-
 unsigned sr_fleet_rank(const sr_fleet_t *fleet, const char *key)
 {
 	return sr_members_rank(fleet->members, key);
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -45,6 +45,7 @@
 	sr_start_table_t *start_table;
 	sr_timer_t *fetch_timer;
 	gboolean is_fetching;
+	sr_list_t fetches; /* of any value; fetches.c */
 	/* highest registration revision from the platform, and from peers */
 	guint64 platform_revision;
 	guint64 peer_revision;
@@ -124,6 +125,11 @@
  * NULL for other keys. The caller unrefs it. */
 GBytes *sr_start_table_answer(const sr_fleet_t *fleet, const char *key);
 
+/* fetches.c: values that this host fetches from others */
+
+void sr_fetches_init(sr_fleet_t *fleet);
+void sr_fetches_clear(sr_fleet_t *fleet);
+
 /* drops.c: control messages that were left out at a size limit */
 
 /** sr_fleet_drop_t - kinds of them. */
--- a/src/fleet/start_table.c
+++ b/src/fleet/start_table.c
@@ -82,8 +82,8 @@
 		     start->address, "outcome",
 		     "another host has a newer one, which is fetched", NULL);
 	start->is_fetching = TRUE;
-	sr_peer_fetch(fleet->peer, start->address, SR_FLEET_TABLE_KEY,
-		      ANSWER_TIMEOUT, on_table, start);
+	sr_fleet_fetch(fleet, start->address, SR_FLEET_TABLE_KEY,
+		       ANSWER_TIMEOUT, on_table, start);
 }
 
 static void on_version(void *user, GBytes *value)
@@ -145,7 +145,7 @@
 {
 	if (!start)
 		return;
-	sr_peer_cancel_calls(start->fleet->peer, start);
+	sr_fleet_cancel_fetches(start->fleet, start);
 	for (guint i = 0; i < start->queries->len; i++)
 		sr_peer_cancel_calls(start->fleet->peer,
 				     start->queries->pdata[i]);
