Send other hosts the difference of what they fetch

Cause: a host that watches the store sent the whole configuration to each other host of its domain, however small the change, and a fetch ended after 400 ms. On links of 10 Mbit/s one copy of 3,600 routes takes 0.8 s, and 23 of them 18 s. A configuration of more than 512 KiB was not kept for the others at all. The hosts then polled the store, each for the whole configuration, beside fetches of the whole table from each other, and the polls ran into their own time-out of 1.5 s.

Ruled out: processor time and the stand-in of the store (no host is late with links of 1,000 Mbit/s).

A host that fetches names the table that it has in force, and the other host compresses what it sends as the difference from it (libzstd): 16 KB for 2,200 new routes, 0.1 KB for one. A host of an earlier build answers that it has no such key and is asked in the old way.

--- a/src/fleet/fetches.c
+++ b/src/fleet/fetches.c
@@ -1,5 +1,10 @@
+#include "fleet/fetch_codec.h"
 #include "fleet/fleet_internal.h"
 
+/** Tables that are kept as bases: a host that fetches has one of the last few
+ * in force. */
+#define TABLES_KEPT 4
+
 /** Fetches of this size, or that took this long, are logged. */
 #define LOGGED_SIZE (32 * 1024)
 #define LOGGED_TIME (200 * SR_MSEC)
@@ -10,6 +15,8 @@
 	sr_fleet_t *fleet;
 	char *address;
 	char *key;
+	GBytes *base; /* table in force at the start; NULL for none */
+	sr_usec_t timeout;
 	sr_usec_t started_at;
 	void (*done)(void *user, GBytes *value);
 	void *user;
@@ -20,6 +27,7 @@
 	sr_list_remove(&fetch->link);
 	g_free(fetch->address);
 	g_free(fetch->key);
+	g_clear_pointer(&fetch->base, g_bytes_unref);
 	g_free(fetch);
 }
 
@@ -40,7 +48,7 @@
 		     is_found ? "found" : "no value or no answer", NULL);
 }
 
-static void on_fetched(void *user, GBytes *value)
+static void on_plain(void *user, GBytes *value)
 {
 	fetch_t *fetch = user;
 
@@ -49,20 +57,51 @@
 	free_fetch(fetch);
 }
 
+static void on_encoded(void *user, GBytes *encoded)
+{
+	fetch_t *fetch = user;
+	sr_fleet_t *fleet = fetch->fleet;
+	GBytes *value = NULL;
+
+	/* a host of a build without this encoding answers that it has no
+	 * value */
+	if (!encoded &&
+	    sr_fleet_now(fleet) - fetch->started_at < fetch->timeout) {
+		sr_peer_fetch(fleet->peer, fetch->address, fetch->key,
+			      fetch->timeout, on_plain, fetch);
+		return;
+	}
+	if (encoded)
+		sr_fetch_codec_decode(encoded, fetch->base, &value);
+	log_fetch(fetch, encoded ? g_bytes_get_size(encoded) : 0,
+		  value != NULL);
+	fetch->done(fetch->user, value);
+	g_clear_pointer(&value, g_bytes_unref);
+	free_fetch(fetch);
+}
+
 void sr_fleet_fetch(sr_fleet_t *fleet, const char *address, const char *key,
 		    sr_usec_t timeout, void (*done)(void *user, GBytes *value),
 		    void *user)
 {
 	fetch_t *fetch = g_new0(fetch_t, 1);
+	char *encoded_key;
 
 	fetch->fleet = fleet;
 	fetch->address = g_strdup(address);
 	fetch->key = g_strdup(key);
+	if (fleet->table_text)
+		fetch->base = g_bytes_ref(fleet->table_text);
+	fetch->timeout = timeout;
 	fetch->started_at = sr_fleet_now(fleet);
 	fetch->done = done;
 	fetch->user = user;
 	sr_list_append(&fleet->fetches, &fetch->link);
-	sr_peer_fetch(fleet->peer, address, key, timeout, on_fetched, fetch);
+	encoded_key =
+		sr_fetch_codec_make_key(key, sr_fetch_codec_id(fetch->base));
+	sr_peer_fetch(fleet->peer, address, encoded_key, timeout, on_encoded,
+		      fetch);
+	g_free(encoded_key);
 }
 
 void sr_fleet_cancel_fetches(sr_fleet_t *fleet, void *user)
@@ -77,8 +116,29 @@
 	}
 }
 
+void sr_fetches_keep_table(sr_fleet_t *fleet, GBytes *text)
+{
+	g_queue_push_head(&fleet->kept_tables, g_bytes_ref(text));
+	while (g_queue_get_length(&fleet->kept_tables) > TABLES_KEPT)
+		g_bytes_unref(g_queue_pop_tail(&fleet->kept_tables));
+}
+
+GBytes *sr_fetches_encode(const sr_fleet_t *fleet, GBytes *value,
+			  guint64 base_id)
+{
+	GBytes *base = NULL;
+
+	for (GList *item = fleet->kept_tables.head; item && base_id > 0;
+	     item = item->next) {
+		if (sr_fetch_codec_id(item->data) == base_id)
+			base = item->data;
+	}
+	return sr_fetch_codec_encode(value, base);
+}
+
 void sr_fetches_init(sr_fleet_t *fleet)
 {
+	g_queue_init(&fleet->kept_tables);
 	sr_list_init(&fleet->fetches);
 }
 
@@ -90,4 +150,5 @@
 		sr_peer_cancel_calls(fleet->peer, fetch);
 		free_fetch(fetch);
 	}
+	g_queue_clear_full(&fleet->kept_tables, (GDestroyNotify)g_bytes_unref);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "fleet/fetch_codec.h"
 #include "fleet/fleet_internal.h"
 #include "fleet/registration_codec.h"
 
@@ -94,6 +95,7 @@
 	if (sr_gateway_set_table(fleet->options.gateway, table)) {
 		g_clear_pointer(&fleet->table_text, g_bytes_unref);
 		fleet->table_text = g_bytes_ref(text);
+		sr_fetches_keep_table(fleet, text);
 		fleet->table_version = table->version;
 		sr_fleet_publish(fleet, SR_RUMOUR_ROUTE_TABLE, "",
 				 table->version, "", 0);
@@ -410,10 +412,8 @@
 	sr_peer_answer(request, &result);
 }
 
-static GBytes *on_fetch(void *user, const char *key)
+static GBytes *find_value(sr_fleet_t *fleet, const char *key)
 {
-	sr_fleet_t *fleet = user;
-
 	GBytes *version = sr_start_table_answer(fleet, key);
 
 	if (version)
@@ -423,6 +423,22 @@
 	return fleet->table_text ? g_bytes_ref(fleet->table_text) : NULL;
 }
 
+static GBytes *on_fetch(void *user, const char *text)
+{
+	sr_fleet_t *fleet = user;
+	const char *key = text;
+	guint64 base_id;
+	gboolean encodes = sr_fetch_codec_parse_key(text, &base_id, &key);
+	GBytes *value = find_value(fleet, key);
+	GBytes *encoded;
+
+	if (!encodes)
+		return value;
+	encoded = sr_fetches_encode(fleet, value, base_id);
+	g_clear_pointer(&value, g_bytes_unref);
+	return encoded;
+}
+
 static void on_send(void *user, const char *address, const guint8 *data,
 		    gsize size)
 {
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -45,7 +45,8 @@
 	sr_start_table_t *start_table;
 	sr_timer_t *fetch_timer;
 	gboolean is_fetching;
-	sr_list_t fetches; /* of any value; fetches.c */
+	sr_list_t fetches;  /* of any value; fetches.c */
+	GQueue kept_tables; /* GBytes, texts; the one in force first */
 	/* highest registration revision from the platform, and from peers */
 	guint64 platform_revision;
 	guint64 peer_revision;
@@ -125,7 +126,16 @@
  * NULL for other keys. The caller unrefs it. */
 GBytes *sr_start_table_answer(const sr_fleet_t *fleet, const char *key);
 
-/* fetches.c: values that this host fetches from others */
+/* fetches.c: values that this host fetches from others, and serves to them; see
+ * fetch_codec.h */
+
+/** sr_fetches_keep_table - keep the table that is in force now, as a base. */
+void sr_fetches_keep_table(sr_fleet_t *fleet, GBytes *text);
+
+/** sr_fetches_encode - a value for a host that holds a base; value may be NULL.
+ * The caller unrefs the result. */
+GBytes *sr_fetches_encode(const sr_fleet_t *fleet, GBytes *value,
+			  guint64 base_id);
 
 void sr_fetches_init(sr_fleet_t *fleet);
 void sr_fetches_clear(sr_fleet_t *fleet);
