Wait for an answer of the store while it arrives

Hosts that start on links of which callers take half never read a large configuration; those that run answer by the one before.

Cause: a list or a poll ended 1.5 s after its start, however much of its answer had arrived, and was begun anew. 1 MiB takes 1.7 s at 5 Mbit/s. A watch whose answer was arriving was given up for a poll, too, when peers had newer data, and its host counted as out of touch with the store, so that the others of the domain watched for themselves.

The time-out now ends with the first byte of the answer.

Measured: platform_busy_links_test (8 hosts, 5 Mbit/s, 4,000 routes) failed before: no host had started after 10 s (72 lists given up), and none had the change after 6 s.

--- a/src/platform_api/client.c
+++ b/src/platform_api/client.c
@@ -237,6 +237,7 @@
 		.era_header = platform->era_header,
 		.body = call->body,
 		.timeout = call->timeout,
+		.idle_timeout = platform->default_timeout,
 		.done = on_exchange,
 		.user = call,
 	};
@@ -477,6 +478,20 @@
 	}
 }
 
+sr_usec_t sr_platform_answered_at(const sr_platform_t *platform,
+				  const void *user)
+{
+	sr_usec_t at = 0;
+
+	sr_list_for_each (pos, &platform->in_flight) {
+		const call_t *call = sr_list_entry(pos, call_t, link);
+
+		if (call->user == user)
+			at = MAX(at, sr_exchange_answered_at(call->exchange));
+	}
+	return at;
+}
+
 static void cancel_objects(sr_store_t *store, void *user)
 {
 	sr_platform_cancel_all((sr_platform_t *)store, user);
--- a/src/platform_api/client.h
+++ b/src/platform_api/client.h
@@ -30,7 +30,8 @@
 	unsigned max_in_flight;
 	/* per class; 0 for SR_PLATFORM_DEFAULT_QUEUED */
 	unsigned max_queued;
-	/* timeout of a call; 0 for SR_PLATFORM_DEFAULT_TIMEOUT */
+	/* timeout of a call, and between two pieces of an answer; 0 for
+	 * SR_PLATFORM_DEFAULT_TIMEOUT */
 	sr_usec_t default_timeout;
 	/* added to the timeout of a long poll before it counts as lost; 0 for
 	 * SR_PLATFORM_DEFAULT_WATCH_GRACE */
@@ -127,6 +128,11 @@
 void sr_platform_request(sr_platform_t *platform,
 			 const sr_platform_request_t *request);
 
+/** sr_platform_answered_at - time at which the answer began that a request or
+ * call with a user pointer receives now; 0 if it receives none. */
+sr_usec_t sr_platform_answered_at(const sr_platform_t *platform,
+				  const void *user);
+
 /**
  * sr_platform_cancel_all - drop all requests and calls with a user pointer
  *
--- a/src/platform_api/exchange.c
+++ b/src/platform_api/exchange.c
@@ -13,7 +13,11 @@
 	GCancellable *cancellable;
 	GInputStream *stream;
 	GByteArray *body;
+	sr_clock_t *clock;
 	sr_timer_t *timer;
+	sr_usec_t idle_timeout;
+	sr_usec_t answered_at; /* 0 before the answer */
+	sr_usec_t answer_deadline;
 	gboolean sent;
 	const char *era_header;
 	sr_exchange_fn done; /* NULL once it was called or cancelled */
@@ -114,6 +118,27 @@
 		       exchange->body->len;
 }
 
+static void on_timeout(void *data)
+{
+	sr_exchange_t *exchange = data;
+
+	exchange->timer = NULL;
+	finish_lost(exchange);
+	g_cancellable_cancel(exchange->cancellable);
+}
+
+/* To be called when a piece of the answer arrives. */
+static void restart_timer(sr_exchange_t *exchange)
+{
+	sr_usec_t left =
+		exchange->answer_deadline - sr_clock_now(exchange->clock);
+
+	sr_timer_cancel(exchange->timer);
+	exchange->timer = sr_timer_start(exchange->clock,
+					 CLAMP(left, 0, exchange->idle_timeout),
+					 on_timeout, exchange);
+}
+
 static void on_read(GObject *source, GAsyncResult *result, gpointer data);
 
 static void read_next_chunk(sr_exchange_t *exchange)
@@ -135,6 +160,7 @@
 		g_byte_array_append(exchange->body,
 				    g_bytes_get_data(chunk, NULL), (guint)size);
 		g_bytes_unref(chunk);
+		restart_timer(exchange);
 		read_next_chunk(exchange);
 		return;
 	}
@@ -153,6 +179,8 @@
 	exchange->stream =
 		soup_session_send_finish(SOUP_SESSION(source), result, NULL);
 	if (exchange->stream && exchange->done) {
+		exchange->answered_at = sr_clock_now(exchange->clock);
+		restart_timer(exchange);
 		read_next_chunk(exchange);
 		return;
 	}
@@ -167,15 +195,6 @@
 	exchange->sent = TRUE;
 }
 
-static void on_timeout(void *data)
-{
-	sr_exchange_t *exchange = data;
-
-	exchange->timer = NULL;
-	finish_lost(exchange);
-	g_cancellable_cancel(exchange->cancellable);
-}
-
 static void add_headers(SoupMessage *message,
 			const sr_exchange_options_t *options)
 {
@@ -211,6 +230,10 @@
 	exchange->cancellable = g_cancellable_new();
 	exchange->body = g_byte_array_new();
 	exchange->era_header = options->era_header;
+	exchange->clock = options->clock;
+	exchange->idle_timeout = options->idle_timeout;
+	exchange->answer_deadline = sr_clock_now(options->clock) +
+				    options->timeout + SR_EXCHANGE_ANSWER_TIME;
 	exchange->done = options->done;
 	exchange->user = options->user;
 	exchange->timer = sr_timer_start(options->clock, options->timeout,
@@ -222,6 +245,11 @@
 	return exchange;
 }
 
+sr_usec_t sr_exchange_answered_at(const sr_exchange_t *exchange)
+{
+	return exchange->answered_at;
+}
+
 void sr_exchange_cancel(sr_exchange_t *exchange)
 {
 	exchange->done = NULL;
--- a/test/platform_links_bed.h
+++ b/test/platform_links_bed.h
@@ -283,6 +283,7 @@
 
 typedef struct {
 	store_t store;
+	SoupServer *instance;
 	SoupSession *session;
 	pid_t forwarder;
 	pid_t pids[LINKS_HOSTS_MAX];
@@ -345,6 +346,38 @@
 	g_free(seeds);
 }
 
+static void on_links_call(SoupServer *server, SoupServerMessage *message,
+			  const char *path, GHashTable *query, gpointer user)
+{
+	SoupMessageHeaders *in =
+		soup_server_message_get_request_headers(message);
+	SoupMessageHeaders *out =
+		soup_server_message_get_response_headers(message);
+	const char *id = soup_message_headers_get_one(in, "Attempt-Id");
+
+	(void)server;
+	(void)path;
+	(void)query;
+	(void)user;
+	soup_message_headers_append(out, "Attempt-Id", id ? id : "");
+	soup_message_headers_append(out, "Response-Signature", "s");
+	soup_server_message_set_status(message, 200, NULL);
+	soup_server_message_set_response(message, "text/plain",
+					 SOUP_MEMORY_STATIC, "done", 4);
+}
+
+static void write_links_instance(links_bed_t *bed)
+{
+	char *spec = g_strdup_printf(
+		"{\"service\":\"model\",\"address\":\"127.0.0.1:%d\","
+		"\"zone\":\"z\",\"version\":\"v1\",\"slots\":1000,"
+		"\"state\":\"ready\"}",
+		port_of(bed->instance));
+
+	put_text(&bed->store, "servers/i-1", spec);
+	g_free(spec);
+}
+
 /* Writes the next version of the configuration. Each has the route "/v" and its
  * number, which the one before lacks. */
 static void write_links_config(links_bed_t *bed, unsigned n_routes)
@@ -362,10 +395,10 @@
 		g_string_append_printf(
 			spec,
 			"%s{\"name\":\"r-%07x\",\"host\":\"h.example\","
-			"\"path_prefix\":\"/%s%u/\",\"kind\":\"streaming\","
+			"\"path_prefix\":\"/%s%u/\",\"kind\":\"idempotent\","
 			"\"timeout_ms\":5000,\"target_latency_ms\":800,"
 			"\"priority\":1,\"service\":\"model\",\"max_attempts\":"
-			"2,\"public\":true,\"sticky\":true,\"resumable\":true,"
+			"2,\"public\":true,\"sticky\":true,\"resumable\":false,"
 			"\"gap_target_ms\":800}",
 			i > 0 ? "," : "", mixed >> 4, i > 0 ? "ro" : "v",
 			i > 0 ? i : bed->version);
@@ -396,9 +429,8 @@
 		soup_session_get_async_result_message(session, result);
 	GBytes *body = soup_session_send_and_read_finish(session, result, NULL);
 
-	/* without an instance, a route that is known gets 503 */
 	if (question->version == question->bed->version &&
-	    (!body || soup_message_get_status(message) == 404))
+	    (!body || soup_message_get_status(message) != 200))
 		question->bed->missed_at[question->host] =
 			MAX(question->bed->missed_at[question->host],
 			    question->sent_at);
@@ -452,6 +484,8 @@
 	bed->forwarder = start_forwarder();
 	start_links_hosts(bed);
 	store_init_at(&bed->store, links.store_port);
+	bed->instance = listen_local(on_links_call, bed);
+	write_links_instance(bed);
 	write_links_config(bed, n_routes);
 	bed->session = soup_session_new_with_options("max-conns", 1000,
 						     "max-conns-per-host", 100,
@@ -469,6 +503,7 @@
 	}
 	kill(bed->forwarder, SIGKILL);
 	waitpid(bed->forwarder, NULL, 0);
+	g_object_unref(bed->instance);
 	store_clear(&bed->store);
 }
 
