Leave an announced configuration time to arrive before polling for it

Callers got 404 for added routes up to 3.8 s after the acknowledgement where one failure domain has faster links than another.

Cause: a host that heard of a newer configuration from another domain polled the store 0.3 s later, and again after each fetch, though its own domain's watcher was just reading it. All hosts then read the whole configuration at once, and the fetches between them shared the links with it.

A host now only fetches from its peers, which send the difference, and asks again soon where a peer hasn't got it either. The store is polled if it has not sent what peers have had for 1.5 s, the rule for registrations. A text that is in force already is not parsed again.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -28,15 +28,21 @@
 /** Interval at which the evidence on versions is analysed. */
 #define ROLLOUT_TICK (500 * SR_MSEC)
 
-/** Time that the platform has to send a table that peers have announced
- * before it is fetched from a peer; also the pause between two fetches. */
+/** Time that the platform has to send a table that peers have announced before
+ * it is fetched from a peer; also the pause after a peer that doesn't answer.
+ */
 #define FETCH_DELAY (300 * SR_MSEC)
 
+/** Pause after a peer that hasn't the table either. What it sends then is
+ * small, as both have the same one. */
+#define FETCH_AGAIN_DELAY (100 * SR_MSEC)
+
 /** Timeout of one fetch. */
 #define FETCH_TIMEOUT (400 * SR_MSEC)
 
-/** Time for which peers may have newer registrations before the platform is
- * polled at once. */
+/** Time for which peers may have a newer table, or newer registrations, before
+ * the platform is polled at once. Each poll carries a changed table as a whole,
+ * so that it would delay what is on its way. */
 #define BEHIND_MAX (1500 * SR_MSEC)
 
 /** Upper limit of the gossip that a host sends, in bytes per second: enough for
@@ -83,15 +89,21 @@
 		     "version", text, "source", source, NULL);
 }
 
-void sr_fleet_apply_table(sr_fleet_t *fleet, GBytes *text, const char *source)
+guint64 sr_fleet_apply_table(sr_fleet_t *fleet, GBytes *text,
+			     const char *source)
 {
-	sr_route_table_t *table = fleet->options.decode(text);
+	sr_route_table_t *table;
+	guint64 version;
 
+	if (fleet->table_text && g_bytes_equal(text, fleet->table_text))
+		return fleet->table_version;
+	table = fleet->options.decode(text);
 	if (!table) {
 		sr_log_event(fleet->options.log, SR_LOG_ERROR,
 			     "table-unreadable", "source", source, NULL);
-		return;
+		return 0;
 	}
+	version = table->version;
 	if (sr_gateway_set_table(fleet->options.gateway, table)) {
 		g_clear_pointer(&fleet->table_text, g_bytes_unref);
 		fleet->table_text = g_bytes_ref(text);
@@ -105,13 +117,15 @@
 			fleet->options.table_applied(fleet->options.user);
 	}
 	sr_route_table_unref(table);
+	return version;
 }
 
 void sr_fleet_set_table(sr_fleet_t *fleet, GBytes *text)
 {
 	if (fleet->table_version > 0 ||
 	    !sr_start_table_hold(fleet->start_table, text))
-		sr_fleet_apply_table(fleet, text, "platform");
+		fleet->platform_table_version =
+			sr_fleet_apply_table(fleet, text, "platform");
 }
 
 static void fetch_after(sr_fleet_t *fleet, sr_usec_t delay);
@@ -124,7 +138,7 @@
 	if (value)
 		sr_fleet_apply_table(fleet, value, "peer");
 	if (fleet->table_version < fleet->peer_table_version)
-		fetch_after(fleet, FETCH_DELAY);
+		fetch_after(fleet, value ? FETCH_AGAIN_DELAY : FETCH_DELAY);
 }
 
 static void on_fetch_timer(void *user)
@@ -136,7 +150,6 @@
 	if (fleet->table_version >= fleet->peer_table_version ||
 	    fleet->is_fetching)
 		return;
-	fleet->options.behind(fleet->options.user);
 	address = sr_members_pick_address(fleet->members);
 	if (!address) {
 		fetch_after(fleet, FETCH_DELAY);
@@ -445,17 +458,22 @@
 	sr_peer_send_datagram(((sr_fleet_t *)user)->peer, address, data, size);
 }
 
-/* Requests a poll of the platform if peers have had newer registrations than it
- * has sent to this host for longer than BEHIND_MAX. */
+/* Requests a poll of the platform if peers have had a newer table, or newer
+ * registrations, than it has sent to this host for longer than BEHIND_MAX. */
 static void check_behind(sr_fleet_t *fleet, sr_usec_t now)
 {
-	if (fleet->platform_revision >= fleet->peer_revision) {
+	if (fleet->platform_revision >= fleet->peer_revision &&
+	    fleet->platform_table_version >= fleet->peer_table_version) {
 		fleet->behind_since = 0;
 	} else if (fleet->behind_since == 0) {
 		fleet->behind_since = now;
 	} else if (now - fleet->behind_since > BEHIND_MAX) {
 		fleet->behind_since = 0;
-		fleet->platform_revision = fleet->peer_revision;
+		fleet->platform_revision =
+			MAX(fleet->platform_revision, fleet->peer_revision);
+		fleet->platform_table_version =
+			MAX(fleet->platform_table_version,
+			    fleet->peer_table_version);
 		fleet->options.behind(fleet->options.user);
 	}
 }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -47,6 +47,7 @@
 	gboolean is_fetching;
 	sr_list_t fetches;  /* of any value; fetches.c */
 	GQueue kept_tables; /* GBytes, texts; the one in force first */
+	guint64 platform_table_version; /* as the platform has sent it last */
 	/* highest registration revision from the platform, and from peers */
 	guint64 platform_revision;
 	guint64 peer_revision;
@@ -102,8 +103,9 @@
 			  const char *key, const char *text, sr_usec_t ttl);
 
 /** sr_fleet_apply_table - put a table in force if it is newer than the one in
- * force; source is for the log. */
-void sr_fleet_apply_table(sr_fleet_t *fleet, GBytes *text, const char *source);
+ * force; source is for the log. Returns its version, 0 if it can't be read. */
+guint64 sr_fleet_apply_table(sr_fleet_t *fleet, GBytes *text,
+			     const char *source);
 
 /**
  * start_table.c: the first table of a host that starts
--- a/src/fleet/start_table.c
+++ b/src/fleet/start_table.c
@@ -44,7 +44,8 @@
 	sr_timer_cancel(start->timer);
 	start->timer = NULL;
 	if (held)
-		sr_fleet_apply_table(start->fleet, held, "platform");
+		start->fleet->platform_table_version =
+			sr_fleet_apply_table(start->fleet, held, "platform");
 	g_clear_pointer(&held, g_bytes_unref);
 }
 
--- a/test/platform_busy_links_test.c
+++ b/test/platform_busy_links_test.c
@@ -29,7 +29,7 @@
  * answer is arriving: the host never gets to the end of it. */
 static void test_answers_that_arrive_are_waited_for(void **state)
 {
-	links_bed_t *bed = links_bed_new(HOSTS, LINK_MBIT_PER_S, ROUTES_MAX);
+	links_bed_t *bed = links_bed_new(HOSTS, 0, LINK_MBIT_PER_S, ROUTES_MAX);
 	unsigned started;
 	unsigned replaced;
 
--- a/test/platform_links_bed.h
+++ b/test/platform_links_bed.h
@@ -30,6 +30,9 @@
 
 #define LINKS_CONNECTIONS_MAX 2048
 
+/** Links of fast hosts, against the others. */
+#define LINKS_FAST_RATIO 20
+
 /** Interval at which each host is asked, in ms. */
 #define LINKS_ASK_MS 100
 
@@ -39,7 +42,9 @@
 	int store_port;
 	int peer_port;
 	int forward_ports[LINKS_HOSTS_MAX + 1]; /* by target */
-	double bytes_per_s;
+	/* of the first hosts, which are a failure domain of their own */
+	unsigned n_fast;
+	double bytes_per_s; /* of the others */
 } links_t;
 
 static links_t links;
@@ -220,13 +225,13 @@
 
 static void links_refill(forwarder_t *forwarder, double seconds)
 {
-	double earned = links.bytes_per_s * seconds;
-
 	for (unsigned i = 0; i <= LINKS_HOSTS_MAX; i++) {
-		double limit = i == LINKS_STORE ? G_MAXINT32 : 8 * LINKS_CHUNK;
+		double ratio = i < links.n_fast ? LINKS_FAST_RATIO : 1;
+		double earned = links.bytes_per_s * seconds * ratio;
+		double limit = 8 * LINKS_CHUNK * ratio;
 
 		if (i == LINKS_STORE)
-			earned = G_MAXINT32;
+			earned = limit = G_MAXINT32;
 		forwarder->up[i] = MIN(forwarder->up[i] + earned, limit);
 		forwarder->down[i] = MIN(forwarder->down[i] + earned, limit);
 	}
@@ -324,7 +329,7 @@
 		char ip[16];
 		const host_place_t place = {
 			.node = node,
-			.failure_domain = "z",
+			.failure_domain = i < links.n_fast ? "y" : "z",
 			.ip = ip,
 			.seeds = seeds,
 			.store_port = links.store_port,
@@ -471,8 +476,8 @@
 			  1000);
 }
 
-static links_bed_t *links_bed_new(unsigned n_hosts, double mbit_per_s,
-				  unsigned n_routes)
+static links_bed_t *links_bed_new(unsigned n_hosts, unsigned n_fast,
+				  double mbit_per_s, unsigned n_routes)
 {
 	links_bed_t *bed = g_new0(links_bed_t, 1);
 
@@ -480,6 +485,7 @@
 	links = (links_t){ .n_hosts = n_hosts,
 			   .store_port = unused_port(),
 			   .peer_port = unused_port(),
+			   .n_fast = n_fast,
 			   .bytes_per_s = mbit_per_s * 1e6 / 8 };
 	bed->forwarder = start_forwarder();
 	start_links_hosts(bed);
--- a/test/platform_links_test.c
+++ b/test/platform_links_test.c
@@ -7,6 +7,10 @@
 #define HOSTS 24
 #define LINK_MBIT_PER_S 10
 
+/** Hosts of another failure domain, which has fast links and tells the others
+ * of a change that is on its way to them. */
+#define FAST_HOSTS 4
+
 /** Time after which a change is in force, in ms. */
 #define IN_FORCE_MS 3000
 
@@ -29,24 +33,35 @@
 	return n;
 }
 
+/** Hosts that read a change from the store: the watchers of two domains, and
+ * successors that take over. */
+#define READERS_MAX 4
+
 /* Guards against hosts that answer by the configuration before: each sent and
- * fetched it as a whole, under time-outs that it outgrew. */
+ * fetched it as a whole, under time-outs that it outgrew, and all read it from
+ * the store when they heard of it. */
 static void test_large_configuration_is_in_force_in_time(void **state)
 {
-	links_bed_t *bed = links_bed_new(HOSTS, LINK_MBIT_PER_S, ROUTES_BEFORE);
+	links_bed_t *bed = links_bed_new(HOSTS, FAST_HOSTS, LINK_MBIT_PER_S,
+					 ROUTES_BEFORE);
 	unsigned n_grown;
+	unsigned n_read;
 	unsigned n_one;
 
 	(void)state;
 	run_for(8000);
+	bed->store.n_changes_sent = 0;
 	write_links_config(bed, ROUTES_MAX);
 	run_for(2 * IN_FORCE_MS);
 	n_grown = n_late(bed, "2,200 routes more");
+	n_read = bed->store.n_changes_sent;
+	print_message("%u hosts read it from the store\n", n_read);
 	write_links_config(bed, ROUTES_MAX);
 	run_for(2 * IN_FORCE_MS);
 	n_one = n_late(bed, "one route replaced");
 	links_bed_end(bed);
 	assert_int_equal(n_grown, 0);
+	assert_true(n_read <= READERS_MAX);
 	assert_int_equal(n_one, 0);
 }
 
--- a/test/platform_store.h
+++ b/test/platform_store.h
@@ -27,9 +27,10 @@
 	json_object *objects; /* "KIND/NAME" -> object */
 	json_object *removed; /* "KIND/NAME" -> object, as last seen */
 	gint64 revision;
-	gint64 oldest;	  /* a watch from before it gets 410 */
-	unsigned era;	  /* 0: answers don't name one */
-	gboolean is_away; /* answers 503 */
+	gint64 oldest;		 /* a watch from before it gets 410 */
+	unsigned era;		 /* 0: answers don't name one */
+	gboolean is_away;	 /* answers 503 */
+	unsigned n_changes_sent; /* answers of watches with events */
 	/* takes the calls of duties; NULL for none */
 	void (*duty_called)(void *user, SoupServerMessage *message,
 			    const char *path);
@@ -243,6 +244,7 @@
 	respond(message, 200, body);
 	if (watch && json_object_array_length(items) == 0)
 		hold_watch(message);
+	store->n_changes_sent += watch && json_object_array_length(items) > 0;
 	json_object_put(body);
 }
 
