--- a/test/gateway_rig.h
+++ b/test/gateway_rig.h
@@ -141,9 +141,9 @@
 }
 
 /** rig_respond - send a valid response; each of the fields ends with CRLF. */
-static void rig_respond(fake_connection_t *connection,
-			const sr_message_t *request, unsigned status,
-			const char *fields, const char *body)
+static inline void rig_respond(fake_connection_t *connection,
+			       const sr_message_t *request, unsigned status,
+			       const char *fields, const char *body)
 {
 	rig_send(connection,
 		 "HTTP/1.1 %u Status\r\nX-Request: %s\r\nX-Signature: %s\r\n"
@@ -509,7 +509,7 @@
 }
 
 /** rig_run_for - run the main loop for ms of real time. */
-static void rig_run_for(unsigned ms)
+static inline void rig_run_for(unsigned ms)
 {
 	gboolean timed_out = FALSE;
 
