Continue a pool from what its holder before has granted

Cause: the next holder of a pool took all of its limit to have been granted evenly over the window, and granted an eighth of it each second. An account that turns hot takes a whole pool in its first second, so that nearly two pools ran in one window. A holder that knew few hosts assumed only the fraction that it could grant then, and found the pool nearly empty a moment later.

The load reports already say what each pool has granted, by quarters of the window. Each host now keeps the last one, and what the holder has answered to its own requests since: a refusal means that all was granted by then. The next holder continues from these; the rest of the whole limit counts as spread over the window, as before.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -97,6 +97,17 @@
 	gint64 slot; /* the latest one */
 } pool_t;
 
+/** noted_use_t - what another host has said of a pool. */
+typedef struct {
+	sr_allowance_use_t use;
+	sr_usec_t at;	       /* received; 0 for nothing */
+	sr_usec_t before_at;   /* the one before; it is of a time since then */
+	sr_usec_t refused_at;  /* a request of this host, last; 0 for never */
+	double granted;	       /* to this host since at */
+	double granted_before; /* between before_at and at */
+	sr_usec_t granted_at;  /* last; 0 for never */
+} noted_use_t;
+
 typedef struct {
 	double rate;
 	double burst;
@@ -113,6 +124,7 @@
 	gboolean is_held[SR_ALLOWANCE_POOLS];
 	gboolean is_restored[SR_ALLOWANCE_POOLS];
 	double restored[SR_ALLOWANCE_POOLS]; /* sums */
+	noted_use_t noted[SR_ALLOWANCE_POOLS];
 } bucket_t;
 
 struct sr_allowance {
@@ -265,13 +277,6 @@
 	return LOCAL_FRACTION * MIN((double)FEW_HOSTS / allowance->n_hosts, 1);
 }
 
-/* Fraction of a limit in one pool, as far as this host may grant it. */
-static double pool_fraction(const sr_allowance_t *allowance)
-{
-	return (1 - local_fraction(allowance)) / SR_ALLOWANCE_POOLS *
-	       allowance->pool_fraction;
-}
-
 /* Moves the share towards its target; returns the part outside the pools. */
 static double update_share(const sr_allowance_t *allowance, bucket_t *bucket,
 			   sr_usec_t now)
@@ -304,15 +309,22 @@
 	bucket->refilled_at = now;
 }
 
-/* What a pool may grant in a window, as far as this host may grant it. */
-static double pool_limit(const sr_allowance_t *allowance,
-			 const bucket_t *bucket)
+/* What a pool may grant in a window. */
+static double whole_pool_limit(const sr_allowance_t *allowance,
+			       const bucket_t *bucket)
 {
 	double window_s = (double)allowance->tolerance.window / SR_SEC;
 	double used = allowance->n_hosts > FEW_HOSTS ? POOL_USED_FRACTION : 1;
 
 	return (bucket->burst + bucket->rate * window_s) * used *
-	       pool_fraction(allowance);
+	       (1 - local_fraction(allowance)) / SR_ALLOWANCE_POOLS;
+}
+
+/* The same, as far as this host may grant it. */
+static double pool_limit(const sr_allowance_t *allowance,
+			 const bucket_t *bucket)
+{
+	return whole_pool_limit(allowance, bucket) * allowance->pool_fraction;
 }
 
 static sr_usec_t slot_length(const sr_allowance_t *allowance)
@@ -326,7 +338,8 @@
 			   const bucket_t *bucket, pool_t *pool, sr_usec_t now,
 			   double fraction)
 {
-	double granted = pool_limit(allowance, bucket) * fraction / POOL_SLOTS;
+	double granted =
+		whole_pool_limit(allowance, bucket) * fraction / POOL_SLOTS;
 
 	for (unsigned i = 0; i < POOL_SLOTS; i++)
 		pool->granted[i] = granted;
@@ -463,16 +476,6 @@
 	return (pool->slot + i) * length - now;
 }
 
-void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
-			     const char *account, unsigned pool)
-{
-	bucket_t *bucket = get_bucket(allowance, now, account);
-
-	bucket->is_held[pool] = TRUE;
-	if (now >= allowance->restored_until)
-		assume_granted(allowance, bucket, &bucket->pools[pool], now, 1);
-}
-
 /* The part of the window, counted back from now, in which a slot lies. */
 static unsigned part_of_slot(const pool_t *pool, gint64 slot)
 {
@@ -522,6 +525,15 @@
 	}
 }
 
+static double sum_use_parts(const sr_allowance_use_t *use)
+{
+	double sum = 0;
+
+	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
+		sum += use->granted[i];
+	return sum;
+}
+
 /* Within its part, a grant is taken to be as late as it can be. */
 static void restore_pool(const sr_allowance_t *allowance, pool_t *pool,
 			 sr_usec_t now, sr_usec_t age,
@@ -541,6 +553,89 @@
 	}
 }
 
+/* Adds grants at a time; those that have left the window are dropped. */
+static void add_granted(const sr_allowance_t *allowance, pool_t *pool,
+			sr_usec_t at, double amount)
+{
+	gint64 slot = at / slot_length(allowance);
+
+	if (pool->slot - slot < POOL_SLOTS)
+		pool->granted[slot % POOL_SLOTS] += amount;
+}
+
+/* Continues from what the holder before has said of the pool. What it granted
+ * since is estimated: the whole rest of the limit if it has refused a request,
+ * or else to each host as much as to this one. What is then left was granted at
+ * an unknown time, and is spread over the window. */
+static void continue_pool(const sr_allowance_t *allowance, bucket_t *bucket,
+			  unsigned i, sr_usec_t now)
+{
+	double limit = whole_pool_limit(allowance, bucket);
+	const noted_use_t *noted = &bucket->noted[i];
+	pool_t *pool = &bucket->pools[i];
+	sr_allowance_use_t use = noted->use;
+	double sum = sum_use_parts(&use);
+	double rest;
+	double recent;
+
+	/* two hosts that both took themselves for the holder are added up */
+	for (unsigned k = 0; k < SR_ALLOWANCE_PARTS && sum > limit; k++)
+		use.granted[k] *= limit / sum;
+	restore_pool(allowance, pool, now, now - noted->at, &use);
+	rest = MAX(limit - sum_granted(pool), 0);
+	if (noted->refused_at > noted->before_at) {
+		add_granted(allowance, pool, noted->refused_at, rest);
+	} else {
+		recent = MIN((noted->granted + noted->granted_before) *
+				     allowance->n_hosts,
+			     rest);
+		add_granted(allowance, pool, noted->granted_at, recent);
+	}
+	rest = MAX(limit - sum_granted(pool), 0);
+	for (unsigned k = 0; k < POOL_SLOTS; k++)
+		pool->granted[k] += rest / POOL_SLOTS;
+}
+
+void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
+			     const char *account, unsigned pool)
+{
+	bucket_t *bucket = get_bucket(allowance, now, account);
+
+	bucket->is_held[pool] = TRUE;
+	if (now >= allowance->restored_until)
+		continue_pool(allowance, bucket, pool, now);
+}
+
+void sr_allowance_note_use(sr_allowance_t *allowance, sr_usec_t now,
+			   const char *account, unsigned pool,
+			   const sr_allowance_use_t *use)
+{
+	bucket_t *bucket = get_bucket(allowance, now, account);
+	noted_use_t *noted = &bucket->noted[pool];
+
+	if (bucket->is_held[pool])
+		return;
+	noted->use = *use;
+	noted->before_at = noted->at;
+	noted->at = now;
+	noted->granted_before = noted->granted;
+	noted->granted = 0;
+}
+
+void sr_allowance_note_answer(sr_allowance_t *allowance, sr_usec_t now,
+			      const char *account, unsigned pool,
+			      double granted)
+{
+	noted_use_t *noted = &get_bucket(allowance, now, account)->noted[pool];
+
+	if (granted > 0) {
+		noted->granted += granted;
+		noted->granted_at = now;
+	} else {
+		noted->refused_at = now;
+	}
+}
+
 void sr_allowance_begin_restore(sr_allowance_t *allowance, sr_usec_t now)
 {
 	const sr_allowance_use_t nothing = { { 0 } };
@@ -561,10 +656,8 @@
 			      const sr_allowance_use_t *use)
 {
 	bucket_t *bucket = get_bucket(allowance, now, account);
-	double sum = 0;
+	double sum = sum_use_parts(use);
 
-	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++)
-		sum += use->granted[i];
 	bucket->is_restored[pool] = TRUE;
 	for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++) {
 		if (i != pool && bucket->is_restored[i])
--- a/src/core/allowance.h
+++ b/src/core/allowance.h
@@ -114,11 +114,24 @@
  * reach, itself included, from 0 to 1; 0 until set. */
 void sr_allowance_set_pool_fraction(sr_allowance_t *allowance, double fraction);
 
+/** sr_allowance_note_use - what a pool that another host holds has granted, as
+ * last heard. */
+void sr_allowance_note_use(sr_allowance_t *allowance, sr_usec_t now,
+			   const char *account, unsigned pool,
+			   const sr_allowance_use_t *use);
+
+/** sr_allowance_note_answer - the holder of a pool has granted an amount to
+ * this host, or refused a request (0): then it has granted all that its limit
+ * allows. */
+void sr_allowance_note_answer(sr_allowance_t *allowance, sr_usec_t now,
+			      const char *account, unsigned pool,
+			      double granted);
+
 /**
  * sr_allowance_start_pool - make this host the holder of a pool of an account
  *
- * The pool starts as if it had granted all of the last window, as what the
- * previous holder granted is not known; see sr_allowance_begin_restore().
+ * The pool starts as if it had granted all of the last window, most of it at
+ * the times that were noted; see also sr_allowance_begin_restore().
  */
 void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
 			     const char *account, unsigned pool);
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -114,8 +114,17 @@
 	return sum;
 }
 
-/* Sets the load of the other hosts in the gateway's table of instances. Without
- * a fresh total it is left to expire. */
+static void note_use(void *user, const char *account, unsigned pool,
+		     const sr_allowance_use_t *use)
+{
+	sr_fleet_t *fleet = user;
+
+	sr_allowance_note_use(sr_gateway_allowance(fleet->options.gateway),
+			      sr_fleet_now(fleet), account, pool, use);
+}
+
+/* Sets the load of the other hosts in the gateway's table of instances, and
+ * what their pools have granted. Without a fresh total it is left to expire. */
 static void apply_total(void *user)
 {
 	sr_fleet_t *fleet = user;
@@ -126,6 +135,8 @@
 	const GPtrArray *all =
 		sr_instances_all(sr_gateway_instances(fleet->options.gateway));
 
+	if (total)
+		sr_load_sum_foreach_use(total, note_use, fleet);
 	for (guint i = 0; total && i < all->len; i++) {
 		sr_instance_t *instance = all->pdata[i];
 		sr_load_item_t sum = sr_load_sum_item(total, instance->name);
--- a/src/fleet/pool_requests.c
+++ b/src/fleet/pool_requests.c
@@ -319,10 +319,16 @@
 		pool_request_t *request =
 			sr_list_entry(link, pool_request_t, link);
 
-		if (request->id == id) {
-			handle_answer(request, wait);
-			return;
-		}
+		if (request->id != id)
+			continue;
+		/* a host that isn't the holder says so by this wait */
+		if (wait != WAIT_UNAVAILABLE)
+			sr_allowance_note_answer(
+				sr_gateway_allowance(fleet->options.gateway),
+				sr_fleet_now(fleet), request->account,
+				request->pool, wait > 0 ? 0 : request->amount);
+		handle_answer(request, wait);
+		return;
 	}
 }
 
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -38,6 +38,9 @@
 	double requested[STEPS_MAX];
 	unsigned n_steps;
 	sr_usec_t now;
+	/* grants of the pools as published, received 1 s later; NULL if they
+	 * are not exchanged */
+	sr_allowance_use_t *uses;
 	gboolean has_pool;
 	int pool_holder; /* index of the first; see request() for partitions */
 } fleet_t;
@@ -72,6 +75,7 @@
 {
 	for (int i = 0; i < N_HOSTS; i++)
 		sr_allowance_free(fleet->hosts[i]);
+	g_free(fleet->uses);
 	g_free(fleet);
 }
 
@@ -100,6 +104,27 @@
 				     &fleet->published[i]);
 }
 
+static void store_use(void *user, const char *account, unsigned pool,
+		      const sr_allowance_use_t *use)
+{
+	((sr_allowance_use_t *)user)[pool] = *use;
+}
+
+/* The same for the grants of the pools. */
+static void exchange_uses(fleet_t *fleet)
+{
+	for (int i = 0; i < N_HOSTS; i++) {
+		for (unsigned pool = 0; pool < SR_ALLOWANCE_POOLS; pool++)
+			sr_allowance_note_use(fleet->hosts[i], fleet->now, "a",
+					      pool, &fleet->uses[pool]);
+	}
+	for (unsigned pool = 0; pool < SR_ALLOWANCE_POOLS; pool++)
+		sr_allowance_foreach_use(
+			fleet->hosts[(fleet->pool_holder + (int)pool) %
+				     N_HOSTS],
+			fleet->now, store_use, fleet->uses);
+}
+
 /* Each side of a partition has its own holders of the pools: the first hosts of
  * that side from pool_holder on. */
 static int holder_of(const fleet_t *fleet, int host, unsigned pool)
@@ -129,8 +154,15 @@
 						 fleet->now, "a", pool,
 						 REQUEST)) {
 			fleet->n_requests++;
+			if (fleet->uses)
+				sr_allowance_note_answer(fleet->hosts[i],
+							 fleet->now, "a", pool,
+							 REQUEST);
 			return TRUE;
 		}
+		if (fleet->uses && !fleet->is_down[holder])
+			sr_allowance_note_answer(fleet->hosts[i], fleet->now,
+						 "a", pool, 0);
 	}
 	return FALSE;
 }
@@ -157,6 +189,8 @@
 
 	if (n % EXCHANGE_STEPS == 0)
 		exchange_demand(fleet);
+	if (n % EXCHANGE_STEPS == 0 && fleet->uses)
+		exchange_uses(fleet);
 	for (int i = 0; i < N_HOSTS; i++) {
 		fleet->backlog[i] += fleet->demand[i] * (double)STEP / SR_SEC;
 		while (fleet->backlog[i] >= REQUEST) {
@@ -307,12 +341,6 @@
 	run_restart_of_all_hosts_under_hot_account(TRUE);
 }
 
-static void store_use(void *user, const char *account, unsigned pool,
-		      const sr_allowance_use_t *use)
-{
-	((sr_allowance_use_t *)user)[pool] = *use;
-}
-
 /* All hosts restart in the middle of a window. What the first n_known pools had
  * granted was written elsewhere a second before. An account that had taken all
  * at the beginning of the window must not get more; one that was quiet is
@@ -540,6 +568,39 @@
 	free_fleet(fleet);
 }
 
+/* Starts the pools on their present holders. */
+static void start_pools(fleet_t *fleet)
+{
+	for (unsigned pool = 0; pool < SR_ALLOWANCE_POOLS; pool++)
+		sr_allowance_start_pool(fleet->hosts[holder_of(fleet, 0, pool)],
+					fleet->now, "a", pool);
+}
+
+/* Guards against a holder that takes what the one before granted to have been
+ * spread over the window: an account that turns hot takes all of it at once. */
+static void run_pool_changes_holder_after_burst(double after_s)
+{
+	fleet_t *fleet = new_fleet(TRUE);
+
+	fleet->uses = g_new0(sr_allowance_use_t, SR_ALLOWANCE_POOLS);
+	start_pools(fleet);
+	run(fleet, 10);
+	set_demand(fleet, 8 * RATE);
+	run(fleet, after_s);
+	fleet->pool_holder = SR_ALLOWANCE_POOLS;
+	start_pools(fleet);
+	run(fleet, 20);
+	assert_true(max_in_window(fleet) <= max_allowed());
+	free_fleet(fleet);
+}
+
+static void test_pool_changes_holder_after_burst(void **state)
+{
+	(void)state;
+	for (int i = 1; i < 80; i++)
+		run_pool_changes_holder_after_burst(i * 0.1);
+}
+
 /* Most requests of an account within a second happen to reach one host. They
  * exceed its share, though the account is far below its limit. */
 static void test_pool_covers_demand_above_one_share(void **state)
@@ -760,6 +821,7 @@
 		cmocka_unit_test(test_small_request_passes_after_large_one),
 		cmocka_unit_test(test_overdraft_of_many_hosts_is_bounded),
 		cmocka_unit_test(test_pool_changes_holder_under_hot_account),
+		cmocka_unit_test(test_pool_changes_holder_after_burst),
 		cmocka_unit_test(test_pool_covers_demand_above_one_share),
 		cmocka_unit_test(test_one_pool_carries_when_the_other_is_down),
 		cmocka_unit_test(test_burst_within_the_window_is_admitted),
