Count what was granted while the holder of a pool restarted

A host that restarts reads from the lease's payload what the pools had granted, and takes its pool back a moment later. What another host granted from it in between was not counted, for each restart again.

The pool of an account that was hot by the payload now counts as having granted its limit since the time of the payload.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -123,7 +123,8 @@
 	pool_t pools[SR_ALLOWANCE_POOLS]; /* used while this host holds them */
 	gboolean is_held[SR_ALLOWANCE_POOLS];
 	gboolean is_restored[SR_ALLOWANCE_POOLS];
-	double restored[SR_ALLOWANCE_POOLS]; /* sums */
+	double restored[SR_ALLOWANCE_POOLS];	   /* sums */
+	sr_usec_t restored_at[SR_ALLOWANCE_POOLS]; /* time of that use */
 	noted_use_t noted[SR_ALLOWANCE_POOLS];
 } bucket_t;
 
@@ -596,13 +597,33 @@
 		pool->granted[k] += rest / POOL_SLOTS;
 }
 
+/* Another host may have held the pool between the time of what was restored and
+ * now; that of a hot account has granted what its limit allows. */
+static void add_unknown_grants(const sr_allowance_t *allowance,
+			       bucket_t *bucket, unsigned i, sr_usec_t now)
+{
+	double limit = whole_pool_limit(allowance, bucket);
+	pool_t *pool = &bucket->pools[i];
+	gint64 first;
+
+	if (bucket->restored[i] <= HOT_FRACTION * limit)
+		return;
+	advance_pool(allowance, pool, now);
+	first = MAX(bucket->restored_at[i] / slot_length(allowance),
+		    pool->slot - POOL_SLOTS);
+	for (gint64 slot = first + 1; slot <= pool->slot; slot++)
+		pool->granted[slot % POOL_SLOTS] += limit / POOL_SLOTS;
+}
+
 void sr_allowance_start_pool(sr_allowance_t *allowance, sr_usec_t now,
 			     const char *account, unsigned pool)
 {
 	bucket_t *bucket = get_bucket(allowance, now, account);
 
 	bucket->is_held[pool] = TRUE;
-	if (now >= allowance->restored_until)
+	if (now < allowance->restored_until)
+		add_unknown_grants(allowance, bucket, pool, now);
+	else
 		continue_pool(allowance, bucket, pool, now);
 }
 
@@ -665,6 +686,7 @@
 		restore_pool(allowance, &bucket->pools[i], now, MAX(age, 0),
 			     use);
 		bucket->restored[i] = sum;
+		bucket->restored_at[i] = now - MAX(age, 0);
 	}
 	restore_debt(allowance, bucket, update_share(allowance, bucket, now));
 }
--- a/test/allowance_test.c
+++ b/test/allowance_test.c
@@ -601,6 +601,42 @@
 		run_pool_changes_holder_after_burst(i * 0.1);
 }
 
+/* Guards against a host that restarts in a series of restarts and takes its
+ * pool back without what another host granted from it in the meantime. */
+static void test_restarted_holders_take_pools_back(void **state)
+{
+	fleet_t *fleet = new_fleet(TRUE);
+
+	(void)state;
+	fleet->uses = g_new0(sr_allowance_use_t, SR_ALLOWANCE_POOLS);
+	start_pools(fleet);
+	set_demand(fleet, 8 * RATE);
+	run(fleet, 20);
+	for (int i = 0; i < 4; i++) {
+		for (int host = 0; host < (int)SR_ALLOWANCE_POOLS; host++) {
+			sr_allowance_free(fleet->hosts[host]);
+			fleet->hosts[host] = new_host(fleet->now, TRUE);
+			sr_allowance_begin_restore(fleet->hosts[host],
+						   fleet->now);
+			for (unsigned pool = 0; pool < SR_ALLOWANCE_POOLS;
+			     pool++)
+				sr_allowance_restore_use(
+					fleet->hosts[host], fleet->now, "a",
+					pool, SR_SEC, &fleet->uses[pool]);
+			fleet->published[host] = 0;
+		}
+		fleet->pool_holder = SR_ALLOWANCE_POOLS;
+		start_pools(fleet);
+		run(fleet, 2.5);
+		fleet->pool_holder = 0;
+		start_pools(fleet);
+		run(fleet, 4);
+	}
+	run(fleet, 20);
+	assert_true(max_in_window(fleet) <= max_allowed());
+	free_fleet(fleet);
+}
+
 /* Most requests of an account within a second happen to reach one host. They
  * exceed its share, though the account is far below its limit. */
 static void test_pool_covers_demand_above_one_share(void **state)
@@ -822,6 +858,7 @@
 		cmocka_unit_test(test_overdraft_of_many_hosts_is_bounded),
 		cmocka_unit_test(test_pool_changes_holder_under_hot_account),
 		cmocka_unit_test(test_pool_changes_holder_after_burst),
+		cmocka_unit_test(test_restarted_holders_take_pools_back),
 		cmocka_unit_test(test_pool_covers_demand_above_one_share),
 		cmocka_unit_test(test_one_pool_carries_when_the_other_is_down),
 		cmocka_unit_test(test_burst_within_the_window_is_admitted),
