--- a/test/gateway_cut_answer_test.c
+++ b/test/gateway_cut_answer_test.c
@@ -65,7 +65,8 @@
 	body += strlen("\r\n\r\n");
 	if (length && length < body)
 		return strlen(body) >=
-		       (gsize)atoi(length + strlen("Content-Length: "));
+		       (gsize)g_ascii_strtoull(
+			       length + strlen("Content-Length: "), NULL, 10);
 	return g_str_has_suffix(body, "0\r\n\r\n");
 }
 
