Report what a pool granted only where most hosts are known

A host that starts knows few others and takes itself for the holder of many pools. What it reported of them was added to what their holders reported, so that the next holder took quiet accounts to be used up. Grants were placed at the latest of their part of a window, which moved them on with each change of the holder.

Such a host reports no pools, and noted grants are placed in the middle of their part.

--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -68,6 +68,10 @@
  * restored. */
 #define RESTORED_TIME (3 * SR_SEC)
 
+/** Place of grants within the parts of a window that another host reports. The
+ * latest would move them on with each change of the holder. */
+#define NOTED_PLACE 0.5
+
 /** Time constant of the demand average, in s: short enough to follow callers
  * that move to other hosts, long against the time between two requests. */
 #define DEMAND_TIME_CONSTANT_S 4.0
@@ -535,19 +539,19 @@
 	return sum;
 }
 
-/* Within its part, a grant is taken to be as late as it can be. */
+/* Grants are taken to be at a place of their part, from 0, the latest, to 1. */
 static void restore_pool(const sr_allowance_t *allowance, pool_t *pool,
 			 sr_usec_t now, sr_usec_t age,
-			 const sr_allowance_use_t *use)
+			 const sr_allowance_use_t *use, double place)
 {
 	sr_usec_t length = slot_length(allowance);
 
 	*pool = (pool_t){ .slot = now / length };
 	for (unsigned i = 0; i < SR_ALLOWANCE_PARTS; i++) {
-		gint64 slot =
-			(now - age -
-			 allowance->tolerance.window * i / SR_ALLOWANCE_PARTS) /
-			length;
+		gint64 slot = (now - age -
+			       (sr_usec_t)((double)allowance->tolerance.window *
+					   (i + place) / SR_ALLOWANCE_PARTS)) /
+			      length;
 
 		if (slot >= 0 && pool->slot - slot < POOL_SLOTS)
 			pool->granted[slot % POOL_SLOTS] += use->granted[i];
@@ -582,7 +586,7 @@
 	/* two hosts that both took themselves for the holder are added up */
 	for (unsigned k = 0; k < SR_ALLOWANCE_PARTS && sum > limit; k++)
 		use.granted[k] *= limit / sum;
-	restore_pool(allowance, pool, now, now - noted->at, &use);
+	restore_pool(allowance, pool, now, now - noted->at, &use, NOTED_PLACE);
 	rest = MAX(limit - sum_granted(pool), 0);
 	if (noted->refused_at > noted->before_at) {
 		add_granted(allowance, pool, noted->refused_at, rest);
@@ -668,7 +672,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		for (unsigned i = 0; i < SR_ALLOWANCE_POOLS; i++)
 			restore_pool(allowance, &((bucket_t *)value)->pools[i],
-				     now, 0, &nothing);
+				     now, 0, &nothing, 0);
 	}
 }
 
@@ -684,7 +688,7 @@
 		if (i != pool && bucket->is_restored[i])
 			continue;
 		restore_pool(allowance, &bucket->pools[i], now, MAX(age, 0),
-			     use);
+			     use, 0);
 		bucket->restored[i] = sum;
 		bucket->restored_at[i] = now - MAX(age, 0);
 	}
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -2,6 +2,9 @@
 
 #include "fleet/fleet_internal.h"
 
+/** Part of the hosts that a host must know to report what its pools granted. */
+#define REPORTED_USE_HOSTS_MIN 0.8
+
 /** Time constant of the moving average of engine work, in s. */
 #define WORK_AVERAGE_S 4.0
 
@@ -89,6 +92,14 @@
 			    use);
 }
 
+/* A host that knows few others takes itself for the holder of their pools. What
+ * it says of these would be added to what their holders say. */
+static gboolean knows_most_hosts(const sr_fleet_t *fleet)
+{
+	return sr_fleet_host_count(fleet) >=
+	       REPORTED_USE_HOSTS_MIN * sr_fleet_sharing_hosts(fleet);
+}
+
 static sr_load_sum_t *own_load(sr_fleet_t *fleet)
 {
 	const GPtrArray *all =
@@ -97,8 +108,10 @@
 	report_context_t context = { fleet, sum };
 
 	sr_gateway_foreach_prefill(fleet->options.gateway, add_work, &context);
-	sr_allowance_foreach_use(sr_gateway_allowance(fleet->options.gateway),
-				 sr_fleet_now(fleet), add_use, &context);
+	if (knows_most_hosts(fleet))
+		sr_allowance_foreach_use(
+			sr_gateway_allowance(fleet->options.gateway),
+			sr_fleet_now(fleet), add_use, &context);
 	sr_rollouts_add_evidence(fleet->rollouts, sum);
 	for (guint i = 0; i < all->len; i++) {
 		const sr_instance_t *instance = all->pdata[i];
