--- a/src/core/allowance.c
+++ b/src/core/allowance.c
@@ -608,13 +608,13 @@
 {
 	double limit = whole_pool_limit(allowance, bucket);
 	pool_t *pool = &bucket->pools[i];
-	gint64 first;
+	gint64 first; /* -1 if before the clock's start */
 
 	if (bucket->restored[i] <= HOT_FRACTION * limit)
 		return;
 	advance_pool(allowance, pool, now);
 	first = MAX(bucket->restored_at[i] / slot_length(allowance),
-		    pool->slot - POOL_SLOTS);
+		    MAX(pool->slot - POOL_SLOTS, -1));
 	for (gint64 slot = first + 1; slot <= pool->slot; slot++)
 		pool->granted[slot % POOL_SLOTS] += limit / POOL_SLOTS;
 }
