Grant nothing from a pool once a planned stop is announced

Cause: with the announcement of a planned stop the other hosts turn to the next holder of a pool. The host itself stayed the holder by its own list, and went on granting from the pool to its own callers for the rest of the stop, so that the pool was granted twice.

Such a host now asks the other pool of the account, and answers other hosts that it isn't the holder. If it knows of no other host, nothing changes.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -726,6 +726,7 @@
 
 void sr_fleet_leave(sr_fleet_t *fleet)
 {
+	fleet->is_leaving = TRUE;
 	sr_usage_exchange_send(fleet);
 	sr_gossip_leave(fleet->gossip, sr_fleet_now(fleet));
 }
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -25,6 +25,7 @@
 	char *owner_id; /* "NODE@INCARNATION" */
 	sr_usec_t started_at;
 	unsigned expected_hosts; /* 0 if not known; see sr_fleet_expect_hosts */
+	gboolean is_leaving;	 /* a planned stop has been announced */
 	guint64 incarnation;
 	guint64 n_published;	 /* by sr_fleet_publish_own() */
 	guint64 n_crash_reports; /* published by this host */
--- a/src/fleet/pool_requests.c
+++ b/src/fleet/pool_requests.c
@@ -175,10 +175,13 @@
 	done(user, wait);
 }
 
-/* Takes an amount from a pool that this host holds. */
+/* Takes an amount from a pool that this host holds. Once it has announced its
+ * stop, another host does. */
 static sr_usec_t take_from_pool(sr_fleet_t *fleet, const char *account,
 				unsigned pool, double amount)
 {
+	if (fleet->is_leaving && sr_fleet_host_count(fleet) > 1)
+		return WAIT_UNAVAILABLE;
 	start_pool(fleet, account, pool);
 	return sr_allowance_take_from_pool(
 		sr_gateway_allowance(fleet->options.gateway),
