--- a/src/platform_api/exchange.c
+++ b/src/platform_api/exchange.c
@@ -127,12 +127,15 @@
 	g_cancellable_cancel(exchange->cancellable);
 }
 
-/* To be called when a piece of the answer arrives. */
-static void restart_timer(sr_exchange_t *exchange)
+/* A piece of the body has arrived. The head doesn't count: a watch may be held
+ * open after it. */
+static void record_piece(sr_exchange_t *exchange)
 {
-	sr_usec_t left =
-		exchange->answer_deadline - sr_clock_now(exchange->clock);
+	sr_usec_t now = sr_clock_now(exchange->clock);
+	sr_usec_t left = exchange->answer_deadline - now;
 
+	if (exchange->answered_at == 0)
+		exchange->answered_at = now;
 	sr_timer_cancel(exchange->timer);
 	exchange->timer = sr_timer_start(exchange->clock,
 					 CLAMP(left, 0, exchange->idle_timeout),
@@ -160,7 +163,7 @@
 		g_byte_array_append(exchange->body,
 				    g_bytes_get_data(chunk, NULL), (guint)size);
 		g_bytes_unref(chunk);
-		restart_timer(exchange);
+		record_piece(exchange);
 		read_next_chunk(exchange);
 		return;
 	}
@@ -179,8 +182,6 @@
 	exchange->stream =
 		soup_session_send_finish(SOUP_SESSION(source), result, NULL);
 	if (exchange->stream && exchange->done) {
-		exchange->answered_at = sr_clock_now(exchange->clock);
-		restart_timer(exchange);
 		read_next_chunk(exchange);
 		return;
 	}
--- a/src/platform_api/exchange.h
+++ b/src/platform_api/exchange.h
@@ -9,7 +9,7 @@
  * sr_exchange_t - one HTTP request and its answer, with a timeout
  *
  * An answer whose body exceeds SR_PLATFORM_ANSWER_MAX_BYTES counts as lost.
- * Once an answer has begun, it is waited for as long as bytes arrive: how long
+ * Once a body has begun, it is waited for as long as bytes arrive: how long
  * it takes depends on its size and on the link. An answer without end is given
  * up after SR_EXCHANGE_ANSWER_TIME.
  *
@@ -45,7 +45,7 @@
 			 * NULL */
 	const char *era_header; /* static; see sr_platform_options_t; or NULL */
 	GBytes *body;		/* or NULL; a reference is taken */
-	sr_usec_t timeout;	/* until the answer begins */
+	sr_usec_t timeout;	/* until the body begins */
 	sr_usec_t idle_timeout; /* between two pieces of the answer */
 	sr_exchange_fn done;	/* called once; the exchange is then invalid */
 	void *user;
@@ -58,7 +58,8 @@
  */
 sr_exchange_t *sr_exchange_new(const sr_exchange_options_t *options);
 
-/** sr_exchange_answered_at - time at which the answer began; 0 before it. */
+/** sr_exchange_answered_at - time at which the body of the answer began; 0
+ * before it. */
 sr_usec_t sr_exchange_answered_at(const sr_exchange_t *exchange);
 
 /** sr_exchange_cancel - end and release an exchange without calling done. */
