Start a host with a small part of its budget of retries

Cause: each host started with its whole part of the slack. Hosts that restart in series had it several times within one window: nine hosts, of which one was killed every 0.4 s, sent 1.23 to 1.36 times the retries that are allowed.

An integer division in platform_restarts_test that the static analysis refuses is made one of floating point.

--- a/src/core/retry_budget.h
+++ b/src/core/retry_budget.h
@@ -20,9 +20,26 @@
  * dispatcher. */
 void sr_retry_budget_init(sr_retry_budget_t *budget);
 
-/** sr_retry_budget_init_with - start with a full budget of max tokens. */
-void sr_retry_budget_init_with(sr_retry_budget_t *budget, double earn,
-			       double max);
+/** sr_retry_budget_bounds_t - what all hosts together may retry in a window:
+ * ratio times the requests in it, and slack. */
+typedef struct {
+	double ratio; /* retries for each request */
+	double slack; /* retries */
+	unsigned n_hosts;
+} sr_retry_budget_bounds_t;
+
+/**
+ * sr_retry_budget_init_part - start with the parameters of one host of n_hosts
+ *
+ * The parts of all hosts stay within the bounds, also while hosts restart
+ * several times in a window: a host starts with little of its slack and earns
+ * the rest.
+ */
+void sr_retry_budget_init_part(sr_retry_budget_t *budget,
+			       const sr_retry_budget_bounds_t *bounds);
+
+/** sr_retry_budget_part_max - max of one host's part of the bounds. */
+double sr_retry_budget_part_max(const sr_retry_budget_bounds_t *bounds);
 
 /** sr_retry_budget_set_max - change max; excess tokens are discarded. */
 void sr_retry_budget_set_max(sr_retry_budget_t *budget, double max);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -19,10 +19,6 @@
 #define DEFAULT_RETRY_RATIO 0.1
 #define DEFAULT_RETRY_SLACK 20.0
 
-/** Fraction of the retry budget that is used. Each host counts its own retries
- * only, so the rest is a margin for the sum over all hosts. */
-#define RETRY_USED_FRACTION 0.7
-
 /** Minimum number of hosts that limits are divided by. Hosts that are not
  * known yet also retry and use up allowances. */
 #define MIN_SHARING_HOSTS 6
@@ -167,10 +163,13 @@
 	return gateway->ready && gateway->table && !gateway->stopping;
 }
 
-static double retry_budget_max(const sr_gateway_t *gateway)
+static sr_retry_budget_bounds_t retry_bounds(const sr_gateway_t *gateway)
 {
-	return RETRY_USED_FRACTION * gateway->options.retry_slack /
-	       MAX(gateway->n_hosts, MIN_SHARING_HOSTS);
+	return (sr_retry_budget_bounds_t){
+		.ratio = gateway->options.retry_ratio,
+		.slack = gateway->options.retry_slack,
+		.n_hosts = MAX(gateway->n_hosts, MIN_SHARING_HOSTS),
+	};
 }
 
 sr_gateway_service_state_t *sr_gateway_service_state(sr_gateway_t *gateway,
@@ -178,6 +177,7 @@
 {
 	sr_gateway_service_state_t *state =
 		g_hash_table_lookup(gateway->services, service);
+	sr_retry_budget_bounds_t bounds = retry_bounds(gateway);
 
 	if (state)
 		return state;
@@ -186,10 +186,7 @@
 	state->service = g_strdup(service);
 	sr_list_init(&state->blames);
 	sr_engine_speed_init(&state->speed);
-	sr_retry_budget_init_with(&state->retry_budget,
-				  RETRY_USED_FRACTION *
-					  gateway->options.retry_ratio,
-				  retry_budget_max(gateway));
+	sr_retry_budget_init_part(&state->retry_budget, &bounds);
 	g_hash_table_insert(gateway->services, state->service, state);
 	return state;
 }
@@ -394,10 +391,12 @@
 
 void sr_gateway_set_host_count(sr_gateway_t *gateway, unsigned n)
 {
+	sr_retry_budget_bounds_t bounds;
 	GHashTableIter iter;
 	gpointer value;
 
 	gateway->n_hosts = n;
+	bounds = retry_bounds(gateway);
 	sr_allowance_set_host_count(gateway->allowance,
 				    MAX(n, MIN_SHARING_HOSTS));
 	g_hash_table_iter_init(&iter, gateway->services);
@@ -405,7 +404,7 @@
 		sr_gateway_service_state_t *state = value;
 
 		sr_retry_budget_set_max(&state->retry_budget,
-					retry_budget_max(gateway));
+					sr_retry_budget_part_max(&bounds));
 	}
 }
 
--- a/test/platform_restarts_test.c
+++ b/test/platform_restarts_test.c
@@ -36,8 +36,8 @@
 #define RETRY_SLACK 58
 #define ACCOUNT_RATE 50000
 #define ACCOUNT_WINDOW_MS 8000
-#define ACCOUNT_MAX                                                         \
-	((ACCOUNT_RATE * (ACCOUNT_WINDOW_MS / 1000) + ACCOUNT_RATE) * 1.1 + \
+#define ACCOUNT_MAX                                                           \
+	((ACCOUNT_RATE * (ACCOUNT_WINDOW_MS / 1000.0) + ACCOUNT_RATE) * 1.1 + \
 	 190000)
 #define REQUEST_TOKENS 15000
 
--- a/test/policy_test.c
+++ b/test/policy_test.c
@@ -111,6 +111,66 @@
 	assert_in_range(taken, 25, 30);
 }
 
+/* Guards against hosts that have their whole part of the slack again at each
+ * restart: nine hosts, of which one restarts every 0.4 s, send 12.5 requests a
+ * second that fail and are sent twice more if the budget allows. */
+static void test_restarts_do_not_multiply_the_retries(void **state)
+{
+	enum {
+		HOSTS = 9,
+		REQUEST_MS = 80,
+		RESTART_MS = 400,
+		WINDOW_MS = 10000
+	};
+	const sr_retry_budget_bounds_t bounds = {
+		.ratio = 0.2,
+		.slack = 58,
+		.n_hosts = HOSTS,
+	};
+	const double allowed =
+		bounds.ratio * WINDOW_MS / REQUEST_MS + bounds.slack;
+	sr_retry_budget_t budgets[HOSTS];
+	unsigned in_window = 0;
+	unsigned taken[3 * WINDOW_MS / REQUEST_MS] = { 0 };
+
+	for (unsigned i = 0; i < HOSTS; i++)
+		sr_retry_budget_init_part(&budgets[i], &bounds);
+	for (unsigned i = 0; i < G_N_ELEMENTS(taken); i++) {
+		sr_retry_budget_t *budget = &budgets[i % HOSTS];
+
+		if (i * REQUEST_MS % RESTART_MS == 0)
+			sr_retry_budget_init_part(
+				&budgets[i * REQUEST_MS / RESTART_MS % HOSTS],
+				&bounds);
+		sr_retry_budget_earn(budget);
+		taken[i] += sr_retry_budget_take(budget, 1) ? 1 : 0;
+		taken[i] += sr_retry_budget_take(budget, 1) ? 1 : 0;
+		in_window += taken[i];
+		if (i >= WINDOW_MS / REQUEST_MS)
+			in_window -= taken[i - WINDOW_MS / REQUEST_MS];
+		assert_true(in_window <= allowed);
+	}
+}
+
+/* Guards against a start that is so careful that a host never retries. */
+static void test_started_host_earns_its_retries(void **state)
+{
+	const sr_retry_budget_bounds_t bounds = {
+		.ratio = 0.2,
+		.slack = 58,
+		.n_hosts = 9,
+	};
+	sr_retry_budget_t budget;
+	unsigned taken = 0;
+
+	sr_retry_budget_init_part(&budget, &bounds);
+	for (unsigned i = 0; i < 100; i++)
+		sr_retry_budget_earn(&budget);
+	while (sr_retry_budget_take(&budget, 1))
+		taken++;
+	assert_in_range(taken, 4, (unsigned)(bounds.slack / bounds.n_hosts));
+}
+
 static void test_fair_share_is_max_min(void **state)
 {
 	sr_account_share_t *share = sr_account_share_new();
@@ -239,6 +299,8 @@
 			test_load_estimate_adds_own_and_remote_requests),
 		cmocka_unit_test(test_ejection_ends_with_a_successful_probe),
 		cmocka_unit_test(test_retry_budget_is_spent_in_an_outage),
+		cmocka_unit_test(test_restarts_do_not_multiply_the_retries),
+		cmocka_unit_test(test_started_host_earns_its_retries),
 		cmocka_unit_test(test_fair_share_is_max_min),
 		cmocka_unit_test(test_low_priority_requests_are_not_starved),
 		cmocka_unit_test(test_retry_after_follows_the_backlog),
