Let a host retry its first request

If its first request met an instance that turned it away, the request was refused although another instance was free.

Change: a host starts with one retry at least.

--- a/src/core/retry_budget.c
+++ b/src/core/retry_budget.c
@@ -15,6 +15,10 @@
  * which one was killed every 0.4 s, sent 1.3 times the retries allowed. */
 #define INITIAL_FRACTION 0.15
 
+/** Least number of retries at the start: the first request of a host may meet
+ * an instance that turns it away. */
+#define INITIAL_MIN 1.0
+
 void sr_retry_budget_init(sr_retry_budget_t *budget)
 {
 	budget->earn = TOKENS_PER_SUCCESS;
@@ -32,7 +36,8 @@
 {
 	budget->earn = USED_FRACTION * bounds->ratio;
 	budget->max = sr_retry_budget_part_max(bounds);
-	budget->tokens = INITIAL_FRACTION * budget->max;
+	budget->tokens = MIN(MAX(INITIAL_FRACTION * budget->max, INITIAL_MIN),
+			     budget->max);
 }
 
 void sr_retry_budget_set_max(sr_retry_budget_t *budget, double max)
--- a/test/policy_test.c
+++ b/test/policy_test.c
@@ -152,8 +152,9 @@
 	}
 }
 
-/* Guards against a start that is so careful that a host never retries. */
-static void test_started_host_earns_its_retries(void **state)
+/* Guards against a start that is so careful that a host never retries, or not
+ * its first request. */
+static void test_started_host_has_a_retry_and_earns_more(void **state)
 {
 	const sr_retry_budget_bounds_t bounds = {
 		.ratio = 0.2,
@@ -164,6 +165,8 @@
 	unsigned taken = 0;
 
 	sr_retry_budget_init_part(&budget, &bounds);
+	assert_true(sr_retry_budget_take(&budget, 1));
+	assert_false(sr_retry_budget_take(&budget, 1));
 	for (unsigned i = 0; i < 100; i++)
 		sr_retry_budget_earn(&budget);
 	while (sr_retry_budget_take(&budget, 1))
@@ -300,7 +303,7 @@
 		cmocka_unit_test(test_ejection_ends_with_a_successful_probe),
 		cmocka_unit_test(test_retry_budget_is_spent_in_an_outage),
 		cmocka_unit_test(test_restarts_do_not_multiply_the_retries),
-		cmocka_unit_test(test_started_host_earns_its_retries),
+		cmocka_unit_test(test_started_host_has_a_retry_and_earns_more),
 		cmocka_unit_test(test_fair_share_is_max_min),
 		cmocka_unit_test(test_low_priority_requests_are_not_starved),
 		cmocka_unit_test(test_retry_after_follows_the_backlog),
