Keep brittle instances that are back after a fall from falling again

Cause: an instance that is back is a new one, and no host knew that it is brittle until its first response. 24 hosts sent to it as to one without a bound; it turned more requests away than it bears and fell again. Hosts that had just heard of a notice each sent a request at once as well, and took half of what was free more often than they hear of each other's load.

Change: an instance that is registered counts as brittle if its service was so last; for 1.5 s after a notice a host sends within its room only; the growth of the room is divided by the time until hosts know each other's load.

--- a/src/core/instance_notices.c
+++ b/src/core/instance_notices.c
@@ -17,6 +17,10 @@
  * that had none would do so at once. */
 #define BLOCKED_UPDATES 16
 
+/** The same after an instance has become brittle or is back, until hosts know
+ * what the others send there. */
+#define BEGIN_UPDATES 6
+
 /** Part of the rejections that a brittle instance bears that hosts may cause,
  * and the least number that is reckoned with. */
 #define REJECTIONS_USED 0.5
@@ -27,8 +31,8 @@
 #define FILL_MAX 0.9
 #define FILL_IDLE 0.85
 
-/** Part of the room that is free below FILL_MAX that all hosts together take in
- * one update. */
+/** Part of the room that is free below FILL_MAX that all hosts together take
+ * until what they have taken is known to all. */
 #define GROWTH 0.5
 
 /** Rate at which an instance that takes nothing is still tried, so that the end
@@ -179,7 +183,8 @@
 {
 	notices->room = room->slots / MAX(room->n_hosts, 1);
 	notices->most_in_flight = room->in_flight;
-	notices->is_idle = TRUE;
+	notices->blocked_for = BEGIN_UPDATES;
+	notices->is_idle = FALSE;
 }
 
 /* Probability that this host takes one more place. */
@@ -190,7 +195,8 @@
 			      1 :
 			      FILL_MAX * room->slots - peers - room->in_flight;
 
-	return GROWTH * MAX(free, 0) / MAX(room->n_hosts, 1);
+	return GROWTH * MAX(free, 0) /
+	       (MAX(room->n_hosts, 1) * MAX(room->known_after, 1));
 }
 
 static gboolean is_idle(const sr_instance_room_t *room)
--- a/src/core/instance_notices.h
+++ b/src/core/instance_notices.h
@@ -38,8 +38,9 @@
 	sr_usec_t refilled_at;
 	sr_usec_t back_off_until; /* of this host only */
 	gboolean is_brittle;
-	double rejections_max;	 /* per second, from all hosts */
-	unsigned room;		 /* requests that this host may have there */
+	gboolean is_assumed;   /* is_brittle, until the instance has said it */
+	double rejections_max; /* per second, from all hosts */
+	unsigned room;	       /* requests that this host may have there */
 	unsigned most_in_flight; /* since the last update of the room */
 	gboolean is_idle;	 /* it has room for one more of each host */
 	unsigned rejected_for; /* updates left until is_idle counts again... */
@@ -87,15 +88,16 @@
  * Hosts share it without asking each other: each has an even part at first,
  * which shrinks with each rejection and with less use. It grows by one at a
  * time, with a probability that lets all hosts together take half of what is
- * free in each update. While much is free, a host may send one request without
- * a part, unless it was rejected lately: so long ago that the rejections of all
- * hosts stay within what the instance bears.
+ * free until they know of it. While much is free, a host may send one request
+ * without a part, unless it was rejected lately: so long ago that the
+ * rejections of all hosts stay within what the instance bears.
  */
 typedef struct {
 	unsigned slots;		/* requests that the instance runs at once */
 	unsigned n_hosts;	/* that send to it */
 	unsigned in_flight;	/* of this host */
 	double peers_in_flight; /* of the others; negative if not known */
+	double known_after;	/* updates until hosts know each other's load */
 	double random;		/* 0 to 1 */
 } sr_instance_room_t;
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -25,6 +25,10 @@
  * accounts are updated. */
 #define SLOW_TICK SR_SEC
 
+/** Intervals of the load exchange until hosts know each other's load: there are
+ * three steps, each of which waits for half an interval on average. */
+#define LOAD_DELAY_INTERVALS 1.5
+
 /** Interval at which the evidence on versions is analysed. */
 #define ROLLOUT_TICK (500 * SR_MSEC)
 
@@ -208,8 +212,12 @@
 		     change_event(change, entry->draining), "what", entry->name,
 		     "service", entry->service, "software", entry->version,
 		     "version", revision, "source", source, NULL);
-	if (change != SR_INSTANCE_UPDATED)
+	if (change != SR_INSTANCE_UPDATED) {
+		sr_gateway_expect_notices(
+			fleet->options.gateway,
+			sr_instances_find(instances, entry->name));
 		sr_notice_gossip_restore(fleet, entry->name);
+	}
 	sr_gateway_pace_registered(fleet->options.gateway, entry->name,
 				   entry->cold_for);
 	return TRUE;
@@ -500,6 +508,11 @@
 		sr_domain_sizes_tick(fleet);
 		sr_gateway_set_host_count(fleet->options.gateway,
 					  sr_fleet_sharing_hosts(fleet));
+		sr_gateway_set_load_delay(
+			fleet->options.gateway,
+			(sr_usec_t)(LOAD_DELAY_INTERVALS *
+				    (double)sr_load_exchange_interval(
+					    fleet->load_exchange)));
 		sr_usage_exchange_send(fleet);
 		sr_notice_gossip_tick(fleet);
 		sr_pace_tick(fleet);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -408,6 +408,11 @@
 	}
 }
 
+void sr_gateway_set_load_delay(sr_gateway_t *gateway, sr_usec_t delay)
+{
+	gateway->load_delay = delay;
+}
+
 void sr_gateway_set_ready(sr_gateway_t *gateway, gboolean ready)
 {
 	gateway->ready = ready;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -208,6 +208,14 @@
  * retry budget and the allowances. */
 void sr_gateway_set_host_count(sr_gateway_t *gateway, unsigned n);
 
+/** sr_gateway_set_load_delay - time after which the hosts know each other's
+ * load on instances; 0 until set. */
+void sr_gateway_set_load_delay(sr_gateway_t *gateway, sr_usec_t delay);
+
+/** sr_gateway_expect_notices - an instance was registered that has not answered
+ * yet: until it does it counts as brittle if its service was so last. */
+void sr_gateway_expect_notices(sr_gateway_t *gateway, sr_instance_t *instance);
+
 /** sr_gateway_set_ready - sets the state that the readiness check reports. It
  * reports not ready in any case without a route table or during a stop. */
 void sr_gateway_set_ready(sr_gateway_t *gateway, gboolean ready);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -26,7 +26,10 @@
 	char *service;
 	sr_engine_speed_t speed; /* measured, for placement */
 	sr_retry_budget_t retry_budget;
-	double prefill_s;	   /* see sr_gateway_foreach_prefill() */
+	double prefill_s; /* see sr_gateway_foreach_prefill() */
+	/* what an instance has said last that changed it */
+	gboolean is_brittle;
+	double rejections_max;
 	sr_version_trial_t *trial; /* borrowed; NULL for none */
 	sr_reach_t reach;
 	sr_usec_t heard_at;   /* last input from any instance */
@@ -67,6 +70,7 @@
 	sr_allowance_t *allowance;
 	sr_crash_suspects_t *suspects;
 	GHashTable *services; /* name -> sr_gateway_service_state_t */
+	sr_usec_t load_delay; /* see sr_gateway_set_load_delay() */
 	sr_connection_pool_t *connection_pool;
 	sr_instances_t *relay_hosts;	  /* other hosts; see relay.c */
 	sr_connection_pool_t *relay_pool; /* connections to them */
--- a/src/gateway/notice.c
+++ b/src/gateway/notice.c
@@ -10,6 +10,7 @@
 /** Where a notice comes from, for the log. */
 #define SOURCE_RESPONSE "response"
 #define SOURCE_PEER "peer"
+#define SOURCE_SERVICE "service" /* other instances of it */
 
 /** Largest number of rejections that is accepted. */
 #define REJECTIONS_MAX 1e6
@@ -97,6 +98,8 @@
 		.n_hosts = gateway->n_hosts,
 		.in_flight = instance->in_flight,
 		.peers_in_flight = is_known ? all - instance->in_flight : -1,
+		.known_after = (double)gateway->load_delay *
+			       SR_INSTANCE_ROOM_UPDATES_PER_S / SR_SEC,
 		.random = g_rand_double(gateway->rng),
 	};
 }
@@ -104,10 +107,14 @@
 static void change_brittle(sr_gateway_t *gateway, sr_instance_t *instance,
 			   const char *source)
 {
+	sr_gateway_service_state_t *state =
+		sr_gateway_service_state(gateway, instance->service);
 	const sr_instance_room_t room = room_of(gateway, instance);
 	char most[32];
 	char text[16];
 
+	state->is_brittle = instance->notices.is_brittle;
+	state->rejections_max = instance->notices.rejections_max;
 	if (instance->notices.is_brittle)
 		sr_instance_notices_begin_room(&instance->notices, &room);
 	g_snprintf(most, sizeof(most), "%.1f",
@@ -152,7 +159,10 @@
 {
 	unsigned changes = sr_instance_notices_hear(&instance->notices, notice,
 						    sr_gateway_now(gateway));
+	gboolean is_news = instance->notices.is_assumed ||
+			   (changes & ~SR_NOTICE_BACK_OFF) != 0;
 
+	instance->notices.is_assumed = FALSE;
 	if (changes & SR_NOTICE_LIMIT_CHANGED)
 		log_limit(gateway, instance, source);
 	if (changes & SR_NOTICE_BRITTLE_CHANGED)
@@ -161,8 +171,7 @@
 		log_leaving(gateway, instance, source);
 	if (changes & SR_NOTICE_BACK_OFF)
 		log_back_off(gateway, instance);
-	if ((changes & ~SR_NOTICE_BACK_OFF) &&
-	    !strcmp(source, SOURCE_RESPONSE) &&
+	if (is_news && !strcmp(source, SOURCE_RESPONSE) &&
 	    gateway->options.instance_noticed)
 		gateway->options.instance_noticed(gateway->options.user,
 						  instance);
@@ -174,6 +183,19 @@
 	apply(gateway, instance, notice, SOURCE_PEER);
 }
 
+void sr_gateway_expect_notices(sr_gateway_t *gateway, sr_instance_t *instance)
+{
+	const sr_gateway_service_state_t *state =
+		sr_gateway_service_state(gateway, instance->service);
+	const sr_notice_t notice = {
+		.is_brittle = state->is_brittle,
+		.rejections_max = state->rejections_max,
+	};
+
+	apply(gateway, instance, &notice, SOURCE_SERVICE);
+	instance->notices.is_assumed = instance->notices.is_brittle;
+}
+
 void sr_gateway_read_notices(sr_gateway_t *gateway, sr_instance_t *instance,
 			     const sr_message_t *response)
 {
--- a/test/instance_notices_test.c
+++ b/test/instance_notices_test.c
@@ -205,6 +205,8 @@
 #define UPDATE_TICKS 13	 /* between updates of the room */
 #define STALE_TICKS 15	 /* age of what hosts know of the others' load */
 #define CONTACT_TICKS (3 * TICKS_PER_S)
+#define BACK_TICK (10 * TICKS_PER_S) /* an instance is back after a fall */
+#define DOWN_TICKS (3 * TICKS_PER_S / 2)
 #define REJECTIONS_MAX 5
 #define FALLS_MAX 2
 
@@ -212,7 +214,8 @@
 	unsigned n_hosts;
 	unsigned slots;
 	unsigned waiting;
-	double demand; /* of the instance's capacity */
+	double demand;	/* of the instance's capacity */
+	gboolean falls; /* once, before BACK_TICK */
 } brittle_case_t;
 
 typedef struct {
@@ -276,6 +279,7 @@
 			.in_flight = fleet->in_flight[host],
 			.peers_in_flight =
 				MAX((double)total - fleet->in_flight[host], 0),
+			.known_after = (double)STALE_TICKS / UPDATE_TICKS,
 			.random = g_rand_double(fleet->random),
 		};
 
@@ -305,12 +309,36 @@
 	return n;
 }
 
-static void check_brittle(const brittle_case_t *options, guint32 seed)
+/* All hosts take the instance for a brittle one that they know nothing of. */
+static void begin_rooms(brittle_t *fleet)
 {
 	const sr_notice_t notice = { .is_brittle = TRUE,
 				     .rejections_max = REJECTIONS_MAX };
-	const sr_instance_room_t room = { .slots = options->slots,
-					  .n_hosts = options->n_hosts };
+
+	for (unsigned i = 0; i < fleet->options->n_hosts; i++) {
+		const sr_instance_room_t room = {
+			.slots = fleet->options->slots,
+			.n_hosts = fleet->options->n_hosts,
+			.peers_in_flight = -1,
+			.random = g_rand_double(fleet->random),
+		};
+
+		memset(&fleet->notices[i], 0, sizeof(fleet->notices[i]));
+		sr_instance_notices_hear(&fleet->notices[i], &notice, 1);
+		sr_instance_notices_begin_room(&fleet->notices[i], &room);
+	}
+}
+
+/* Ends what runs there. */
+static void fall(brittle_t *fleet)
+{
+	memset(fleet->ends, 0, sizeof(fleet->ends));
+	memset(fleet->in_flight, 0, sizeof(fleet->in_flight));
+	fleet->running = 0;
+}
+
+static void check_brittle(const brittle_case_t *options, guint32 seed)
+{
 	double capacity = (double)options->slots / RUN_TIME_TICKS;
 	brittle_t *fleet = g_new0(brittle_t, 1);
 	double due = 0;
@@ -318,15 +346,19 @@
 
 	fleet->options = options;
 	fleet->random = g_rand_new_with_seed(seed);
-	for (unsigned i = 0; i < options->n_hosts; i++) {
-		sr_instance_notices_hear(&fleet->notices[i], &notice, 1);
-		sr_instance_notices_begin_room(&fleet->notices[i], &room);
-	}
+	begin_rooms(fleet);
 	for (unsigned tick = 0; tick < RUN_S * TICKS_PER_S; tick++) {
 		end_requests(fleet, tick);
 		due += options->demand * capacity;
 		n_due = (unsigned)due;
 		due -= n_due;
+		if (options->falls && tick == BACK_TICK - DOWN_TICKS)
+			fall(fleet);
+		if (options->falls && tick == BACK_TICK)
+			begin_rooms(fleet);
+		if (options->falls && tick >= BACK_TICK - DOWN_TICKS &&
+		    tick < BACK_TICK)
+			continue;
 		for (unsigned i = 0; i < n_due; i++)
 			arrive(fleet,
 			       (unsigned)g_rand_int_range(
@@ -339,7 +371,7 @@
 	print_message("%u hosts, %u slots: %u falls, %.2f of capacity used\n",
 		      options->n_hosts, options->slots, count_falls(fleet),
 		      fleet->n_served / (capacity * RUN_S * TICKS_PER_S));
-	assert_true(count_falls(fleet) <= FALLS_MAX);
+	assert_true(count_falls(fleet) + (options->falls ? 1 : 0) <= FALLS_MAX);
 	assert_true(fleet->n_served >= 0.5 * MIN(options->demand, 1) *
 					       capacity * RUN_S * TICKS_PER_S);
 	g_rand_free(fleet->random);
@@ -351,9 +383,28 @@
 static void test_hosts_stay_within_the_room_of_a_brittle_instance(void **state)
 {
 	static const brittle_case_t cases[] = {
-		{ 4, 6, 1, 2 },	   { 9, 6, 1, 2 },     { 9, 64, 2, 2 },
-		{ 75, 32, 1, 2 },  { 75, 32, 1, 0.8 }, { 75, 6, 1, 2 },
-		{ 195, 32, 1, 2 }, { 195, 6, 1, 2 },
+		{ 4, 6, 1, 2, FALSE },	   { 9, 6, 1, 2, FALSE },
+		{ 9, 64, 2, 2, FALSE },	   { 75, 32, 1, 2, FALSE },
+		{ 75, 32, 1, 0.8, FALSE }, { 75, 6, 1, 2, FALSE },
+		{ 195, 32, 1, 2, FALSE },  { 195, 6, 1, 2, FALSE },
+	};
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (guint32 seed = 1; seed <= BRITTLE_SEEDS; seed++)
+			check_brittle(&cases[i], seed);
+	}
+}
+
+/* Guards against LIMIT of 2026-12-05: an instance that is back after it fell
+ * got a request of each host at once, and fell again. */
+static void test_brittle_instance_that_is_back_stays_up(void **state)
+{
+	static const brittle_case_t cases[] = {
+		{ 24, 6, 0, 1.7, TRUE },
+		{ 24, 6, 1, 0.8, TRUE },
+		{ 60, 16, 0, 2, TRUE },
+		{ 195, 6, 1, 2, TRUE },
 	};
 
 	(void)state;
@@ -375,6 +426,7 @@
 		cmocka_unit_test(test_back_off_is_kept_to_its_end),
 		cmocka_unit_test(
 			test_hosts_stay_within_the_room_of_a_brittle_instance),
+		cmocka_unit_test(test_brittle_instance_that_is_back_stays_up),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
