Save what pools have granted only where most hosts are known

Cause: while hosts stop and start in series, the holder of the lease knows few others. It wrote into the payload that no pool had granted anything, as the holders of the pools knew too few hosts to report them. The next host that started granted a whole window of a hot account at once.

Change: the payload counts as complete only if its writer knows most of the hosts of late. That number is passed on in the payload, so that it outlives holders that have just started.

--- a/src/fleet/duties.c
+++ b/src/fleet/duties.c
@@ -296,7 +296,7 @@
 	g_string_append_printf(text, "\n" ERA_WORD " %" G_GUINT64_FORMAT "\n",
 			       sr_lease_era(duties->lease));
 	g_string_append_printf(text, HOSTS_WORD " %u %" G_GINT64_FORMAT "\n%s",
-			       sr_fleet_host_count(options->fleet_state),
+			       sr_fleet_recent_hosts(options->fleet_state),
 			       is_known ? sr_clock_unix_ms(options->clock) : 0,
 			       granted->str);
 	sr_rollouts_save(sr_fleet_rollouts(options->fleet_state), text);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet/fleet.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "fleet/fetch_codec.h"
@@ -339,9 +340,16 @@
 	return n;
 }
 
+unsigned sr_fleet_recent_hosts(const sr_fleet_t *fleet)
+{
+	return MAX((unsigned)ceil(fleet->recent_max_hosts),
+		   sr_fleet_host_count(fleet));
+}
+
 void sr_fleet_expect_hosts(sr_fleet_t *fleet, unsigned n)
 {
 	fleet->expected_hosts = n;
+	fleet->recent_max_hosts = MAX(fleet->recent_max_hosts, n);
 	sr_gateway_set_host_count(fleet->options.gateway,
 				  sr_fleet_sharing_hosts(fleet));
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -160,6 +160,10 @@
 /** sr_fleet_cancel_fetches - drop the open fetches of a user pointer. */
 void sr_fleet_cancel_fetches(sr_fleet_t *fleet, void *user);
 
+/** sr_fleet_recent_hosts - the highest number of live hosts of late, this one
+ * included; 2% less with each second since. */
+unsigned sr_fleet_recent_hosts(const sr_fleet_t *fleet);
+
 /** sr_fleet_expect_hosts - set the number of entry hosts that is assumed until
  * this host has joined the others. */
 void sr_fleet_expect_hosts(sr_fleet_t *fleet, unsigned n);
--- a/src/fleet/load_report.c
+++ b/src/fleet/load_report.c
@@ -2,7 +2,8 @@
 
 #include "fleet/fleet_internal.h"
 
-/** Part of the hosts that a host must know to report what its pools granted. */
+/** Part of the hosts that a host must know to report what its pools granted, or
+ * to save what all have. */
 #define REPORTED_USE_HOSTS_MIN 0.8
 
 /** Time constant of the moving average of engine work, in s. */
@@ -261,6 +262,14 @@
 	return TRUE;
 }
 
+/* While hosts restart in series, the holders of the pools may be among those
+ * that this host doesn't know yet, or report nothing for that reason. */
+static gboolean knows_recent_hosts(const sr_fleet_t *fleet)
+{
+	return sr_fleet_host_count(fleet) >=
+	       REPORTED_USE_HOSTS_MIN * sr_fleet_recent_hosts(fleet);
+}
+
 gboolean sr_fleet_foreach_use(const sr_fleet_t *fleet,
 			      void (*fn)(void *user, const char *account,
 					 unsigned pool,
@@ -271,8 +280,9 @@
 	const sr_load_sum_t *total = sr_load_exchange_total(
 		fleet->load_exchange, sr_fleet_now(fleet), &own);
 
-	if (!total || sr_load_sum_hosts(total) <
-			      USE_FRACTION_MIN * sr_fleet_host_count(fleet))
+	if (!total || !knows_recent_hosts(fleet) ||
+	    sr_load_sum_hosts(total) <
+		    USE_FRACTION_MIN * sr_fleet_host_count(fleet))
 		return FALSE;
 	sr_load_sum_foreach_use(total, fn, user);
 	return TRUE;
--- a/src/fleet/pool_requests.c
+++ b/src/fleet/pool_requests.c
@@ -67,7 +67,6 @@
 void sr_pool_requests_init(sr_fleet_t *fleet)
 {
 	sr_list_init(&fleet->pool_requests);
-	fleet->recent_max_hosts = RECENT_MAX_MIN;
 	fleet->held_pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->silent_holders =
@@ -156,9 +155,8 @@
 	 * then hand out together no more than one pool for each account, until
 	 * the maximum has decayed. */
 	fleet->recent_max_hosts *= 1 - RECENT_MAX_DECAY;
-	fleet->recent_max_hosts =
-		MAX(fleet->recent_max_hosts, MAX(n_live, RECENT_MAX_MIN));
-	n_sharing = MAX(fleet->recent_max_hosts,
+	fleet->recent_max_hosts = MAX(fleet->recent_max_hosts, n_live);
+	n_sharing = MAX(MAX(fleet->recent_max_hosts, RECENT_MAX_MIN),
 			(double)sr_fleet_sharing_hosts(fleet));
 	sr_allowance_set_pool_fraction(
 		sr_gateway_allowance(fleet->options.gateway),
--- a/test/pool_requests_test.c
+++ b/test/pool_requests_test.c
@@ -172,11 +172,48 @@
 	g_free(first);
 }
 
+static void count_use(void *user, const char *account, unsigned pool,
+		      const sr_allowance_use_t *use)
+{
+	(void)account;
+	(void)pool;
+	(void)use;
+	(*(unsigned *)user)++;
+}
+
+/* Guards against a saved state that says that no pool has granted anything: its
+ * writer knew two of nine hosts, while these restarted in series. */
+static void test_host_that_knows_few_others_saves_no_use(void **state)
+{
+	sr_clock_t *clock = sr_clock_new_real();
+	char *first = g_strdup_printf("127.0.0.1:%d", unused_port());
+	char *second = g_strdup_printf("127.0.0.1:%d", unused_port());
+	host_t hosts[2];
+	unsigned n = 0;
+
+	(void)state;
+	host_init(&hosts[0], clock, "n0", "d", first, second);
+	host_init(&hosts[1], clock, "n1", "e", second, first);
+	run_for(4000);
+	assert_int_equal(sr_fleet_host_count(hosts[0].fleet), 2);
+	assert_true(sr_fleet_foreach_use(hosts[0].fleet, count_use, &n));
+	sr_fleet_expect_hosts(hosts[0].fleet, 9);
+	run_for(1500);
+	assert_false(sr_fleet_foreach_use(hosts[0].fleet, count_use, &n));
+	assert_in_range(sr_fleet_recent_hosts(hosts[0].fleet), 8, 9);
+	host_clear(&hosts[0]);
+	host_clear(&hosts[1]);
+	sr_clock_free(clock);
+	g_free(second);
+	g_free(first);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_host_that_leaves_grants_nothing_from_its_pool),
+		cmocka_unit_test(test_host_that_knows_few_others_saves_no_use),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
