Decide in core when a follower polls the store

Cause: platform/ only translates, but platform/store_watch.c decided how many fetches may fail before a follower polls the store, and no test covered it.

Change: the decision is in core/watch_role, with a test. It is the same as before.

--- a/src/core/watch_role.c
+++ b/src/core/watch_role.c
@@ -5,6 +5,11 @@
  * usually takes over. */
 #define SPREAD 0.4
 
+/** Fetches in a row without a value after which the store is polled: a watcher
+ * that reads a large change may not answer in time, and its next notice comes
+ * soon. */
+#define FAILED_FETCHES_MAX 2
+
 sr_watch_role_t sr_watch_role(const sr_watch_role_input_t *input)
 {
 	double late = 1 + SPREAD * (1 + input->jitter) / 2;
@@ -20,3 +25,13 @@
 		       SR_WATCH_ROLE_ALONE :
 		       SR_WATCH_ROLE_FOLLOW;
 }
+
+gboolean sr_watch_fetches_ended(sr_watch_fetches_t *fetches,
+				gboolean is_answered)
+{
+	fetches->n_failed = is_answered ? 0 : fetches->n_failed + 1;
+	if (fetches->n_failed < FAILED_FETCHES_MAX)
+		return FALSE;
+	fetches->n_failed = 0;
+	return TRUE;
+}
--- a/src/core/watch_role.h
+++ b/src/core/watch_role.h
@@ -41,4 +41,19 @@
 
 sr_watch_role_t sr_watch_role(const sr_watch_role_input_t *input);
 
+/** sr_watch_fetches_t - a follower's fetches from watchers; zero-initialised.
+ */
+typedef struct {
+	unsigned n_failed; /* in a row */
+} sr_watch_fetches_t;
+
+/**
+ * sr_watch_fetches_ended - a fetch has brought the changes, or nothing
+ *
+ * Returns whether a follower that got nothing polls the store now; otherwise it
+ * asks a watcher again.
+ */
+gboolean sr_watch_fetches_ended(sr_watch_fetches_t *fetches,
+				gboolean is_answered);
+
 #endif
--- a/test/watch_role_test.c
+++ b/test/watch_role_test.c
@@ -132,12 +132,27 @@
 	sr_change_log_free(log);
 }
 
+/* Guards against all followers that poll the store at once, when the watcher
+ * answers late as it reads a large change; and against one that never does. */
+static void test_follower_asks_once_more_before_it_polls(void **state)
+{
+	sr_watch_fetches_t fetches = { 0 };
+
+	(void)state;
+	assert_false(sr_watch_fetches_ended(&fetches, FALSE));
+	assert_false(sr_watch_fetches_ended(&fetches, TRUE));
+	assert_false(sr_watch_fetches_ended(&fetches, FALSE));
+	assert_true(sr_watch_fetches_ended(&fetches, FALSE));
+	assert_false(sr_watch_fetches_ended(&fetches, FALSE));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_one_host_of_a_domain_watches),
 		cmocka_unit_test(test_successor_watches_first),
 		cmocka_unit_test(test_hosts_spread_when_they_lose_the_watchers),
+		cmocka_unit_test(test_follower_asks_once_more_before_it_polls),
 		cmocka_unit_test(test_log_returns_what_follows_a_revision),
 		cmocka_unit_test(test_log_is_cleared_by_a_gap),
 		cmocka_unit_test(test_log_drops_the_oldest),
