Count values that are too large to be sent to another host

Cause: a host that asked for a value of more than 1 MiB compressed, or 16 MiB, got none, and neither host said why.

Change: the host that has the value counts it as a dropped control message of kind "value", which is logged once a second.

Result: fleet_fetch_test.

--- a/src/fleet/drops.c
+++ b/src/fleet/drops.c
@@ -4,6 +4,7 @@
 	[SR_FLEET_DROP_RUMOUR] = "rumour",
 	[SR_FLEET_DROP_LOAD_LINE] = "load-line",
 	[SR_FLEET_DROP_MESSAGE] = "message",
+	[SR_FLEET_DROP_VALUE] = "value",
 };
 
 void sr_fleet_drops_init(sr_fleet_t *fleet)
@@ -28,6 +29,8 @@
 			->items_dropped;
 	case SR_FLEET_DROP_MESSAGE:
 		return sr_peer_stats(fleet->peer)->refused;
+	case SR_FLEET_DROP_VALUE:
+		return fleet->n_large_values;
 	}
 	g_assert_not_reached();
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -459,13 +459,16 @@
 	guint64 base_id;
 	gboolean encodes = sr_fetch_codec_parse_key(text, &base_id, &key);
 	GBytes *value = find_value(fleet, key);
-	GBytes *encoded;
-
-	if (!encodes)
-		return value;
-	encoded = sr_fetches_encode(fleet, value, base_id);
-	g_clear_pointer(&value, g_bytes_unref);
-	return encoded;
+	GBytes *answer =
+		encodes ? sr_fetches_encode(fleet, value, base_id) : value;
+
+	if (value &&
+	    (g_bytes_get_size(answer) > SR_PEER_VALUE_MAX ||
+	     (encodes && g_bytes_get_size(value) > SR_FETCH_VALUE_MAX)))
+		fleet->n_large_values++;
+	if (encodes)
+		g_clear_pointer(&value, g_bytes_unref);
+	return answer;
 }
 
 static void on_send(void *user, const char *address, const guint8 *data,
--- a/src/fleet/fleet_internal.h
+++ b/src/fleet/fleet_internal.h
@@ -13,7 +13,7 @@
 /** Shared by the source files of sr_fleet_t only. */
 
 /** Number of kinds of drops, see sr_fleet_drop_t. */
-#define SR_FLEET_DROPS 3
+#define SR_FLEET_DROPS 4
 
 /** Key under which a host serves the text of its table. */
 #define SR_FLEET_TABLE_KEY "table"
@@ -72,6 +72,7 @@
 	/* control messages left out; drops.c */
 	sr_counter_t *dropped[SR_FLEET_DROPS];
 	guint64 n_large_rumours;
+	guint64 n_large_values;
 	/* counts of other hosts; usage_exchange.c */
 	guint64 n_usage_sends;
 	GHashTable *usage_last_received; /* owner id -> sr_usec_t */
@@ -150,6 +151,7 @@
 	SR_FLEET_DROP_RUMOUR,	 /* a value over SR_RUMOUR_VALUE_MAX */
 	SR_FLEET_DROP_LOAD_LINE, /* of a sum of load with too many parts */
 	SR_FLEET_DROP_MESSAGE,	 /* refused by the peer module */
+	SR_FLEET_DROP_VALUE,	 /* asked for by another host, too large */
 } sr_fleet_drop_t;
 
 void sr_fleet_drops_init(sr_fleet_t *fleet);
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -158,11 +158,14 @@
 		     const sr_forward_t *forward, sr_forward_fn done,
 		     void *user);
 
+/** Largest value of a fetch, in bytes. */
+#define SR_PEER_VALUE_MAX (1024 * 1024)
+
 /**
  * sr_fetch_fn - receives a value, which is borrowed
  *
- * value is NULL if the other host has no value of at most 1 MiB for the key, or
- * if the call failed or timed out.
+ * value is NULL if the other host has no value of at most SR_PEER_VALUE_MAX for
+ * the key, or if the call failed or timed out.
  */
 typedef void (*sr_fetch_fn)(void *user, GBytes *value);
 
--- a/test/fleet_fetch_test.c
+++ b/test/fleet_fetch_test.c
@@ -117,12 +117,48 @@
 	g_free(first);
 }
 
+/* Guards against a value that is too large even when compressed and is left out
+ * without a counter. */
+static void test_too_large_value_is_counted(void **state)
+{
+	sr_clock_t *clock = sr_clock_new_real();
+	char *first = g_strdup_printf("127.0.0.1:%d", unused_port());
+	char *second = g_strdup_printf("127.0.0.1:%d", unused_port());
+	GRand *random = g_rand_new_with_seed(1);
+	guint32 *noise = g_new(guint32, LARGE_SIZE / sizeof(guint32));
+	GString *page = g_string_new(NULL);
+	host_t hosts[2];
+
+	(void)state;
+	for (gsize i = 0; i < LARGE_SIZE / sizeof(guint32); i++)
+		noise[i] = g_rand_int(random);
+	host_init(&hosts[0], clock, "n0", "d", first, second);
+	host_init(&hosts[1], clock, "n1", "d", second, first);
+	g_hash_table_insert(hosts[1].values, (char *)KEY,
+			    g_bytes_new(noise, LARGE_SIZE));
+	assert_null(fetch_from(&hosts[0], second));
+	run_for(1200);
+	sr_metrics_write(hosts[1].metrics, page);
+	/* it is asked for once more by the plain key */
+	assert_non_null(strstr(page->str, "sassafras_fleet_dropped_total{kind="
+					  "\"value\"} 2\n"));
+	host_clear(&hosts[0]);
+	host_clear(&hosts[1]);
+	sr_clock_free(clock);
+	g_string_free(page, TRUE);
+	g_rand_free(random);
+	g_free(noise);
+	g_free(second);
+	g_free(first);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_hosts_of_two_builds_fetch_from_each_other),
 		cmocka_unit_test(test_large_value_is_fetched),
+		cmocka_unit_test(test_too_large_value_is_counted),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
