--- a/test/platform_store.h
+++ b/test/platform_store.h
@@ -19,10 +19,13 @@
 #include "entry_host.h"
 #include "settings.h"
 
-/** How long the stand-in holds a watch without events open, in ms. */
+/** How long the stand-in holds a watch without events open, in ms, unless it
+ * holds watches for as long as they ask. */
 #define WATCH_HOLD_MS 40
 
-typedef struct {
+typedef struct store store_t;
+
+struct store {
 	SoupServer *server;
 	json_object *objects; /* "KIND/NAME" -> object */
 	json_object *removed; /* "KIND/NAME" -> object, as last seen */
@@ -31,11 +34,21 @@
 	unsigned era;		 /* 0: answers don't name one */
 	gboolean is_away;	 /* answers 503 */
 	unsigned n_changes_sent; /* answers of watches with events */
+	/* A watch is held for its wait_ms and answered at a change, as the
+	 * platform does. */
+	gboolean holds_watches;
+	gboolean is_mute;    /* held watches hear of no change */
+	GPtrArray *held;     /* held_watch_t */
+	guint answer_source; /* of held watches, after a change */
+	/* takes calls of objects, or answers them by answer_store_call();
+	 * NULL: they are answered at once */
+	void (*call_received)(void *user, SoupServerMessage *message,
+			      const char *path, GHashTable *query);
 	/* takes the calls of duties; NULL for none */
 	void (*duty_called)(void *user, SoupServerMessage *message,
 			    const char *path);
 	void *user;
-} store_t;
+};
 
 static SoupServer *listen_at(int port, SoupServerCallback handler,
 			     gpointer user)
@@ -91,10 +104,14 @@
 	return json_object_get_int64(revision);
 }
 
+static gboolean answer_held_watches(gpointer user);
+
 static void touch(store_t *store, json_object *object)
 {
 	json_object_object_add(metadata_of(object), "revision",
 			       json_object_new_int64(++store->revision));
+	if (store->holds_watches && store->answer_source == 0)
+		store->answer_source = g_idle_add(answer_held_watches, store);
 }
 
 /* Sets an object's spec or status from a text. */
@@ -182,7 +199,11 @@
 /** held_watch_t - a watch without events; its caller may leave before the end.
  */
 typedef struct {
+	store_t *store;
 	SoupServerMessage *message;
+	char *kind;
+	gint64 after;
+	guint timer;
 	gboolean is_gone;
 } held_watch_t;
 
@@ -192,28 +213,89 @@
 	((held_watch_t *)user)->is_gone = TRUE;
 }
 
-static gboolean on_watch_end(gpointer user)
+/* Sets the answer; FALSE if it has no events. */
+static gboolean respond_to_watch(store_t *store, SoupServerMessage *message,
+				 const char *kind, gint64 after)
 {
-	held_watch_t *watch = user;
+	json_object *events = list_kind(store, kind, after);
+	json_object *body = json_object_new_object();
+	gboolean has_events = json_object_array_length(events) > 0;
+
+	json_object_object_add(body, "events", events);
+	json_object_object_add(body, "truncated",
+			       json_object_new_boolean(FALSE));
+	json_object_object_add(body, "current_rev",
+			       json_object_new_int64(store->revision));
+	respond(message, 200, body);
+	json_object_put(body);
+	store->n_changes_sent += has_events;
+	return has_events;
+}
 
+/* Sends the answer that the message has. */
+static void end_watch(held_watch_t *watch)
+{
+	g_ptr_array_remove_fast(watch->store->held, watch);
 	g_signal_handlers_disconnect_by_data(watch->message, watch);
+	if (watch->timer > 0)
+		g_source_remove(watch->timer);
 	if (!watch->is_gone)
 		soup_server_message_unpause(watch->message);
 	g_object_unref(watch->message);
+	g_free(watch->kind);
 	g_free(watch);
+}
+
+static gboolean on_watch_end(gpointer user)
+{
+	held_watch_t *watch = user;
+	store_t *store = watch->store;
+
+	watch->timer = 0;
+	if (store->holds_watches && !store->is_mute && !watch->is_gone)
+		respond_to_watch(store, watch->message, watch->kind,
+				 watch->after);
+	end_watch(watch);
 	return G_SOURCE_REMOVE;
 }
 
-static void hold_watch(SoupServerMessage *message)
+static void hold_watch(store_t *store, SoupServerMessage *message,
+		       const char *kind, gint64 after, unsigned wait_ms)
 {
 	held_watch_t *watch = g_new0(held_watch_t, 1);
 
+	if (!store->held)
+		store->held = g_ptr_array_new();
+	g_ptr_array_add(store->held, watch);
+	watch->store = store;
 	watch->message = g_object_ref(message);
+	watch->kind = g_strdup(kind);
+	watch->after = after;
 	g_signal_connect(message, "disconnected", G_CALLBACK(on_watch_gone),
 			 watch);
 	g_signal_connect(message, "finished", G_CALLBACK(on_watch_gone), watch);
 	soup_server_message_pause(message);
-	g_timeout_add(WATCH_HOLD_MS, on_watch_end, watch);
+	watch->timer =
+		g_timeout_add(store->holds_watches ? wait_ms : WATCH_HOLD_MS,
+			      on_watch_end, watch);
+}
+
+static gboolean answer_held_watches(gpointer user)
+{
+	store_t *store = user;
+
+	store->answer_source = 0;
+	if (store->is_mute || !store->held)
+		return G_SOURCE_REMOVE;
+	for (guint i = store->held->len; i > 0; i--) {
+		held_watch_t *watch = store->held->pdata[i - 1];
+
+		if (watch->is_gone ||
+		    respond_to_watch(store, watch->message, watch->kind,
+				     watch->after))
+			end_watch(watch);
+	}
+	return G_SOURCE_REMOVE;
 }
 
 static void on_get(store_t *store, SoupServerMessage *message, const char *key,
@@ -223,7 +305,6 @@
 	gint64 after = watch ? g_ascii_strtoll(watch, NULL, 10) : -1;
 	json_object *object = NULL;
 	json_object *body;
-	json_object *items;
 
 	if (strchr(key, '/')) {
 		json_object_object_get_ex(store->objects, key, &object);
@@ -234,17 +315,23 @@
 		respond(message, 410, NULL);
 		return;
 	}
-	items = list_kind(store, key, after);
+	if (watch) {
+		const char *wait = g_hash_table_lookup(query, "wait_ms");
+
+		if (!respond_to_watch(store, message, key, after) ||
+		    store->is_mute)
+			hold_watch(store, message, key, after,
+				   (unsigned)g_ascii_strtoull(wait ? wait : "0",
+							      NULL, 10));
+		return;
+	}
 	body = json_object_new_object();
-	json_object_object_add(body, watch ? "events" : "items", items);
+	json_object_object_add(body, "items", list_kind(store, key, after));
 	json_object_object_add(body, "truncated",
 			       json_object_new_boolean(FALSE));
 	json_object_object_add(body, "current_rev",
 			       json_object_new_int64(store->revision));
 	respond(message, 200, body);
-	if (watch && json_object_array_length(items) == 0)
-		hold_watch(message);
-	store->n_changes_sent += watch && json_object_array_length(items) > 0;
 	json_object_put(body);
 }
 
@@ -297,25 +384,36 @@
 			"Store-Era", era);
 }
 
+/* The path is that below the objects. */
+static void answer_store_call(store_t *store, SoupServerMessage *message,
+			      const char *path, GHashTable *query)
+{
+	const char *method = soup_server_message_get_method(message);
+
+	if (store->is_away) {
+		respond(message, 503, NULL);
+		return;
+	}
+	add_era(store, message);
+	if (!strcmp(method, "GET"))
+		on_get(store, message, path, query);
+	else
+		on_write(store, message, path, method);
+}
+
 static void on_store_call(SoupServer *server, SoupServerMessage *message,
 			  const char *path, GHashTable *query, gpointer user)
 {
-	const char *method = soup_server_message_get_method(message);
 	store_t *store = user;
 	json_object *nothing;
 
 	(void)server;
 	if (g_str_has_prefix(path, "/api/objects/")) {
 		path += strlen("/api/objects/");
-		if (store->is_away) {
-			respond(message, 503, NULL);
-			return;
-		}
-		add_era(store, message);
-		if (!strcmp(method, "GET"))
-			on_get(user, message, path, query);
+		if (store->call_received)
+			store->call_received(store->user, message, path, query);
 		else
-			on_write(user, message, path, method);
+			answer_store_call(store, message, path, query);
 		return;
 	}
 	if (store->duty_called)
@@ -337,7 +435,7 @@
 	store_init_at(store, 0);
 }
 
-static void store_clear(store_t *store)
+static inline void store_clear(store_t *store)
 {
 	g_object_unref(store->server);
 	json_object_put(store->objects);
@@ -413,7 +511,7 @@
 	return G_SOURCE_REMOVE;
 }
 
-static void run_for(unsigned ms)
+static inline void run_for(unsigned ms)
 {
 	gboolean timed_out = FALSE;
 
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -354,6 +354,38 @@
 	assert_true(calls[0] <= 40);
 }
 
+/** Kinds of objects that a host follows. */
+#define FEEDS 3
+
+/** A host counts as in touch 3 s after the end of an outage. Of these, up to
+ * 1.5 s pass until a call that was sent before has failed, and 0.6 s until the
+ * next one. */
+#define FEEDS_READ_TIME (900 * SR_MSEC)
+
+/* Guards against a configuration that is late after an outage: the reads of it
+ * waited for seconds until the bucket had filled. */
+static void test_feeds_are_read_soon_after_an_outage(void **state)
+{
+	sr_usec_t end = 10 * SR_SEC;
+	sr_usec_t wait;
+	sr_budget_t budget;
+	unsigned n = 0;
+
+	(void)state;
+	/* of a store that takes 400 writes a second */
+	sr_budget_init(&budget, 20, SR_PLATFORM_DEFAULT_BURST, 1, 0);
+	for (unsigned i = 0; i < SR_BUDGET_TRIP_FAILURES; i++)
+		sr_budget_record_failure(&budget, SR_SEC);
+	assert_int_equal(
+		sr_budget_take(&budget, end, SR_STORE_CONFIG, FALSE, &wait),
+		SR_BUDGET_SEND);
+	sr_budget_record_answer(&budget, end);
+	for (sr_usec_t t = 0; t <= FEEDS_READ_TIME; t += 10 * SR_MSEC)
+		n += take_all(&budget, end + t, SR_STORE_CONFIG);
+	assert_true(n >= FEEDS);
+	sr_budget_clear(&budget);
+}
+
 static void advance_two_polls(fixture_t *f)
 {
 	for (sr_usec_t t = 0; t < 2 * SR_HOSTS_POLL_INTERVAL; t += SR_SEC) {
@@ -418,6 +450,7 @@
 			test_cancelled_call_gets_no_reply, setup, teardown),
 		cmocka_unit_test(test_budget_reserves_tokens_for_urgent_calls),
 		cmocka_unit_test(test_recovery_limits_simultaneous_calls),
+		cmocka_unit_test(test_feeds_are_read_soon_after_an_outage),
 		cmocka_unit_test_setup_teardown(
 			test_host_changes_are_reported_once, setup, teardown),
 	};
--- /dev/null
+++ b/test/soak/callers.c
@@ -0,0 +1,110 @@
+#include "soak.h"
+
+/** Interval at which each host is asked, in ms. */
+#define ASK_MS 60
+
+/** Time in which callers give up, in s. */
+#define CALLER_TIMEOUT_S 3
+
+/* The callers. */
+
+typedef struct {
+	soak_t *soak;
+	SoupMessage *message;
+	soak_request_t request;
+	gboolean is_control; /* of the first route, which always holds */
+} question_t;
+
+static soak_outcome_t outcome_of(unsigned status)
+{
+	switch (status) {
+	case 200:
+		return SOAK_OUTCOME_SERVED;
+	case 401:
+	case 403:
+	case 404:
+		return SOAK_OUTCOME_DENIED;
+	default:
+		return SOAK_OUTCOME_OTHER;
+	}
+}
+
+static void on_answered(GObject *source, GAsyncResult *result, gpointer user)
+{
+	question_t *question = user;
+	soak_t *soak = question->soak;
+	GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(source),
+							 result, NULL);
+	soak_request_t *request = &question->request;
+
+	request->ended_ms = soak_now_ms(soak);
+	request->outcome =
+		body ? outcome_of(soup_message_get_status(question->message)) :
+		       SOAK_OUTCOME_OTHER;
+	soak->hosts[request->host].n_served +=
+		request->outcome == SOAK_OUTCOME_SERVED && question->is_control;
+	soak_rules_judge(soak->rules, request);
+	g_clear_pointer(&body, g_bytes_unref);
+	g_object_unref(question->message);
+	g_free(question);
+}
+
+static void ask(soak_t *soak, unsigned host)
+{
+	question_t *question = g_new0(question_t, 1);
+	char *ip = soak_network_ip(soak->network, host);
+	guint pick = (guint)g_rand_int_range(soak->random, 0, SOAK_RECENT + 2);
+	soak_subject_t *subject;
+	char *url;
+	char id[24];
+	SoupMessageHeaders *headers;
+
+	question->is_control = pick >= SOAK_RECENT || pick >= soak->recent->len;
+	subject = question->is_control ? soak->routes->pdata[0] :
+					 soak->recent->pdata[pick];
+	question->soak = soak;
+	question->request = (soak_request_t){
+		.host = host,
+		.incarnation = soak_rules_host(soak->rules, host)->incarnation,
+		.subject = subject,
+		.sent_ms = soak_now_ms(soak),
+	};
+	soak->hosts[host].n_asked += question->is_control;
+	url = g_strdup_printf("http://%s:%d/%s/x", ip, SOAK_PORT_CALLERS,
+			      subject->name[0] == 'k' ? "private" :
+							subject->name);
+	question->message = soup_message_new("POST", url);
+	headers = soup_message_get_request_headers(question->message);
+	g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x",
+		   ++soak->n_asked);
+	soup_message_headers_replace(headers, "Host", "h.example");
+	soup_message_headers_append(headers, "Attempt-Id", id);
+	soup_message_headers_append(headers, "Deadline-Ms", "2000");
+	if (subject->name[0] == 'k') {
+		char *bearer = g_strconcat("Bearer ", subject->name, NULL);
+
+		soup_message_headers_append(headers, "Authorization", bearer);
+		g_free(bearer);
+	}
+	soup_session_send_and_read_async(soak->session, question->message,
+					 G_PRIORITY_DEFAULT, NULL, on_answered,
+					 question);
+	g_free(url);
+	g_free(ip);
+}
+
+static gboolean on_ask_timer(gpointer user)
+{
+	soak_t *soak = user;
+
+	ask(soak, soak->next_host++ % soak->n_hosts);
+	return G_SOURCE_CONTINUE;
+}
+
+void soak_callers_start(soak_t *soak)
+{
+	soak->session = soup_session_new_with_options(
+		"max-conns", 1000, "max-conns-per-host", 100, "timeout",
+		CALLER_TIMEOUT_S, NULL);
+	g_timeout_add(ASK_MS / MAX(soak->n_hosts, 1), on_ask_timer, soak);
+}
