Read what a host follows soon after an outage of the store

Cause: at the end of an outage the bucket that limits a host's calls was empty, filled at a tenth of its rate, and a call of the configuration's class left 5 tokens to more urgent ones. With 400 writes a second of the store (20 a second a host) the first read was sent after 2.4 s. Each feed also polled five times a second in the 2.2 s after an outage, 15 calls a second of the 2 that were allowed, so that reads ended unsent in the queue.

Evidence: test_feeds_are_read_soon_after_an_outage failed before. That 200 hosts don't call at once is tested as before (test_recovery_limits_simultaneous_calls).

--- a/src/platform_api/budget.c
+++ b/src/platform_api/budget.c
@@ -15,19 +15,35 @@
 /* Limits the shift of a backoff, which could otherwise overflow. */
 #define MAX_DOUBLINGS 10
 
-static double current_rate(sr_budget_t *budget, sr_usec_t now)
+/* Fraction of the full rate; 1 outside a ramp. */
+static double ramp_fraction(sr_budget_t *budget, sr_usec_t now)
 {
 	double progress;
 
 	if (!budget->ramp_start)
-		return budget->rate;
+		return 1.0;
 	progress = (double)(now - budget->ramp_start) /
 		   (double)SR_BUDGET_RAMP_DURATION;
 	if (progress >= 1.0) {
 		budget->ramp_start = 0;
-		return budget->rate;
+		return 1.0;
 	}
-	return budget->rate * MAX(progress, RAMP_MIN_FRACTION);
+	return MAX(progress, RAMP_MIN_FRACTION);
+}
+
+static double current_rate(sr_budget_t *budget, sr_usec_t now)
+{
+	return budget->rate * ramp_fraction(budget, now);
+}
+
+/* Tokens that a call of the class leaves in the bucket. In a ramp the reserve
+ * grows with the rate, which would take seconds to fill it. */
+static double reserve(sr_budget_t *budget, sr_usec_t now,
+		      sr_store_class_t class)
+{
+	return MIN(reserve_fraction[class] * budget->burst *
+			   ramp_fraction(budget, now),
+		   budget->burst - 1.0);
 }
 
 static void refill(sr_budget_t *budget, sr_usec_t now)
@@ -108,8 +124,7 @@
 		return SR_BUDGET_WAIT;
 	}
 	refill(budget, now);
-	need = 1.0 + MIN(reserve_fraction[class] * budget->burst,
-			 budget->burst - 1.0);
+	need = 1.0 + reserve(budget, now, class);
 	if (budget->tokens >= need) {
 		budget->tokens -= 1.0;
 		return SR_BUDGET_SEND;
@@ -126,7 +141,7 @@
 		return;
 	budget->unavailable = FALSE;
 	budget->probing = FALSE;
-	budget->tokens = 0;
+	budget->tokens = MIN(SR_BUDGET_RECOVERY_TOKENS, budget->burst);
 	budget->refilled_at = now;
 	budget->ramp_start = MAX(now, 1);
 }
--- a/src/platform_api/budget.h
+++ b/src/platform_api/budget.h
@@ -15,8 +15,9 @@
  * After SR_BUDGET_TRIP_FAILURES consecutive failures the platform counts as
  * unavailable: calls are refused at once, and after a random delay
  * (exponential backoff with full jitter) a single call probes the platform.
- * When an outage ends, the bucket is empty and its rate increases to the full
- * rate over SR_BUDGET_RAMP_DURATION.
+ * When an outage ends, the bucket holds SR_BUDGET_RECOVERY_TOKENS, and its rate
+ * and what is left to urgent calls increase to their full values over
+ * SR_BUDGET_RAMP_DURATION.
  */
 typedef struct {
 	double rate;  /* tokens per second */
@@ -38,6 +39,9 @@
 
 #define SR_BUDGET_RAMP_DURATION (10 * SR_SEC)
 
+/** Tokens at the end of an outage: a host reads soon what it follows. */
+#define SR_BUDGET_RECOVERY_TOKENS 3.0
+
 /**
  * A backoff is drawn from 0 to SR_BUDGET_BACKOFF_MIN, doubled for each
  * consecutive failure, up to the largest backoff.
