Leave kept connections of the platform after a lost call

Cause: a call that got no answer closed its own connection only. The next one took another that was kept, which was silent as well, and waited for its time-out of 1.5 s; three of these made the store count as unavailable.

Now the client leaves all connections that it keeps when a call is lost. The test failed before.

--- a/src/platform_api/client.c
+++ b/src/platform_api/client.c
@@ -176,6 +176,25 @@
 
 static void process_queues(sr_platform_t *platform);
 
+static SoupSession *new_session(unsigned max_in_flight)
+{
+	SoupSession *session = soup_session_new_with_options(
+		"max-conns", (int)max_in_flight * 2, "max-conns-per-host",
+		(int)max_in_flight * 2, "timeout", 0, "idle-timeout",
+		IDLE_TIMEOUT_S, NULL);
+
+	soup_session_set_proxy_resolver(session, NULL);
+	return session;
+}
+
+/* What made one connection silent may have done so to all: kept ones are
+ * closed, those in use end with their calls. */
+static void leave_kept_connections(sr_platform_t *platform)
+{
+	g_object_unref(platform->session);
+	platform->session = new_session(platform->max_in_flight);
+}
+
 /* Ends a call that was throttled, lost, not sent or answered with a 5xx. */
 static void handle_failure(call_t *call, const sr_exchange_result_t *result)
 {
@@ -194,6 +213,8 @@
 		sr_budget_record_inconclusive(&platform->budget);
 	else
 		sr_budget_record_failure(&platform->budget, now);
+	if (result->sent && !result->status)
+		leave_kept_connections(platform);
 	if (result->sent)
 		platform->stats.lost++;
 	else
@@ -497,17 +518,6 @@
 	sr_platform_cancel_all((sr_platform_t *)store, user);
 }
 
-static SoupSession *new_session(unsigned max_in_flight)
-{
-	SoupSession *session = soup_session_new_with_options(
-		"max-conns", (int)max_in_flight * 2, "max-conns-per-host",
-		(int)max_in_flight * 2, "timeout", 0, "idle-timeout",
-		IDLE_TIMEOUT_S, NULL);
-
-	soup_session_set_proxy_resolver(session, NULL);
-	return session;
-}
-
 sr_platform_t *sr_platform_new(const sr_platform_options_t *options)
 {
 	sr_platform_t *platform = g_new0(sr_platform_t, 1);
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -31,6 +31,7 @@
 	char *value;
 	GString *order;	   /* last characters of the request paths */
 	const char *hosts; /* answer to GET /hosts */
+	GHashTable *ports; /* of the client's connections that were used */
 } fixture_t;
 
 static gboolean write_object(fixture_t *f, SoupServerMessage *message)
@@ -72,6 +73,11 @@
 	fixture_t *f = data;
 
 	f->requests++;
+	g_hash_table_add(f->ports,
+			 GINT_TO_POINTER(g_inet_socket_address_get_port(
+				 G_INET_SOCKET_ADDRESS(
+					 soup_server_message_get_remote_address(
+						 message)))));
 	g_string_append_c(f->order, path[strlen(path) - 1]);
 	if (f->answer == ANSWER_THROTTLE) {
 		soup_server_message_set_status(message, 503, NULL);
@@ -134,6 +140,7 @@
 		f->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
 	f->clock = sr_clock_new_manual(SR_SEC);
 	f->order = g_string_new(NULL);
+	f->ports = g_hash_table_new(NULL, NULL);
 	start_client(f, 0);
 	*state = f;
 	return 0;
@@ -150,6 +157,7 @@
 		;
 	sr_clock_free(f->clock);
 	g_string_free(f->order, TRUE);
+	g_hash_table_unref(f->ports);
 	g_free(f->value);
 	g_free(f);
 	return 0;
@@ -244,6 +252,29 @@
 	assert_int_equal(f->replies, 1);
 }
 
+/* Guards against calls that time out one after the other on kept connections
+ * which have all gone silent at once. */
+static void test_kept_connections_are_left_after_a_lost_call(void **state)
+{
+	fixture_t *f = *state;
+
+	submit(f, SR_STORE_GET, 0);
+	submit(f, SR_STORE_GET, 0);
+	submit_and_wait(f, SR_STORE_GET, 0);
+	assert_int_equal(f->replies, 3);
+	assert_int_equal(g_hash_table_size(f->ports), 3);
+	f->answer = ANSWER_NONE;
+	submit_and_wait(f, SR_STORE_GET, 0);
+	sr_clock_advance(f->clock, SR_PLATFORM_DEFAULT_TIMEOUT);
+	assert_int_equal(f->replies, 4);
+	f->answer = ANSWER_NORMAL;
+	submit_and_wait(f, SR_STORE_GET, 0);
+	submit_and_wait(f, SR_STORE_GET, 0);
+	assert_int_equal(f->replies, 6);
+	/* one more, which is none of those before */
+	assert_int_equal(g_hash_table_size(f->ports), 4);
+}
+
 static void test_calls_to_unreachable_platform_are_refused(void **state)
 {
 	fixture_t *f = *state;
@@ -441,6 +472,9 @@
 			teardown),
 		cmocka_unit_test_setup_teardown(test_unanswered_call_times_out,
 						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_kept_connections_are_left_after_a_lost_call, setup,
+			teardown),
 		cmocka_unit_test_setup_teardown(
 			test_calls_to_unreachable_platform_are_refused, setup,
 			teardown),
