End watches of the store at different times, and earlier

Cause: where each host watches for itself, a watch was held open for 2.5 s and counted as lost 0.5 s later, which is as long as the 3 s until a host counts as in touch. A change ends the watches of all hosts, so that the next ones end at one time too, and no host could tell the others earlier.

Now such a watch is held open for the time in which a change must take effect (2 s on the small deployments), by chance for 0.7 to 1 of it.

--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -223,8 +223,18 @@
 	unsigned watch_status; /* of the next watch; 200 by default */
 	gboolean is_down;
 	unsigned n_lists;
+	guint64 wait_min; /* that watches asked for, in ms; 0 before one */
+	guint64 wait_max;
 } fake_store_t;
 
+static void note_wait(fake_store_t *store, const char *text)
+{
+	guint64 wait = g_ascii_strtoull(text, NULL, 10);
+
+	store->wait_max = MAX(store->wait_max, wait);
+	store->wait_min = store->wait_min ? MIN(store->wait_min, wait) : wait;
+}
+
 static void on_request(SoupServer *server, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer user)
 {
@@ -245,6 +255,7 @@
 	if (query && g_hash_table_lookup(query, "watch")) {
 		unsigned status = store->watch_status;
 
+		note_wait(store, g_hash_table_lookup(query, "wait_ms"));
 		store->watch_status = 200;
 		body = store->watch ? store->watch :
 				      "{\"events\":[],\"current_rev\":10}";
@@ -380,6 +391,21 @@
 	fake_store_free(store);
 }
 
+/* Guards against hosts whose watches all end at one time after a change, so
+ * that none of them finds out early that its connection is dead. */
+static void test_watches_end_at_different_times(void **state)
+{
+	fake_store_t *store = fake_store_new();
+
+	(void)state;
+	assert_true(wait_for_events(store, "+b@4 ", 1000));
+	assert_false(wait_for_events(store, "-", 300));
+	assert_true(store->wait_max <= 50);
+	assert_true(store->wait_min >= 25);
+	assert_true(store->wait_max - store->wait_min >= 5);
+	fake_store_free(store);
+}
+
 /* Objects that expire during an outage reappear soon after it, so the feed must
  * not report them as removed. */
 static void test_feed_holds_removals_after_an_outage(void **state)
@@ -809,6 +835,7 @@
 		cmocka_unit_test(test_settings),
 		cmocka_unit_test(test_feed_follows_changes),
 		cmocka_unit_test(test_feed_lists_again_after_expired_watch),
+		cmocka_unit_test(test_watches_end_at_different_times),
 		cmocka_unit_test(test_feed_holds_removals_after_an_outage),
 		cmocka_unit_test(test_feed_follows_another_host),
 		cmocka_unit_test(test_feed_passes_on_what_a_list_shows),
