--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -49,19 +49,45 @@
 	g_free(question);
 }
 
+static SoupMessage *new_message(soak_t *soak, unsigned host, const char *route,
+				const char *key)
+{
+	char *ip = soak_network_ip(soak->network, host);
+	char *url = g_strdup_printf("http://%s:%d/%s/x", ip, SOAK_PORT_CALLERS,
+				    route);
+	SoupMessage *message = soup_message_new("POST", url);
+	SoupMessageHeaders *headers = soup_message_get_request_headers(message);
+	char id[24];
+
+	g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x",
+		   ++soak->n_asked);
+	soup_message_headers_replace(headers, "Host", "h.example");
+	soup_message_headers_append(headers, "Attempt-Id", id);
+	soup_message_headers_append(headers, "Deadline-Ms", "2000");
+	soup_message_headers_append(headers, "Token-Usage",
+				    G_STRINGIFY(SOAK_REQUEST_TOKENS) ",0");
+	if (key) {
+		char *bearer = g_strconcat("Bearer ", key, NULL);
+
+		soup_message_headers_append(headers, "Authorization", bearer);
+		g_free(bearer);
+	}
+	g_free(url);
+	g_free(ip);
+	return message;
+}
+
 static void ask(soak_t *soak, unsigned host)
 {
 	question_t *question = g_new0(question_t, 1);
-	char *ip = soak_network_ip(soak->network, host);
 	guint pick = (guint)g_rand_int_range(soak->random, 0, SOAK_RECENT + 2);
-	soak_subject_t *subject;
-	char *url;
-	char id[24];
-	SoupMessageHeaders *headers;
+	const soak_subject_t *subject;
+	gboolean is_key;
 
 	question->is_control = pick >= SOAK_RECENT || pick >= soak->recent->len;
 	subject = question->is_control ? soak->routes->pdata[0] :
 					 soak->recent->pdata[pick];
+	is_key = subject->name[0] == 'k';
 	question->soak = soak;
 	question->request = (soak_request_t){
 		.host = host,
@@ -70,27 +96,12 @@
 		.sent_ms = soak_now_ms(soak),
 	};
 	soak->hosts[host].n_asked += question->is_control;
-	url = g_strdup_printf("http://%s:%d/%s/x", ip, SOAK_PORT_CALLERS,
-			      subject->name[0] == 'k' ? "private" :
-							subject->name);
-	question->message = soup_message_new("POST", url);
-	headers = soup_message_get_request_headers(question->message);
-	g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x",
-		   ++soak->n_asked);
-	soup_message_headers_replace(headers, "Host", "h.example");
-	soup_message_headers_append(headers, "Attempt-Id", id);
-	soup_message_headers_append(headers, "Deadline-Ms", "2000");
-	if (subject->name[0] == 'k') {
-		char *bearer = g_strconcat("Bearer ", subject->name, NULL);
-
-		soup_message_headers_append(headers, "Authorization", bearer);
-		g_free(bearer);
-	}
+	question->message =
+		new_message(soak, host, is_key ? "private" : subject->name,
+			    is_key ? subject->name : NULL);
 	soup_session_send_and_read_async(soak->session, question->message,
 					 G_PRIORITY_DEFAULT, NULL, on_answered,
 					 question);
-	g_free(url);
-	g_free(ip);
 }
 
 static gboolean on_ask_timer(gpointer user)
@@ -101,10 +112,69 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/** load_t - requests for a route whose sums are judged. */
+typedef struct {
+	const char *route;
+	const char *key; /* NULL for none */
+	unsigned interval_ms;
+} load_t;
+
+static const load_t loads[] = {
+	{ "hot", "hot", 40 },
+	{ "frail", NULL, 80 },
+	{ "limited", NULL, 25 },
+};
+
+static void on_load_answered(GObject *source, GAsyncResult *result,
+			     gpointer user)
+{
+	GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(source),
+							 result, NULL);
+
+	(void)user;
+	g_clear_pointer(&body, g_bytes_unref);
+}
+
+static void send_load(soak_t *soak, const load_t *load)
+{
+	unsigned host = soak->next_host++ % soak->n_hosts;
+	SoupMessage *message = new_message(soak, host, load->route, load->key);
+
+	if (!strcmp(load->route, "frail"))
+		soak_sums_add_request(soak->sums, soak_now_ms(soak));
+	/* libsoup repeats what fails on a kept connection, unless it is new */
+	soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+	soup_session_send_and_read_async(soak->session, message,
+					 G_PRIORITY_DEFAULT, NULL,
+					 on_load_answered, NULL);
+	g_object_unref(message);
+}
+
+typedef struct {
+	soak_t *soak;
+	const load_t *load;
+} load_timer_t;
+
+static gboolean on_load_timer(gpointer user)
+{
+	const load_timer_t *timer = user;
+
+	send_load(timer->soak, timer->load);
+	return G_SOURCE_CONTINUE;
+}
+
 void soak_callers_start(soak_t *soak)
 {
 	soak->session = soup_session_new_with_options(
 		"max-conns", 1000, "max-conns-per-host", 100, "timeout",
 		CALLER_TIMEOUT_S, NULL);
 	g_timeout_add(ASK_MS / MAX(soak->n_hosts, 1), on_ask_timer, soak);
+	soak->sums_from_ms = soak_now_ms(soak) + soak->rules->bounds.contact_ms;
+	for (gsize i = 0; i < G_N_ELEMENTS(loads); i++) {
+		load_timer_t *timer = g_new0(load_timer_t, 1);
+
+		timer->soak = soak;
+		timer->load = &loads[i];
+		g_timeout_add(loads[i].interval_ms, on_load_timer, timer);
+	}
 }
--- a/test/soak/hosts.c
+++ b/test/soak/hosts.c
@@ -100,11 +100,11 @@
 	char *argv[] = { "/bin/sh", "-c", NULL, NULL };
 
 	g_snprintf(number, sizeof(number), "%u", host);
-	command = g_strdup_printf("exec %s --host %s --settings %s --network %s"
-				  " >>%s 2>&1",
-				  soak->program ? soak->program : soak->self,
-				  number, soak->hosts[host].settings,
-				  soak->network_path, log);
+	command = g_strdup_printf(
+		"exec %s --host %s --settings %s --network %s"
+		" >>%s 2>&1",
+		soak->program && host % 2 ? soak->program : soak->self, number,
+		soak->hosts[host].settings, soak->network_path, log);
 	argv[2] = command;
 	soak->hosts[host].stopping_ms = 0;
 	if (!g_spawn_async(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL,
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -1,7 +1,8 @@
 /*
  * Plays a plan of disruptions with real processes: entry hosts of the platform
  * behind a network that loses bytes, a stand-in of the store, instances and
- * callers. Callers' requests are judged by the rule CONFIG.
+ * callers. Callers' requests are judged by the rule CONFIG, what instances get
+ * by QUOTA, BUDGET and LIMIT.
  */
 #include <argtable2.h>
 #include <glib/gstdio.h>
@@ -308,6 +309,9 @@
 	       "back; %u of %u on the first route served;",
 	       soak->seed, rules->acknowledged_ms->len - 1, rules->n_judged,
 	       rules->n_late, rules->n_regressed, n_served, n_asked);
+	for (unsigned i = 0; i < SOAK_N_SUMS; i++)
+		printf(" %s %.2f;", soak_sums_rule((soak_sum_kind_t)i),
+		       soak_sums_worst(soak->sums, (soak_sum_kind_t)i));
 	for (unsigned i = 0; i < SOAK_N_KINDS; i++) {
 		if (soak->n_steps[i] > 0)
 			printf(" %s %u", soak_kind_name((soak_kind_t)i),
@@ -344,6 +348,7 @@
 	gboolean is_broken;
 
 	soak_store_start(soak);
+	soak_instances_start(soak);
 	for (unsigned i = 0; i < soak->n_hosts; i++) {
 		soak_host_prepare(soak, i);
 		soak_host_start(soak, i);
@@ -361,6 +366,9 @@
 	end_processes(soak);
 	print_result(soak);
 	is_broken = soak->rules->n_late + soak->rules->n_regressed > 0;
+	for (unsigned i = 0; i < SOAK_N_SUMS; i++)
+		is_broken |=
+			soak_sums_worst(soak->sums, (soak_sum_kind_t)i) > 1;
 	if (is_broken)
 		printf("logs: %s\n", soak->folder);
 	else
@@ -379,7 +387,7 @@
 		arg_str0(NULL, "only", "KIND", "the only kind of disruption");
 	struct arg_file *program =
 		arg_file0(NULL, "program", "FILE",
-			  "another build of this one, for hosts");
+			  "another build of this one, for every second host");
 	struct arg_lit *verbose =
 		arg_lit0("v", "verbose", "print the disruptions");
 	struct arg_int *host =
--- a/test/soak/network.c
+++ b/test/soak/network.c
@@ -60,6 +60,8 @@
 	       port == SOAK_PORT_RELAY;
 }
 
+/* Each connection comes from the address of its host, which tells the other end
+ * who it is. */
 int connect(int fd, const struct sockaddr *address, socklen_t size)
 {
 	struct sockaddr_in to = { .sin_family = AF_UNSPEC };
@@ -73,18 +75,17 @@
 			end_address(host_network, host_index, 0);
 		int port;
 
+		if (bind(fd, (struct sockaddr *)&from, sizeof(from)))
+			return -1;
 		memcpy(&to, address, sizeof(to));
 		port = ntohs(to.sin_port);
 		if (is_forwarded(port)) {
 			unsigned end = soak_network_end_of(to.sin_addr.s_addr);
+			gboolean relays = port == SOAK_PORT_RELAY;
 
-			if (bind(fd, (struct sockaddr *)&from, sizeof(from)))
-				return -1;
+			port = host_network->forward_ports[end][relays];
 			to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-			to.sin_port = htons(
-				host_network
-					->forward_ports[end][port ==
-							     SOAK_PORT_RELAY]);
+			to.sin_port = htons((guint16)port);
 			address = (struct sockaddr *)&to;
 		}
 	}
--- a/test/soak/network.h
+++ b/test/soak/network.h
@@ -27,6 +27,7 @@
 #define SOAK_PORT_CALLERS 21003
 #define SOAK_PORT_READY 21004
 #define SOAK_PORT_METRICS 21005
+#define SOAK_PORT_INSTANCES 21010
 
 /** soak_link_t - state of a link in one direction. */
 typedef enum {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -10,6 +10,7 @@
 #include "network.h"
 #include "plan.h"
 #include "rules.h"
+#include "sums.h"
 
 /** Time within which a stopped host has to end, in ms. */
 #define SOAK_STOP_MS 8000
@@ -29,6 +30,9 @@
 	unsigned n_served;
 } soak_process_t;
 
+/** Tokens of a request of the account whose use is summed up. */
+#define SOAK_REQUEST_TOKENS 15000
+
 typedef struct soak_store soak_store_t;
 
 typedef struct {
@@ -37,7 +41,7 @@
 	unsigned n_hosts;
 	gint64 length_ms;
 	soak_kind_t only;    /* SOAK_N_KINDS for all */
-	const char *program; /* of the hosts; NULL for this one */
+	const char *program; /* of every second host; NULL for this one */
 	gboolean is_verbose;
 
 	char *self; /* path of this program */
@@ -56,15 +60,32 @@
 	GPtrArray *routes; /* soak_subject_t; the first one always holds */
 	GPtrArray *keys;   /* soak_subject_t */
 	GPtrArray *recent; /* borrowed; the latest changed is the last */
+	soak_sums_t *sums;
+	gint64 sums_from_ms;  /* hosts have had the time to learn */
+	GHashTable *seen_ids; /* of requests at instances */
 	unsigned n_steps[SOAK_N_KINDS];
 } soak_t;
 
 /** soak_now_ms - since the start of the run. */
 gint64 soak_now_ms(const soak_t *soak);
 
-/** soak_store_start - the store, an instance and the first configuration. */
+/** soak_listen - at a port of the store's address. */
+SoupServer *soak_listen(const soak_t *soak, int port,
+			SoupServerCallback handler, gpointer user);
+
+/** soak_caller_of - the host that has sent a request; SOAK_ENDS or more if it
+ * isn't known. */
+unsigned soak_caller_of(SoupServerMessage *message);
+
+/** soak_store_start - the store and the first configuration. */
 void soak_store_start(soak_t *soak);
 
+/** soak_store_register - write an instance's entry. */
+void soak_store_register(soak_t *soak, const char *name, const char *entry);
+
+/** soak_instances_start - register instances of all services. */
+void soak_instances_start(soak_t *soak);
+
 /** soak_store_disrupt - begin or end a disruption of the store. */
 void soak_store_disrupt(soak_t *soak, const soak_step_t *step, gboolean is_on);
 
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -17,7 +17,6 @@
 
 struct soak_store {
 	store_t store;
-	SoupServer *instance;
 	unsigned answer_ms;
 	double lost_share;
 	gint32 turned_away[SOAK_HOSTS_MAX]; /* soak_kind_t; negative for none */
@@ -43,7 +42,7 @@
 	((store_call_t *)user)->is_gone = TRUE;
 }
 
-static unsigned caller_of(SoupServerMessage *message)
+unsigned soak_caller_of(SoupServerMessage *message)
 {
 	GSocketAddress *address =
 		soup_server_message_get_remote_address(message);
@@ -131,7 +130,7 @@
 			      const char *path, GHashTable *query)
 {
 	soak_t *soak = user;
-	unsigned host = caller_of(message);
+	unsigned host = soak_caller_of(message);
 	store_call_t *call;
 
 	if (turn_away(message, soak->store->away) ||
@@ -166,8 +165,8 @@
 	}
 }
 
-static SoupServer *listen_on(const soak_t *soak, int port,
-			     SoupServerCallback handler, gpointer user)
+SoupServer *soak_listen(const soak_t *soak, int port,
+			SoupServerCallback handler, gpointer user)
 {
 	char *ip = soak_network_ip(soak->network, SOAK_STORE);
 	GSocketAddress *address =
@@ -181,40 +180,18 @@
 	return server;
 }
 
-/* The instance. */
-
-static void on_instance_call(SoupServer *server, SoupServerMessage *message,
-			     const char *path, GHashTable *query, gpointer user)
-{
-	SoupMessageHeaders *in =
-		soup_server_message_get_request_headers(message);
-	SoupMessageHeaders *out =
-		soup_server_message_get_response_headers(message);
-	const char *id = soup_message_headers_get_one(in, "Attempt-Id");
-
-	(void)server;
-	(void)path;
-	(void)query;
-	(void)user;
-	soup_message_headers_append(out, "Attempt-Id", id ? id : "");
-	soup_message_headers_append(out, "Response-Signature", "s");
-	soup_server_message_set_status(message, 200, NULL);
-	soup_server_message_set_response(message, "text/plain",
-					 SOUP_MEMORY_STATIC, "done", 4);
-}
-
 /* The operator. */
 
-static void append_route(GString *spec, const char *name, const char *path,
+static void append_route(GString *spec, const char *name, const char *service,
 			 gboolean is_public)
 {
 	g_string_append_printf(
 		spec,
 		"%s{\"name\":\"%s\",\"host\":\"h.example\",\"path_prefix\":"
 		"\"/%s/\",\"kind\":\"idempotent\",\"timeout_ms\":2000,"
-		"\"target_latency_ms\":200,\"priority\":1,\"service\":\"desk\","
-		"\"max_attempts\":2,\"public\":%s}",
-		spec->str[spec->len - 1] == '[' ? "" : ",", name, path,
+		"\"target_latency_ms\":200,\"priority\":1,\"service\":\"%s\","
+		"\"max_attempts\":3,\"public\":%s}",
+		spec->str[spec->len - 1] == '[' ? "" : ",", name, name, service,
 		is_public ? "true" : "false");
 }
 
@@ -225,21 +202,25 @@
 
 	g_string_append_printf(spec, "{\"version\":%u,\"route_table\":[",
 			       version);
-	append_route(spec, "private", "private", FALSE);
+	append_route(spec, "private", "desk", FALSE);
+	append_route(spec, "hot", "desk", FALSE);
+	append_route(spec, "frail", "frail", TRUE);
+	append_route(spec, "limited", "limited", TRUE);
 	for (guint i = 0; i < soak->routes->len; i++) {
 		const soak_subject_t *route = soak->routes->pdata[i];
 
 		if (soak_subject_is_valid(route, version))
-			append_route(spec, route->name, route->name, TRUE);
+			append_route(spec, route->name, "desk", TRUE);
 	}
 	for (unsigned i = 0; i < soak->store->n_idle_routes; i++) {
 		char name[24];
 
 		g_snprintf(name, sizeof(name), "idle%u", i);
-		append_route(spec, name, name, TRUE);
+		append_route(spec, name, "desk", TRUE);
 	}
 	g_string_append(spec,
-			"],\"services\":[{\"name\":\"desk\"}],\"limits\":{"
+			"],\"services\":[{\"name\":\"desk\"},{\"name\":"
+			"\"frail\"},{\"name\":\"limited\"}],\"limits\":{"
 			"\"max_header_bytes\":16384,\"max_body_bytes\":65536},"
 			"\"tenants\":[{\"name\":\"x\",\"api_keys\":[");
 	for (guint i = 0; i < soak->keys->len; i++) {
@@ -250,7 +231,11 @@
 		g_string_append_printf(spec, "%s\"%s\"", comma, key->name);
 		comma = ",";
 	}
-	g_string_append(spec, "]}]}");
+	g_string_append(
+		spec,
+		"]},{\"name\":\"hot\",\"api_keys\":[\"hot\"],\"unit\":"
+		"\"tokens\",\"uncached_tokens\":200,\"rate_per_s\":" G_STRINGIFY(
+			SOAK_ACCOUNT_RATE) ",\"burst\":" G_STRINGIFY(SOAK_ACCOUNT_RATE) "}]}");
 	put_text(&soak->store->store, "config/main", spec->str);
 	g_string_free(spec, TRUE);
 }
@@ -373,10 +358,16 @@
 	}
 }
 
-void soak_store_start(soak_t *soak)
+void soak_store_register(soak_t *soak, const char *name, const char *entry)
 {
-	char *spec;
+	char *key = g_strdup_printf("servers/%s", name);
 
+	put_text(&soak->store->store, key, entry);
+	g_free(key);
+}
+
+void soak_store_start(soak_t *soak)
+{
 	soak->store = g_new0(soak_store_t, 1);
 	soak->store->n_idle_routes = ROUTES;
 	soak->store->answer_ms = ANSWER_MS;
@@ -390,24 +381,8 @@
 	soak->store->store.holds_watches = TRUE;
 	soak->store->store.call_received = on_store_received;
 	soak->store->store.user = soak;
-	soak->store->store.server = listen_on(
+	soak->store->store.server = soak_listen(
 		soak, SOAK_PORT_STORE, on_store_call, &soak->store->store);
-	soak->store->instance =
-		listen_on(soak, SOAK_PORT_CALLERS, on_instance_call, soak);
-	spec = soak_network_ip(soak->network, SOAK_STORE);
-	for (unsigned i = 0; i < 2; i++) {
-		char *key = g_strdup_printf("servers/i-%u", i);
-		char *entry = g_strdup_printf(
-			"{\"service\":\"desk\",\"address\":\"%s:%d\","
-			"\"zone\":\"z%u\",\"version\":\"v1\",\"slots\":500,"
-			"\"state\":\"ready\"}",
-			spec, SOAK_PORT_CALLERS, i);
-
-		put_text(&soak->store->store, key, entry);
-		g_free(entry);
-		g_free(key);
-	}
-	g_free(spec);
 	change_config(soak, SOAK_ADD_ROUTE);
 	change_config(soak, SOAK_REVOKE_KEY);
 	change_config(soak, SOAK_ADD_ROUTE);
