--- a/test/soak/hosts.c
+++ b/test/soak/hosts.c
@@ -77,14 +77,16 @@
 	soak_host_t *judged = soak_rules_host(ref->soak->rules, ref->host);
 	soak_process_t *host = &ref->soak->hosts[ref->host];
 
-	(void)status;
 	g_spawn_close_pid(pid);
 	host->pid = 0;
 	judged->incarnation++;
 	judged->shown_version = 0;
 	if (host->stopping_ms == 0) {
-		g_string_append_printf(ref->soak->rules->report,
-				       "host %u ended by itself\n", ref->host);
+		g_string_append_printf(
+			ref->soak->rules->report,
+			"host %u ended by itself at %.3f s, wait status %d\n",
+			ref->host, (double)soak_now_ms(ref->soak) / 1000,
+			status);
 		ref->soak->rules->n_late++;
 		soak_calm_begin(&judged->calm);
 	}
@@ -159,6 +161,14 @@
 	return G_SOURCE_REMOVE;
 }
 
+/* As the daemon does. The kernel sends it to a host that stands still, too, if
+ * the shell that started the soak ends. */
+static gboolean on_reload_signal(gpointer user)
+{
+	sr_entry_host_reload(user);
+	return G_SOURCE_CONTINUE;
+}
+
 static void on_host_stopped(void *user)
 {
 	(void)user;
@@ -193,6 +203,7 @@
 		return 2;
 	}
 	g_unix_signal_add(SIGTERM, on_stop_signal, entry_host);
+	g_unix_signal_add(SIGHUP, on_reload_signal, entry_host);
 	g_main_loop_run(g_main_loop_new(NULL, FALSE));
 	return 0;
 }
--- a/test/soak/instances.c
+++ b/test/soak/instances.c
@@ -3,6 +3,9 @@
 /** Part of the requests for the service "frail" that fail. */
 #define FAILING 0.6
 
+/** Limits that an instance names, by seed, in requests per second. */
+static const unsigned limits[] = { 1, 5, 2, 20 };
+
 /** service_t - whose instances are played. */
 typedef struct {
 	const char *name;
@@ -75,7 +78,7 @@
 	note_arrival(instance, message, path, id);
 	if (!strcmp(instance->service->name, "limited") && instance->index == 0)
 		soup_message_headers_append(out, "Server-Limit",
-					    G_STRINGIFY(SOAK_LIMIT_PER_S));
+					    instance->soak->limit);
 	soup_message_headers_append(out, "Attempt-Id", id);
 	soup_message_headers_append(out, "Response-Signature", "s");
 	soup_server_message_set_status(message, fails ? 500 : 200, NULL);
@@ -107,7 +110,10 @@
 
 void soak_instances_start(soak_t *soak)
 {
-	soak->sums = soak_sums_new();
+	unsigned limit_per_s = limits[soak->seed % G_N_ELEMENTS(limits)];
+
+	soak->sums = soak_sums_new(limit_per_s);
+	g_snprintf(soak->limit, sizeof(soak->limit), "%u", limit_per_s);
 	soak->seen_ids =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (gsize i = 0; i < G_N_ELEMENTS(services); i++) {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -60,6 +60,7 @@
 	GPtrArray *routes; /* soak_subject_t; the first one always holds */
 	GPtrArray *keys;   /* soak_subject_t */
 	GPtrArray *recent; /* borrowed; the latest changed is the last */
+	char limit[8];	   /* that an instance names, as a header */
 	soak_sums_t *sums;
 	gint64 sums_from_ms;  /* hosts have had the time to learn */
 	GHashTable *seen_ids; /* of requests at instances */
--- a/test/soak/sums.c
+++ b/test/soak/sums.c
@@ -13,6 +13,7 @@
 } arrival_t;
 
 struct soak_sums {
+	unsigned limit_per_s;
 	GArray *arrivals[SOAK_N_SUMS]; /* arrival_t */
 	GArray *requests;	       /* gint64, in ms */
 };
@@ -26,10 +27,11 @@
 	[SOAK_SUM_LIMIT] = { "LIMIT", 4000 },
 };
 
-soak_sums_t *soak_sums_new(void)
+soak_sums_t *soak_sums_new(unsigned limit_per_s)
 {
 	soak_sums_t *sums = g_new0(soak_sums_t, 1);
 
+	sums->limit_per_s = limit_per_s;
 	for (unsigned i = 0; i < SOAK_N_SUMS; i++)
 		sums->arrivals[i] =
 			g_array_new(FALSE, FALSE, sizeof(arrival_t));
@@ -100,7 +102,7 @@
 	case SOAK_N_SUMS:
 		break;
 	}
-	return LIMIT_RATIO * SOAK_LIMIT_PER_S * window_s + LIMIT_SLACK;
+	return LIMIT_RATIO * sums->limit_per_s * window_s + LIMIT_SLACK;
 }
 
 double soak_sums_worst(const soak_sums_t *sums, soak_sum_kind_t kind)
--- a/test/soak/sums.h
+++ b/test/soak/sums.h
@@ -15,14 +15,13 @@
 	SOAK_N_SUMS,
 } soak_sum_kind_t;
 
-/** Limits that are played: of the account in tokens per second, which is its
- * burst too, and of the instance in requests per second. */
+/** Limit of the account in tokens per second, which is its burst too. */
 #define SOAK_ACCOUNT_RATE 50000
-#define SOAK_LIMIT_PER_S 5
 
 typedef struct soak_sums soak_sums_t;
 
-soak_sums_t *soak_sums_new(void);
+/** soak_sums_new - limit_per_s: of the instance that names it. */
+soak_sums_t *soak_sums_new(unsigned limit_per_s);
 void soak_sums_free(soak_sums_t *sums);
 
 /** soak_sums_add - an arrival, in the order of times; amount in tokens or
