Soak with lossy links and with hosts that are replaced

A host is gone for good and one with another name and address comes; on a lossy link one datagram of five is lost, and bytes of a connection come 200 ms later as often.

--- a/test/soak/callers.c
+++ b/test/soak/callers.c
@@ -104,11 +104,22 @@
 					 question);
 }
 
+/* By turns. */
+static unsigned choose_host(soak_t *soak)
+{
+	unsigned host;
+
+	do {
+		host = soak->next_host++ % soak->n_hosts;
+	} while (soak->hosts[host].is_replaced);
+	return host;
+}
+
 static gboolean on_ask_timer(gpointer user)
 {
 	soak_t *soak = user;
 
-	ask(soak, soak->next_host++ % soak->n_hosts);
+	ask(soak, choose_host(soak));
 	return G_SOURCE_CONTINUE;
 }
 
@@ -137,7 +148,7 @@
 
 static void send_load(soak_t *soak, const load_t *load)
 {
-	unsigned host = soak->next_host++ % soak->n_hosts;
+	unsigned host = choose_host(soak);
 	SoupMessage *message = new_message(soak, host, load->route, load->key);
 
 	if (!strcmp(load->route, "frail"))
--- a/test/soak/hosts.c
+++ b/test/soak/hosts.c
@@ -90,7 +90,10 @@
 		ref->soak->rules->n_late++;
 		soak_calm_begin(&judged->calm);
 	}
-	g_timeout_add(RESTART_MS, on_start_again, ref);
+	if (host->is_replaced)
+		g_free(ref);
+	else
+		g_timeout_add(RESTART_MS, on_start_again, ref);
 }
 
 void soak_host_start(soak_t *soak, unsigned host)
@@ -153,6 +156,21 @@
 	g_timeout_add(SOAK_STOP_MS + 10, on_stop_late, new_ref(soak, host));
 }
 
+void soak_host_replace(soak_t *soak, unsigned host)
+{
+	unsigned added = soak->n_hosts;
+
+	if (added == SOAK_HOSTS_MAX || soak->hosts[host].is_replaced ||
+	    soak->hosts[host].pid <= 0)
+		return;
+	soak->hosts[host].is_replaced = TRUE;
+	soak_host_end(soak, host, host % 2 ? SIGTERM : SIGKILL);
+	soak->n_hosts++;
+	soak_host_prepare(soak, added);
+	soak_host_start(soak, added);
+	soak_rules_host(soak->rules, added)->calm.since_ms = soak_now_ms(soak);
+}
+
 /* The program as a host. */
 
 static gboolean on_stop_signal(gpointer user)
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -60,6 +60,18 @@
 	}
 }
 
+static soak_link_t link_state(soak_kind_t kind)
+{
+	switch (kind) {
+	case SOAK_REFUSE:
+		return SOAK_LINK_REFUSED;
+	case SOAK_LOSSY:
+		return SOAK_LINK_LOSSY;
+	default:
+		return SOAK_LINK_DOWN;
+	}
+}
+
 static void set_links(soak_t *soak, const soak_step_t *step, unsigned host,
 		      soak_link_t state)
 {
@@ -72,6 +84,7 @@
 		soak_network_cut(soak->network, host, TRUE, TRUE, state);
 		break;
 	case SOAK_CUT:
+	case SOAK_LOSSY:
 		soak_network_cut(soak->network, host, FALSE, FALSE, state);
 		break;
 	case SOAK_CUT_DOMAIN:
@@ -129,9 +142,7 @@
 			kill(soak->hosts[host].pid, SIGSTOP);
 	} else {
 		soak->hosts[host].n_cuts++;
-		set_links(soak, step, host,
-			  step->kind == SOAK_REFUSE ? SOAK_LINK_REFUSED :
-						      SOAK_LINK_DOWN);
+		set_links(soak, step, host, link_state(step->kind));
 	}
 	g_timeout_add((guint)step->for_ms, on_disruption_end, disruption);
 }
@@ -170,6 +181,7 @@
 	case SOAK_REFUSE:
 	case SOAK_CUT:
 	case SOAK_CUT_DOMAIN:
+	case SOAK_LOSSY:
 		return soak->hosts[host].n_cuts == 0;
 	default:
 		return TRUE;
@@ -189,6 +201,9 @@
 		g_timeout_add((guint)(turn * step->gap_ms), on_stop_turn,
 			      new_turn(soak, host));
 		break;
+	case SOAK_REPLACE:
+		soak_host_replace(soak, host);
+		break;
 	case SOAK_SILENCE:
 		soak_network_silence(soak->network, host);
 		soak_calm_begin(calm);
@@ -262,7 +277,7 @@
 	soak->forwarder = soak_network_start(soak->network);
 	soak->started_us = g_get_monotonic_time();
 	soak->random = g_rand_new_with_seed(soak->seed);
-	soak->rules = soak_rules_new(&bounds, soak->n_hosts);
+	soak->rules = soak_rules_new(&bounds, SOAK_HOSTS_MAX);
 	soak->routes = g_ptr_array_new();
 	soak->keys = g_ptr_array_new();
 	soak->recent = g_ptr_array_new();
@@ -380,7 +395,8 @@
 int main(int argc, char **argv)
 {
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "of the plan (1)");
-	struct arg_int *hosts = arg_int0(NULL, "hosts", "N", "2 to 24 (9)");
+	struct arg_int *hosts =
+		arg_int0(NULL, "hosts", "N", "2 to 24 (9), at the start");
 	struct arg_int *seconds =
 		arg_int0(NULL, "seconds", "N", "length of the plan (40)");
 	struct arg_str *only =
--- a/test/soak/network.c
+++ b/test/soak/network.c
@@ -21,6 +21,11 @@
 /** Longest time until the forwarder sees that a link has changed, in ms. */
 #define TICK_MS 5
 
+/** On a lossy link: packets that are lost, one of so many, and the time until
+ * bytes of a connection are sent again, in us. */
+#define LOST_ONE_OF 5
+#define RESEND_TIME 200000
+
 #define N_LISTENERS (SOAK_ENDS * 2)
 
 /** Of this process; NULL in those that aren't a host. */
@@ -92,6 +97,13 @@
 	return (int)syscall(SYS_connect, fd, address, size);
 }
 
+static gboolean loses_packet(guint8 state)
+{
+	if (state == SOAK_LINK_LOSSY)
+		return g_random_int_range(0, LOST_ONE_OF) == 0;
+	return state != SOAK_LINK_UP;
+}
+
 static gboolean is_lost(const struct sockaddr *to)
 {
 	const struct sockaddr_in *address = (const struct sockaddr_in *)to;
@@ -102,7 +114,7 @@
 		return FALSE;
 	end = soak_network_end_of(address->sin_addr.s_addr);
 	return end < SOAK_ENDS &&
-	       host_network->links[host_index][end] != SOAK_LINK_UP;
+	       loses_packet(host_network->links[host_index][end]);
 }
 
 static size_t size_of(const struct msghdr *message)
@@ -155,6 +167,7 @@
 	char buffer[BUFFER_SIZE];
 	size_t size;
 	size_t sent;
+	gint64 resent_at; /* when lost bytes are sent again; 0 for none */
 } flow_t;
 
 typedef struct {
@@ -170,6 +183,11 @@
 	unsigned n_connections;
 } forwarder_t;
 
+static gboolean is_up(soak_link_t state)
+{
+	return state == SOAK_LINK_UP || state == SOAK_LINK_LOSSY;
+}
+
 static soak_link_t link_of(const forwarder_t *forwarder, unsigned sender,
 			   unsigned receiver)
 {
@@ -260,24 +278,32 @@
 
 	if (n < 0 && errno == EAGAIN)
 		return TRUE;
-	if (link_of(forwarder, flow->sender, flow->receiver) != SOAK_LINK_UP)
+	if (!is_up(link_of(forwarder, flow->sender, flow->receiver)))
 		flow->is_silent = TRUE;
 	if (n <= 0) {
 		flow->is_closed = TRUE;
 		return flow->is_silent;
 	}
-	if (!flow->is_silent) {
-		flow->size = (size_t)n;
-		flow->sent = 0;
-	}
+	if (flow->is_silent)
+		return TRUE;
+	flow->size = (size_t)n;
+	flow->sent = 0;
+	flow->resent_at = 0;
+	if (link_of(forwarder, flow->sender, flow->receiver) ==
+		    SOAK_LINK_LOSSY &&
+	    loses_packet(SOAK_LINK_LOSSY))
+		flow->resent_at = g_get_monotonic_time() + RESEND_TIME;
 	return TRUE;
 }
 
 static gboolean send_rest(flow_t *flow)
 {
-	ssize_t n = send(flow->to, flow->buffer + flow->sent,
-			 flow->size - flow->sent, MSG_NOSIGNAL);
+	ssize_t n;
 
+	if (g_get_monotonic_time() < flow->resent_at)
+		return TRUE;
+	n = send(flow->to, flow->buffer + flow->sent, flow->size - flow->sent,
+		 MSG_NOSIGNAL);
 	if (n < 0)
 		return errno == EAGAIN;
 	flow->sent += (size_t)n;
@@ -295,10 +321,10 @@
 	if (is_refused(forwarder, &flows[0]))
 		return FALSE;
 	if (flows[0].to < 0) {
-		if (link_of(forwarder, flows[0].sender, flows[0].receiver) !=
-			    SOAK_LINK_UP ||
-		    link_of(forwarder, flows[0].receiver, flows[0].sender) !=
-			    SOAK_LINK_UP)
+		if (!is_up(link_of(forwarder, flows[0].sender,
+				   flows[0].receiver)) ||
+		    !is_up(link_of(forwarder, flows[0].receiver,
+				   flows[0].sender)))
 			return TRUE;
 		if (!pass_on(forwarder, connection))
 			return FALSE;
@@ -341,8 +367,10 @@
 /* What to wait for on the descriptor that a flow reads and the other writes. */
 static short events_of(const flow_t *reads, const flow_t *writes)
 {
+	gboolean sends = writes->size > 0 && writes->resent_at == 0;
+
 	return (short)((reads->size == 0 && !reads->is_closed ? POLLIN : 0) |
-		       (writes->size > 0 ? POLLOUT : 0));
+		       (sends ? POLLOUT : 0));
 }
 
 static void wait_for_events(const forwarder_t *forwarder)
--- a/test/soak/network.h
+++ b/test/soak/network.h
@@ -37,6 +37,9 @@
 	SOAK_LINK_DOWN,
 	/* connections are reset, open ones and new ones */
 	SOAK_LINK_REFUSED,
+	/* Packets are lost by chance: datagrams for good, bytes of connections
+	 * until they are sent again. */
+	SOAK_LINK_LOSSY,
 } soak_link_t;
 
 /** soak_network_t - mapped by all processes of a run. */
--- a/test/soak/plan.c
+++ b/test/soak/plan.c
@@ -33,6 +33,8 @@
 	[SOAK_CUT] = { "cut", FALSE },
 	[SOAK_CUT_DOMAIN] = { "cut-domain", FALSE },
 	[SOAK_SILENCE] = { "silence", FALSE },
+	[SOAK_LOSSY] = { "lossy", FALSE },
+	[SOAK_REPLACE] = { "replace", FALSE },
 	[SOAK_STORE_SILENT] = { "store-silent", TRUE },
 	[SOAK_STORE_BUSY] = { "store-busy", TRUE },
 	[SOAK_STORE_RESET] = { "store-reset", TRUE },
@@ -92,6 +94,8 @@
 	if (g_rand_int_range(random, 0, 3) > 0 &&
 	    (kind == SOAK_FREEZE || kind == SOAK_KILL))
 		n = 1;
+	if (kind == SOAK_REPLACE)
+		n = 1;
 	if (kind == SOAK_SILENCE && g_rand_boolean(random))
 		n = n_hosts;
 	for (unsigned i = 0; i < n_hosts; i++) {
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -21,6 +21,8 @@
 	SOAK_CUT_DOMAIN,  /* hosts of a failure domain, from all but each other
 			   */
 	SOAK_SILENCE,	  /* open connections stay silent for good */
+	SOAK_LOSSY,	  /* links lose packets */
+	SOAK_REPLACE,	  /* a host is gone, one at another address comes */
 	SOAK_STORE_SILENT,
 	SOAK_STORE_BUSY,    /* 503 */
 	SOAK_STORE_RESET,   /* calls are reset */
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -25,7 +25,8 @@
 	GPid pid;	    /* 0 while it doesn't run */
 	gint64 stopping_ms; /* 0 if it isn't being stopped */
 	char *settings;
-	unsigned n_cuts; /* that last */
+	gboolean is_replaced; /* it doesn't start again */
+	unsigned n_cuts;      /* that last */
 	unsigned n_asked;
 	unsigned n_served;
 } soak_process_t;
@@ -38,7 +39,7 @@
 typedef struct {
 	/* options */
 	guint32 seed;
-	unsigned n_hosts;
+	unsigned n_hosts; /* that were started, also those since replaced */
 	gint64 length_ms;
 	soak_kind_t only;    /* SOAK_N_KINDS for all */
 	const char *program; /* of every second host; NULL for this one */
@@ -101,7 +102,10 @@
 void soak_host_prepare(soak_t *soak, unsigned host);
 void soak_host_start(soak_t *soak, unsigned host);
 
-/** soak_host_end - by a signal; the host starts again. */
+/** soak_host_replace - end a host for good, and start one at a new address. */
+void soak_host_replace(soak_t *soak, unsigned host);
+
+/** soak_host_end - by a signal; the host starts again unless it is replaced. */
 void soak_host_end(soak_t *soak, unsigned host, int signal);
 
 /** soak_host_run - be a host; returns the program's exit status. */
