--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts for CMake, the tests and the checks. Variables: BUILD, the build
-# directory; SEED and RUNS of prove, SEED also of bench; DEMO_FLAGS, options of
+# directory; SEED and RUNS of prove, SEED also of soak and bench; DEMO_FLAGS, options of
 # test/demo.
 BUILD ?= build
 SEED ?= 1
@@ -21,6 +21,9 @@
 prove: all
 	$(BUILD)/sassafras-prove --seed $(SEED) --runs $(RUNS)
 
+soak: all
+	$(BUILD)/sassafras-soak --seed $(SEED) --verbose
+
 bench: all
 	$(BUILD)/sassafras-bench --seed $(SEED)
 
@@ -45,4 +48,4 @@
 clean:
 	rm -rf $(BUILD) build-asan build-fuzz
 
-.PHONY: all test demo prove bench fuzz sanitize format format-check lint clean
+.PHONY: all test demo prove soak bench fuzz sanitize format format-check lint clean
