Soak restores of the store, and judge the duties

The store is away and comes back in a later era from a copy of up to 10 s before; instances are written again at once, the configuration 2 s later.

--- a/test/soak/instances.c
+++ b/test/soak/instances.c
@@ -86,28 +86,42 @@
 					 SOUP_MEMORY_STATIC, "done", 4);
 }
 
-static void start_instance(soak_t *soak, const service_t *service,
-			   unsigned index)
+static void register_instance(soak_t *soak, const service_t *service,
+			      unsigned index)
 {
-	soak_instance_t *instance = g_new0(soak_instance_t, 1);
 	char *ip = soak_network_ip(soak->network, SOAK_STORE);
-	int port = service->port + (int)index;
 	char *name = g_strdup_printf("%s-%u", service->name, index);
 	char *entry = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z%u\","
 		"\"version\":\"v1\",\"slots\":500,\"state\":\"ready\"}",
-		service->name, ip, port, index);
+		service->name, ip, service->port + (int)index, index);
 
-	instance->soak = soak;
-	instance->service = service;
-	instance->index = index;
-	soak_listen(soak, port, on_instance_call, instance);
 	soak_store_register(soak, name, entry);
 	g_free(entry);
 	g_free(name);
 	g_free(ip);
 }
 
+void soak_instances_register(soak_t *soak)
+{
+	for (gsize i = 0; i < G_N_ELEMENTS(services); i++) {
+		for (unsigned k = 0; k < services[i].n_instances; k++)
+			register_instance(soak, &services[i], k);
+	}
+}
+
+static void start_instance(soak_t *soak, const service_t *service,
+			   unsigned index)
+{
+	soak_instance_t *instance = g_new0(soak_instance_t, 1);
+
+	instance->soak = soak;
+	instance->service = service;
+	instance->index = index;
+	soak_listen(soak, service->port + (int)index, on_instance_call,
+		    instance);
+}
+
 void soak_instances_start(soak_t *soak)
 {
 	unsigned limit_per_s = limits[soak->seed % G_N_ELEMENTS(limits)];
@@ -120,4 +134,5 @@
 		for (unsigned k = 0; k < services[i].n_instances; k++)
 			start_instance(soak, &services[i], k);
 	}
+	soak_instances_register(soak);
 }
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -54,6 +54,7 @@
 	case SOAK_STORE_RESET:
 	case SOAK_STORE_SLOW:
 	case SOAK_STORE_LOST:
+	case SOAK_STORE_RESTORE:
 		return TRUE;
 	default:
 		return FALSE;
@@ -310,9 +311,11 @@
 	g_rmdir(soak->folder);
 }
 
-static void print_result(const soak_t *soak)
+/* Returns whether a rule was broken. */
+static gboolean print_result(const soak_t *soak)
 {
 	const soak_rules_t *rules = soak->rules;
+	gboolean is_broken = rules->n_late + rules->n_regressed > 0;
 	unsigned n_asked = 0;
 	unsigned n_served = 0;
 
@@ -324,16 +327,22 @@
 	       "back; %u of %u on the first route served;",
 	       soak->seed, rules->acknowledged_ms->len - 1, rules->n_judged,
 	       rules->n_late, rules->n_regressed, n_served, n_asked);
-	for (unsigned i = 0; i < SOAK_N_SUMS; i++)
-		printf(" %s %.2f;", soak_sums_rule((soak_sum_kind_t)i),
-		       soak_sums_worst(soak->sums, (soak_sum_kind_t)i));
+	for (unsigned i = 0; i < SOAK_N_SUMS; i++) {
+		double worst = soak_sums_worst(soak->sums, (soak_sum_kind_t)i);
+
+		printf(" %s %.2f;", soak_sums_rule((soak_sum_kind_t)i), worst);
+		is_broken |= worst > 1;
+	}
+	is_broken |= soak_duties_print(soak->duties) > 0;
 	for (unsigned i = 0; i < SOAK_N_KINDS; i++) {
 		if (soak->n_steps[i] > 0)
 			printf(" %s %u", soak_kind_name((soak_kind_t)i),
 			       soak->n_steps[i]);
 	}
-	printf("\n%s", rules->report->str);
+	printf("\n%s%s", rules->report->str,
+	       soak_duties_breaches(soak->duties));
 	fflush(stdout);
+	return is_broken;
 }
 
 static gboolean on_time_over(gpointer user)
@@ -362,6 +371,7 @@
 	GArray *steps = soak_plan_new(&plan);
 	gboolean is_broken;
 
+	soak->duties = soak_duties_new();
 	soak_store_start(soak);
 	soak_instances_start(soak);
 	for (unsigned i = 0; i < soak->n_hosts; i++) {
@@ -379,11 +389,7 @@
 	}
 	run_for((unsigned)soak->length_ms + END_MS);
 	end_processes(soak);
-	print_result(soak);
-	is_broken = soak->rules->n_late + soak->rules->n_regressed > 0;
-	for (unsigned i = 0; i < SOAK_N_SUMS; i++)
-		is_broken |=
-			soak_sums_worst(soak->sums, (soak_sum_kind_t)i) > 1;
+	is_broken = print_result(soak);
 	if (is_broken)
 		printf("logs: %s\n", soak->folder);
 	else
--- a/test/soak/plan.c
+++ b/test/soak/plan.c
@@ -44,6 +44,7 @@
 	[SOAK_TURNED_RESET] = { "turned-reset", TRUE },
 	[SOAK_STORE_SLOW] = { "store-slow", TRUE },
 	[SOAK_STORE_LOST] = { "store-lost", TRUE },
+	[SOAK_STORE_RESTORE] = { "store-restore", TRUE },
 	[SOAK_STORE_COMPACT] = { "store-compact", TRUE },
 };
 
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -32,6 +32,7 @@
 	SOAK_TURNED_RESET,
 	SOAK_STORE_SLOW,
 	SOAK_STORE_LOST,    /* answers to writes */
+	SOAK_STORE_RESTORE, /* away, then back from an older copy */
 	SOAK_STORE_COMPACT, /* watches hear nothing, then history is gone */
 	SOAK_N_KINDS,
 } soak_kind_t;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -35,6 +35,7 @@
 #define SOAK_REQUEST_TOKENS 15000
 
 typedef struct soak_store soak_store_t;
+typedef struct soak_duties soak_duties_t;
 
 typedef struct {
 	/* options */
@@ -54,6 +55,7 @@
 	gint64 started_us;
 	soak_rules_t *rules;
 	soak_store_t *store;
+	soak_duties_t *duties;
 	SoupSession *session; /* of the callers */
 	soak_process_t hosts[SOAK_HOSTS_MAX];
 	unsigned next_host; /* to be asked */
@@ -85,9 +87,12 @@
 /** soak_store_register - write an instance's entry. */
 void soak_store_register(soak_t *soak, const char *name, const char *entry);
 
-/** soak_instances_start - register instances of all services. */
+/** soak_instances_start - start and register instances of all services. */
 void soak_instances_start(soak_t *soak);
 
+/** soak_instances_register - write their entries. */
+void soak_instances_register(soak_t *soak);
+
 /** soak_store_disrupt - begin or end a disruption of the store. */
 void soak_store_disrupt(soak_t *soak, const soak_step_t *step, gboolean is_on);
 
@@ -95,6 +100,16 @@
  * store takes it. */
 void soak_store_change(soak_t *soak, soak_change_kind_t kind);
 
+soak_duties_t *soak_duties_new(void);
+
+/** soak_duties_called - a host has called the platform; path: of the call. */
+void soak_duties_called(soak_t *soak, SoupServerMessage *message,
+			const char *path);
+
+/** soak_duties_print - returns the number of breaches. */
+unsigned soak_duties_print(const soak_duties_t *duties);
+const char *soak_duties_breaches(const soak_duties_t *duties);
+
 /** soak_callers_start - ask the hosts in turn until the run ends. */
 void soak_callers_start(soak_t *soak);
 
--- a/test/soak/store.c
+++ b/test/soak/store.c
@@ -15,8 +15,22 @@
 #define ROUTES_ADDED 350
 #define ROUTES_MAX 1400
 
+/** Interval of copies of the store, how many are kept, and how many at the most
+ * are lost in a restore; the time until the operator writes again, in ms. */
+#define COPY_MS 500
+#define COPIES_MAX 24
+#define COPIES_LOST_MAX 20
+#define REWRITE_MS 2000
+
+typedef struct {
+	gint64 revision;
+	char *objects; /* as a text */
+} store_copy_t;
+
 struct soak_store {
 	store_t store;
+	GQueue copies;	      /* store_copy_t; the latest is the last */
+	gboolean is_restored; /* the operator has yet to write again */
 	unsigned answer_ms;
 	double lost_share;
 	gint32 turned_away[SOAK_HOSTS_MAX]; /* soak_kind_t; negative for none */
@@ -231,11 +245,12 @@
 		g_string_append_printf(spec, "%s\"%s\"", comma, key->name);
 		comma = ",";
 	}
-	g_string_append(
+	g_string_append_printf(
 		spec,
 		"]},{\"name\":\"hot\",\"api_keys\":[\"hot\"],\"unit\":"
-		"\"tokens\",\"uncached_tokens\":200,\"rate_per_s\":" G_STRINGIFY(
-			SOAK_ACCOUNT_RATE) ",\"burst\":" G_STRINGIFY(SOAK_ACCOUNT_RATE) "}]}");
+		"\"tokens\",\"uncached_tokens\":200,\"rate_per_s\":%d,"
+		"\"burst\":%d}]}",
+		SOAK_ACCOUNT_RATE, SOAK_ACCOUNT_RATE);
 	put_text(&soak->store->store, "config/main", spec->str);
 	g_string_free(spec, TRUE);
 }
@@ -308,12 +323,93 @@
 	write_config(soak, version);
 }
 
+static gboolean is_writable(const soak_t *soak)
+{
+	return soak->store->away < 0 && !soak->store->is_restored;
+}
+
 void soak_store_change(soak_t *soak, soak_change_kind_t kind)
 {
-	if (soak->store->away >= 0)
-		soak->store->n_waiting_changes++;
-	else
+	if (is_writable(soak))
 		change_config(soak, kind);
+	else
+		soak->store->n_waiting_changes++;
+}
+
+static void write_waiting_changes(soak_t *soak)
+{
+	for (; soak->store->n_waiting_changes > 0;
+	     soak->store->n_waiting_changes--)
+		change_config(soak, SOAK_ADD_ROUTE);
+}
+
+/* Restores: the store is back with what it had some seconds ago. */
+
+static void free_copy(store_copy_t *copy)
+{
+	g_free(copy->objects);
+	g_free(copy);
+}
+
+static gboolean on_copy_timer(gpointer user)
+{
+	soak_t *soak = user;
+	GQueue *copies = &soak->store->copies;
+	store_copy_t *copy;
+
+	if (!is_writable(soak))
+		return G_SOURCE_CONTINUE;
+	copy = g_new0(store_copy_t, 1);
+	copy->revision = soak->store->store.revision;
+	copy->objects = g_strdup(
+		json_object_to_json_string(soak->store->store.objects));
+	g_queue_push_tail(copies, copy);
+	if (g_queue_get_length(copies) > COPIES_MAX)
+		free_copy(g_queue_pop_head(copies));
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean on_rewrite(gpointer user)
+{
+	soak_t *soak = user;
+
+	soak->store->is_restored = FALSE;
+	write_config(soak, soak->rules->acknowledged_ms->len - 1);
+	soak_calm_end(&soak->rules->store_calm, soak_now_ms(soak));
+	soak_calm_end(&soak->rules->store_answering, soak_now_ms(soak));
+	write_waiting_changes(soak);
+	return G_SOURCE_REMOVE;
+}
+
+/* Of the copies, those after the one that is restored are lost, too. */
+static void restore_copy(soak_t *soak)
+{
+	store_t *store = &soak->store->store;
+	GQueue *copies = &soak->store->copies;
+	gint n_lost = g_rand_int_range(soak->random, 0, COPIES_LOST_MAX);
+	const store_copy_t *copy;
+
+	while (n_lost-- > 0 && g_queue_get_length(copies) > 1)
+		free_copy(g_queue_pop_tail(copies));
+	copy = g_queue_peek_tail(copies);
+	json_object_put(store->objects);
+	json_object_put(store->removed);
+	store->objects = json_tokener_parse(copy->objects);
+	store->removed = json_object_new_object();
+	store->revision = copy->revision;
+	store->oldest = copy->revision;
+	store->era++;
+	soak->store->is_restored = TRUE;
+	soak_instances_register(soak);
+	/* the store counts as disrupted until the operator has written */
+	soak_calm_begin(&soak->rules->store_calm);
+	soak_calm_begin(&soak->rules->store_answering);
+	g_timeout_add(REWRITE_MS, on_rewrite, soak);
+}
+
+static void on_duty(void *user, SoupServerMessage *message, const char *path)
+{
+	soak_duties_called(user, message, path);
 }
 
 void soak_store_disrupt(soak_t *soak, const soak_step_t *step, gboolean is_on)
@@ -325,10 +421,15 @@
 		soak->store->away = is_on ? (gint32)step->kind : -1;
 		if (is_on)
 			reset_watches(soak);
-		while (!is_on && soak->store->n_waiting_changes > 0) {
-			soak->store->n_waiting_changes--;
-			change_config(soak, SOAK_ADD_ROUTE);
-		}
+		else
+			write_waiting_changes(soak);
+		break;
+	case SOAK_STORE_RESTORE:
+		soak->store->away = is_on ? SOAK_STORE_BUSY : -1;
+		if (is_on)
+			reset_watches(soak);
+		else
+			restore_copy(soak);
 		break;
 	case SOAK_TURNED_SILENT:
 	case SOAK_TURNED_BUSY:
@@ -379,6 +480,8 @@
 	soak->store->store.revision = 500;
 	soak->store->store.oldest = 500;
 	soak->store->store.holds_watches = TRUE;
+	soak->store->store.era = 1;
+	soak->store->store.duty_called = on_duty;
 	soak->store->store.call_received = on_store_received;
 	soak->store->store.user = soak;
 	soak->store->store.server = soak_listen(
@@ -386,4 +489,7 @@
 	change_config(soak, SOAK_ADD_ROUTE);
 	change_config(soak, SOAK_REVOKE_KEY);
 	change_config(soak, SOAK_ADD_ROUTE);
+	g_queue_init(&soak->store->copies);
+	on_copy_timer(soak);
+	g_timeout_add(COPY_MS, on_copy_timer, soak);
 }
