--- a/test/platform_store.h
+++ b/test/platform_store.h
@@ -213,21 +213,29 @@
 	((held_watch_t *)user)->is_gone = TRUE;
 }
 
-/* Sets the answer; FALSE if it has no events. */
-static gboolean respond_to_watch(store_t *store, SoupServerMessage *message,
-				 const char *kind, gint64 after)
+/* Takes ownership of the items. */
+static void respond_with(const store_t *store, SoupServerMessage *message,
+			 const char *member, json_object *items)
 {
-	json_object *events = list_kind(store, kind, after);
 	json_object *body = json_object_new_object();
-	gboolean has_events = json_object_array_length(events) > 0;
 
-	json_object_object_add(body, "events", events);
+	json_object_object_add(body, member, items);
 	json_object_object_add(body, "truncated",
 			       json_object_new_boolean(FALSE));
 	json_object_object_add(body, "current_rev",
 			       json_object_new_int64(store->revision));
 	respond(message, 200, body);
 	json_object_put(body);
+}
+
+/* Sets the answer; FALSE if it has no events. */
+static gboolean respond_to_watch(store_t *store, SoupServerMessage *message,
+				 const char *kind, gint64 after)
+{
+	json_object *events = list_kind(store, kind, after);
+	gboolean has_events = json_object_array_length(events) > 0;
+
+	respond_with(store, message, "events", events);
 	store->n_changes_sent += has_events;
 	return has_events;
 }
@@ -304,7 +312,6 @@
 	const char *watch = query ? g_hash_table_lookup(query, "watch") : NULL;
 	gint64 after = watch ? g_ascii_strtoll(watch, NULL, 10) : -1;
 	json_object *object = NULL;
-	json_object *body;
 
 	if (strchr(key, '/')) {
 		json_object_object_get_ex(store->objects, key, &object);
@@ -325,14 +332,7 @@
 							      NULL, 10));
 		return;
 	}
-	body = json_object_new_object();
-	json_object_object_add(body, "items", list_kind(store, key, after));
-	json_object_object_add(body, "truncated",
-			       json_object_new_boolean(FALSE));
-	json_object_object_add(body, "current_rev",
-			       json_object_new_int64(store->revision));
-	respond(message, 200, body);
-	json_object_put(body);
+	respond_with(store, message, "items", list_kind(store, key, after));
 }
 
 /* Creates and conditional updates of a spec or a status. */
