--- a/test/platform_store.h
+++ b/test/platform_store.h
@@ -240,20 +240,25 @@
 	return has_events;
 }
 
-/* Sends the answer that the message has. */
-static void end_watch(held_watch_t *watch)
+static void free_watch(held_watch_t *watch)
 {
-	g_ptr_array_remove_fast(watch->store->held, watch);
 	g_signal_handlers_disconnect_by_data(watch->message, watch);
 	if (watch->timer > 0)
 		g_source_remove(watch->timer);
-	if (!watch->is_gone)
-		soup_server_message_unpause(watch->message);
 	g_object_unref(watch->message);
 	g_free(watch->kind);
 	g_free(watch);
 }
 
+/* Sends the answer that the message has. */
+static void end_watch(held_watch_t *watch)
+{
+	g_ptr_array_remove_fast(watch->store->held, watch);
+	if (!watch->is_gone)
+		soup_server_message_unpause(watch->message);
+	free_watch(watch);
+}
+
 static gboolean on_watch_end(gpointer user)
 {
 	held_watch_t *watch = user;
@@ -437,6 +442,11 @@
 
 static inline void store_clear(store_t *store)
 {
+	for (guint i = 0; store->held && i < store->held->len; i++)
+		free_watch(store->held->pdata[i]);
+	g_clear_pointer(&store->held, g_ptr_array_unref);
+	if (store->answer_source > 0)
+		g_source_remove(store->answer_source);
 	g_object_unref(store->server);
 	json_object_put(store->objects);
 	json_object_put(store->removed);
