--- a/test/platform_restarts_test.c
+++ b/test/platform_restarts_test.c
@@ -5,6 +5,7 @@
  */
 #include <glib/gstdio.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <sys/wait.h>
 
@@ -694,6 +695,10 @@
 		if (runs[i] == 0)
 			exit(run_scenario(program, i));
 	}
+	if (n_tests == 0) {
+		fprintf(stderr, "no scenario begins with \"%s\"\n", prefix);
+		return EXIT_FAILURE;
+	}
 	return _cmocka_run_group_tests("platform_restarts_test", tests, n_tests,
 				       NULL, NULL);
 }
