--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -19,7 +19,8 @@
 	at=0
 	[ "$n" -le 3 ] && at=$((flood * n / 3))
 	start "m-$n" "$bed/worker" "$net.10$n:8185" "m-$n" "$wire" "$record" \
-		work_ms=60 events=24 gap_ms=20 endless_at=$at
+		work_ms=60 events=24 gap_ms=20 endless_at=$at \
+		endless_n=2
 	start "l-$n" "$bed/worker" "$net.11$n:8185" "l-$n" "$wire" "$record" \
 		work_ms=30 size=800
 done
@@ -32,14 +33,14 @@
 note "begin"
 callers=
 start compare "$bed/caller" "$net.1:8221" ficu95.example POST /compare/a \
-	"$wire" "$record" compare interval_ms=166 seconds=30 limit_ms=8000 \
+	"$wire" "$record" compare interval_ms=166 seconds=40 limit_ms=8000 \
 	stall_ms=4800 body=1700
 callers="$callers $pid"
 start post "$bed/caller" "$net.1:8221" ficu95.example POST /post/a "$wire" \
-	"$record" post interval_ms=660 seconds=30 limit_ms=1500 body=600
+	"$record" post interval_ms=660 seconds=40 limit_ms=1500 body=600
 callers="$callers $pid"
 start lookup "$bed/caller" "$net.1:8221" ficu95.example GET /lookup/a "$wire" \
-	"$record" lookup interval_ms=1300 seconds=30 limit_ms=1500
+	"$record" lookup interval_ms=1300 seconds=40 limit_ms=1500
 callers="$callers $pid"
 for caller in $callers; do
 	wait "$caller"
--- a/review/bed/worker.c
+++ b/review/bed/worker.c
@@ -1,12 +1,12 @@
 /*
  * A worker of a service. Each request takes work_ms; the answer has size bytes,
- * or is a stream of events. The answer number endless_at, counted over all
- * requests of this worker, never ends: after a proper head come bytes until the
- * caller closes, line feeds or, with line=N, events of N bytes; as fast as they
- * are taken, or endless_per_s a second.
+ * or is a stream of events. The endless_n answers from number endless_at on,
+ * counted over all requests of this worker, never end: after a proper head come
+ * bytes until the caller closes, line feeds or, with line=N, events of N bytes;
+ * as fast as they are taken, or endless_per_s a second.
  *
  * Usage: worker IP:PORT ID WIRE RECORD [work_ms=N] [size=N] [events=N]
- *	[gap_ms=N] [endless_at=N] [line=N] [endless_per_s=N]
+ *	[gap_ms=N] [endless_at=N] [endless_n=N] [line=N] [endless_per_s=N]
  */
 #include "bed.h"
 
@@ -16,6 +16,7 @@
 static long long n_events;
 static long long gap_ms;
 static long long endless_at;
+static long long endless_n;
 static long long line_size;
 static long long endless_per_s;
 static long long n_requests;
@@ -134,7 +135,7 @@
 		pthread_mutex_unlock(&lock);
 		bed_log("worker %s begins %s", id, attempt);
 		bed_sleep_ms(work_ms);
-		if (number == endless_at)
+		if (number >= endless_at && number < endless_at + endless_n)
 			ok = answer_without_end(fd, attempt);
 		else if (n_events > 0)
 			ok = answer_stream(fd, attempt);
@@ -164,6 +165,7 @@
 	n_events = bed_number(argc, argv, "events", 0);
 	gap_ms = bed_number(argc, argv, "gap_ms", 0);
 	endless_at = bed_number(argc, argv, "endless_at", 0);
+	endless_n = endless_at > 0 ? bed_number(argc, argv, "endless_n", 1) : 0;
 	line_size = bed_number(argc, argv, "line", 0);
 	endless_per_s = bed_number(argc, argv, "endless_per_s", 0);
 	listener = bed_listen(argv[1]);
