--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
 # One answer without end that its caller reads as it comes: see claim.txt.
 . "$(dirname "$0")/../bed/lib.sh"
+trouble=${TROUBLE:-1}
 
 memory_mb=260
 link_bytes=125000000 # link_mbps = 1000
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
 # One answer without end at one entry host: see claim.txt.
 . "$(dirname "$0")/../bed/lib.sh"
+trouble=${TROUBLE:-1}
 
 # Routes and time limits of vetan-hq: two kinds of streams and the two kinds of
 # short requests.
--- a/review/bed/lib.sh
+++ b/review/bed/lib.sh
@@ -7,7 +7,6 @@
 wire=$root/review/bed/wire.txt
 host=$root/target/sassafrasd-platform
 record=$here/record.txt
-trouble=${TROUBLE:-1}
 run=$(mktemp -d) || exit 2
 pids=
 # Loopback addresses of this run; ports are the same on all of them.
@@ -91,9 +90,9 @@
 	start "host$1" "$host" "$run/$1.json"
 }
 
-# start_store: with the objects in $run/objects.
+# start_store ARGUMENT...: with the objects in $run/objects; sets $pid.
 start_store() {
-	start store "$bed/store" "$store" "$wire" "$run/objects" "$record"
+	start store "$bed/store" "$store" "$wire" "$run/objects" "$record" "$@"
 	sleep 0.3
 	kill -0 "$pid" 2>/dev/null || {
 		echo "the store could not start"
--- a/review/bed/store.c
+++ b/review/bed/store.c
@@ -3,8 +3,14 @@
  * objects from a file of lines "KIND/NAME SPEC" and, as the operator and
  * the workers write, by PUT without a revision.
  *
- * Usage: store IP:PORT WIRE OBJECTS RECORD
+ * SIGUSR2 removes the entry named leaver. SIGUSR1 is a drill: the store is away
+ * for a second and comes back, in the next era, from a copy that is five
+ * seconds old; the entry of the leaver, which writes no more, lapses 3.6 s
+ * later, and all other entries are written again after half a second.
+ *
+ * Usage: store IP:PORT WIRE OBJECTS RECORD [leaver=KIND/NAME]
  */
+#include <glib-unix.h>
 #include <json-c/json.h>
 #include <libsoup/soup.h>
 
@@ -21,6 +27,24 @@
 static json_object *removed; /* the same, as last seen */
 static gint64 last_revision = 1000;
 static GPtrArray *watches;
+static unsigned era = 1;
+static gboolean is_away;
+static const char *leaver;
+
+/** copy_t - of the store, taken twice a second; the latest is the last. */
+typedef struct {
+	char *objects;
+	gint64 revision;
+	gint64 at_ms;
+} copy_t;
+
+static GQueue copies = G_QUEUE_INIT;
+
+#define COPY_AGE_MS 5000
+#define COPY_INTERVAL_MS 500
+#define AWAY_MS 1000
+#define REWRITE_MS 500
+#define LAPSE_MS 3600
 
 static json_object *metadata_of(json_object *object)
 {
@@ -191,6 +215,10 @@
 		respond_with(message, "items", entries);
 		return;
 	}
+	if (g_ascii_strtoll(after, NULL, 10) > last_revision) {
+		respond(message, 410, NULL);
+		return;
+	}
 	entries = events_since(key, g_ascii_strtoll(after, NULL, 10));
 	if (json_object_array_length(entries) > 0) {
 		respond_with(message, "events", entries);
@@ -278,11 +306,100 @@
 	json_object_put(nothing);
 }
 
+static void remove_leaver(const char *cause)
+{
+	json_object *known = json_object_object_get(objects, leaver);
+
+	if (!known)
+		return;
+	json_object_get(known);
+	json_object_object_del(objects, leaver);
+	touch(known);
+	json_object_object_add(removed, leaver, known);
+	bed_log("store removes %s: %s", leaver, cause);
+}
+
+static gboolean on_leave(gpointer user)
+{
+	(void)user;
+	remove_leaver("it has left");
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean on_lapse(gpointer user)
+{
+	(void)user;
+	remove_leaver("three intervals of silence");
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_copy(gpointer user)
+{
+	copy_t *copy = g_new0(copy_t, 1);
+
+	(void)user;
+	copy->objects = g_strdup(json_object_to_json_string(objects));
+	copy->revision = last_revision;
+	copy->at_ms = bed_now_ms();
+	g_queue_push_tail(&copies, copy);
+	return G_SOURCE_CONTINUE;
+}
+
+/* What the operator and the other workers wrote is written again. */
+static gboolean on_rewrite(gpointer user)
+{
+	(void)user;
+	json_object_object_foreach(objects, key, object)
+	{
+		if (strcmp(key, leaver) != 0 &&
+		    (g_str_has_prefix(key, "servers/") ||
+		     g_str_has_prefix(key, "config/")))
+			touch(object);
+	}
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_return(gpointer user)
+{
+	gint64 now_ms = bed_now_ms();
+	copy_t *copy = g_queue_pop_head(&copies);
+
+	(void)user;
+	while (copy && !g_queue_is_empty(&copies) &&
+	       ((copy_t *)g_queue_peek_head(&copies))->at_ms <=
+		       now_ms - COPY_AGE_MS)
+		copy = g_queue_pop_head(&copies);
+	json_object_put(objects);
+	json_object_put(removed);
+	objects = json_tokener_parse(copy ? copy->objects : "{}");
+	removed = json_object_new_object();
+	last_revision = copy ? copy->revision : 0;
+	era++;
+	is_away = FALSE;
+	bed_log("store is back, era %u, from a copy %lld ms old", era,
+		copy ? (long long)(now_ms - copy->at_ms) : 0);
+	g_timeout_add(REWRITE_MS, on_rewrite, NULL);
+	g_timeout_add(LAPSE_MS, on_lapse, NULL);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_drill(gpointer user)
+{
+	(void)user;
+	is_away = TRUE;
+	bed_log("store is away");
+	while (watches->len > 0)
+		end_watch(watches->pdata[0]);
+	g_timeout_add(AWAY_MS, on_return, NULL);
+	return G_SOURCE_CONTINUE;
+}
+
 static void on_call(SoupServer *server, SoupServerMessage *message,
 		    const char *path, GHashTable *query, gpointer user)
 {
 	const char *method = soup_server_message_get_method(message);
 	const char *prefix = bed_name("objects");
+	char text[16];
 
 	(void)server;
 	(void)user;
@@ -290,6 +407,14 @@
 		on_duty(message, path);
 		return;
 	}
+	if (is_away) {
+		respond(message, 503, NULL);
+		return;
+	}
+	g_snprintf(text, sizeof(text), "%u", era);
+	soup_message_headers_replace(
+		soup_server_message_get_response_headers(message),
+		bed_name("era"), text);
 	path += strlen(prefix);
 	if (!strcmp(method, "GET"))
 		on_get(message, path, query);
@@ -331,8 +456,9 @@
 	GSocketAddress *address;
 	char ip[64];
 
-	if (argc != 5)
+	if (argc < 5)
 		return 2;
+	leaver = bed_text(argc, argv, "leaver", "");
 	snprintf(ip, sizeof(ip), "%.*s", (int)strcspn(argv[1], ":"), argv[1]);
 	bed_read_names(argv[2]);
 	bed_open_record(argv[4]);
@@ -345,6 +471,9 @@
 		ip, (guint)strtoul(strrchr(argv[1], ':') + 1, NULL, 10));
 	if (!soup_server_listen(server, address, 0, NULL))
 		return 2;
+	g_unix_signal_add(SIGUSR1, on_drill, NULL);
+	g_unix_signal_add(SIGUSR2, on_leave, NULL);
+	g_timeout_add(COPY_INTERVAL_MS, on_copy, NULL);
 	g_main_loop_run(g_main_loop_new(NULL, FALSE));
 	return 0;
 }
--- a/review/bed/worker.c
+++ b/review/bed/worker.c
@@ -5,11 +5,15 @@
  * bytes until the caller closes, line feeds or, with line=N, events of N bytes;
  * as fast as they are taken, or endless_per_s a second.
  *
+ * From SIGUSR1 on, all answers say that it leaves.
+ *
  * Usage: worker IP:PORT ID WIRE RECORD [work_ms=N] [size=N] [events=N]
  *	[gap_ms=N] [endless_at=N] [endless_n=N] [line=N] [endless_per_s=N]
  */
 #include "bed.h"
 
+#include <signal.h>
+
 static const char *id;
 static long long work_ms;
 static long long answer_size;
@@ -19,16 +23,25 @@
 static long long endless_n;
 static long long line_size;
 static long long endless_per_s;
+static volatile sig_atomic_t is_leaving;
 static long long n_requests;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
+static void on_leave(int number)
+{
+	(void)number;
+	is_leaving = 1;
+}
+
 static int send_head(int fd, const char *attempt, const char *framing)
 {
 	char head[1024];
-	int size = snprintf(head, sizeof(head),
-			    "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s-%s\r\n%s\r\n",
-			    bed_name("id"), attempt, bed_name("signature"), id,
-			    attempt, framing);
+	int size =
+		snprintf(head, sizeof(head),
+			 "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s-%s\r\n%s%s%s\r\n",
+			 bed_name("id"), attempt, bed_name("signature"), id,
+			 attempt, is_leaving ? bed_name("leaving") : "",
+			 is_leaving ? ": 1\r\n" : "", framing);
 
 	return bed_send(fd, head, (size_t)size);
 }
@@ -168,6 +181,7 @@
 	endless_n = endless_at > 0 ? bed_number(argc, argv, "endless_n", 1) : 0;
 	line_size = bed_number(argc, argv, "line", 0);
 	endless_per_s = bed_number(argc, argv, "endless_per_s", 0);
+	signal(SIGUSR1, on_leave);
 	listener = bed_listen(argv[1]);
 	for (;;) {
 		int fd = accept(listener, NULL, NULL);
