Drop sent bytes from send buffers that are never empty

Cause: a send buffer was emptied only when all of it had been sent. With a reader that is always a little behind it kept all bytes that had passed through it; the limit of 8 MB held for unsent bytes only.

Sent bytes are now dropped once they are as many as the unsent ones, so that each byte is moved once at most and a buffer is at most twice as large as what is unsent.

--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -113,6 +113,22 @@
 		shutdown(channel->fd, SHUT_WR);
 }
 
+static gsize unsent(const sr_channel_t *channel)
+{
+	return channel->send_buffer->len - channel->sent;
+}
+
+/* Drops the sent bytes once they are as many as the others, so that each byte
+ * is moved once at most. */
+static void compact_send_buffer(sr_channel_t *channel)
+{
+	if (channel->sent == 0 || channel->sent < unsent(channel))
+		return;
+	g_byte_array_remove_range(channel->send_buffer, 0,
+				  (guint)channel->sent);
+	channel->sent = 0;
+}
+
 static void report_end(sr_channel_t *channel, sr_channel_end_reason_t how)
 {
 	channel->paused = TRUE;
@@ -335,10 +351,10 @@
 	/* only what the socket does not take at once is copied */
 	if (!channel->connecting && channel->send_buffer->len == 0)
 		sent = send_some(channel, data, size);
+	compact_send_buffer(channel);
 	g_byte_array_append(channel->send_buffer, (const guint8 *)data + sent,
 			    (guint)(size - sent));
-	if (channel->send_buffer->len - channel->sent >
-	    SR_CHANNEL_SEND_BUFFER_MAX)
+	if (unsent(channel) > SR_CHANNEL_SEND_BUFFER_MAX)
 		channel->has_failed = TRUE;
 	else if (!channel->connecting)
 		flush(channel);
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -394,6 +394,43 @@
 	g_free(message);
 }
 
+/** Bytes that the reader of a channel is behind, and bytes that are sent. */
+#define READER_LAG ((gsize)1024 * 1024)
+#define LONG_STREAM ((gsize)64 * 1024 * 1024)
+
+/* Guards against a send buffer that keeps bytes which were sent: one that was
+ * never empty grew by all that passed through it. */
+static void test_send_buffer_holds_only_unsent_bytes(void **state)
+{
+	const sr_channel_events_t events = { .ended = ignore_end };
+	static char data[64 * 1024];
+	sr_channel_t *channel;
+	gsize written = 0;
+	gsize received = 0;
+	gsize before;
+	int fds[2];
+
+	(void)state;
+	assert_false(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds));
+	channel = sr_channel_new_from_fd(fds[0], &events, NULL);
+	before = heap_in_use();
+	while (written < LONG_STREAM) {
+		sr_channel_write(channel, data, sizeof(data));
+		written += sizeof(data);
+		while (written - received > READER_LAG) {
+			ssize_t n = recv(fds[1], data, sizeof(data), 0);
+
+			received += n > 0 ? (gsize)n : 0;
+			g_main_context_iteration(NULL, FALSE);
+		}
+		assert_false(sr_channel_is_flushed(channel) &&
+			     written > READER_LAG);
+	}
+	assert_true(heap_in_use() < before + 4 * READER_LAG);
+	sr_channel_free(channel);
+	close(fds[1]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -409,6 +446,7 @@
 		cmocka_unit_test(test_events_are_split_at_boundaries),
 		cmocka_unit_test(test_user_timeout_and_keep_alive_agree),
 		cmocka_unit_test(test_buffer_of_a_large_write_is_released),
+		cmocka_unit_test(test_send_buffer_holds_only_unsent_bytes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
