Stop reading a stream while its caller is behind

A caller that was 8 MB behind its stream was cut off, and each such caller could cost the process up to 8 MB: the gateway read on from the instance whatever the caller took.

The connection of the instance is now paused while more than 256 KB wait for the caller, until 64 KB are left; the socket buffers pass the pause on to the instance. A paused attempt counts as heard, as its silence is not the instance's. sassafras_gateway_streams_paused_total counts the pauses.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -39,6 +39,7 @@
 	gboolean is_cut;	   /* see sr_attempt_is_cut() */
 	gboolean is_out_of_sync;   /* the connection must not be reused */
 	gboolean is_head_verified; /* by classify_head() */
+	gboolean is_paused;	   /* see sr_attempt_set_paused() */
 	gboolean is_freed;	   /* sr_attempt_free() was called */
 	sr_usec_t heard_at;	   /* last input; the start before */
 	unsigned references;	   /* the struct is freed at 0 */
@@ -110,6 +111,7 @@
 	    !sr_channel_is_flushed(attempt->channel)) {
 		sr_channel_free(attempt->channel);
 	} else {
+		sr_channel_set_paused(attempt->channel, FALSE);
 		sr_connection_pool_put(
 			pool_of(attempt), attempt->options.instance,
 			attempt->channel, keep_alive_time(response));
@@ -430,9 +432,19 @@
 	unref(attempt);
 }
 
+void sr_attempt_set_paused(sr_attempt_t *attempt, gboolean paused)
+{
+	if (!attempt->channel || attempt->is_paused == paused)
+		return;
+	attempt->is_paused = paused;
+	attempt->heard_at = sr_gateway_now(attempt->options.gateway);
+	sr_channel_set_paused(attempt->channel, paused);
+}
+
 sr_usec_t sr_attempt_heard_at(const sr_attempt_t *attempt)
 {
-	return attempt->heard_at;
+	return attempt->is_paused ? sr_gateway_now(attempt->options.gateway) :
+				    attempt->heard_at;
 }
 
 const sr_message_t *sr_attempt_message(const sr_attempt_t *attempt)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -78,6 +78,11 @@
 	metrics->relayed =
 		sr_metrics_counter(registry, "sassafras_gateway_relayed_total",
 				   "requests passed on to another host", NULL);
+	metrics->paused = sr_metrics_counter(
+		registry, "sassafras_gateway_streams_paused_total",
+		"times that reading a stream stopped until its caller had "
+		"taken what was sent",
+		NULL);
 	metrics->duration = sr_metrics_histogram(
 		registry, "sassafras_gateway_duration_seconds",
 		"from a request's first byte to the end of its answer", NULL);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -56,7 +56,8 @@
 	sr_gauge_t *evacuated_domains;
 	sr_gauge_t *paced;
 	sr_counter_t *relayed;
-	sr_histogram_t *duration;    /* s */
+	sr_histogram_t *duration; /* s */
+	sr_counter_t *paused;
 	sr_histogram_t *first_event; /* s */
 	sr_gauge_t *sessions;
 	sr_gauge_t *transactions;
@@ -173,6 +174,10 @@
 void sr_session_write_chunk(sr_session_t *session, const guint8 *data,
 			    gsize size);
 
+/** sr_session_is_congested - the caller takes the stream more slowly than it is
+ * written; sr_transaction_on_caller_drained() follows. */
+gboolean sr_session_is_congested(const sr_session_t *session);
+
 /** sr_session_end_stream - completes a chunked response and continues with
  * the next request. */
 void sr_session_end_stream(sr_session_t *session);
@@ -211,6 +216,10 @@
 void sr_transaction_on_stream_data(sr_transaction_t *transaction,
 				   const guint8 *data, gsize size);
 
+/** sr_transaction_on_caller_drained - the caller's connection is not congested
+ * any more; reads on from the instance. */
+void sr_transaction_on_caller_drained(sr_transaction_t *transaction);
+
 /** sr_transaction_on_attempt_ended - called once per attempt; frees it. */
 void sr_transaction_on_attempt_ended(sr_transaction_t *transaction,
 				     sr_attempt_outcome_t outcome);
@@ -253,8 +262,12 @@
  * transaction frees it. */
 void sr_attempt_give_up(sr_attempt_t *attempt);
 
+/** sr_attempt_set_paused - TRUE stops reading the response, FALSE resumes it.
+ */
+void sr_attempt_set_paused(sr_attempt_t *attempt, gboolean paused);
+
 /** sr_attempt_heard_at - time of the last input from the instance, or of the
- * start of the attempt. */
+ * start of the attempt; now if the attempt is paused. */
 sr_usec_t sr_attempt_heard_at(const sr_attempt_t *attempt);
 
 /** sr_attempt_is_sent - the request was written to a connection. */
--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -225,6 +225,11 @@
 	g_string_free(chunk, TRUE);
 }
 
+gboolean sr_session_is_congested(const sr_session_t *session)
+{
+	return sr_channel_is_congested(session->channel);
+}
+
 void sr_session_end_stream(sr_session_t *session)
 {
 	sr_channel_write(session->channel, "0\r\n\r\n", 5);
@@ -357,6 +362,14 @@
 	process_input(session);
 }
 
+static void on_drained(void *user)
+{
+	sr_session_t *session = user;
+
+	if (session->transaction)
+		sr_transaction_on_caller_drained(session->transaction);
+}
+
 static void on_ended(void *user, sr_channel_end_reason_t how)
 {
 	(void)how;
@@ -365,6 +378,7 @@
 
 static const sr_channel_events_t session_events = {
 	.received = on_received,
+	.drained = on_drained,
 	.ended = on_ended,
 };
 
--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -60,6 +60,22 @@
 	sr_transaction_report_output(transaction);
 }
 
+/* The instance waits while its caller is behind. */
+static void limit_backlog(sr_transaction_t *transaction)
+{
+	if (!transaction->attempt ||
+	    !sr_session_is_congested(transaction->session))
+		return;
+	sr_counter_add(transaction->gateway->metrics.paused, 1);
+	sr_attempt_set_paused(transaction->attempt, TRUE);
+}
+
+void sr_transaction_on_caller_drained(sr_transaction_t *transaction)
+{
+	if (transaction->attempt)
+		sr_attempt_set_paused(transaction->attempt, FALSE);
+}
+
 void sr_transaction_on_stream_data(sr_transaction_t *transaction,
 				   const guint8 *data, gsize size)
 {
@@ -87,6 +103,7 @@
 			transaction->last_event = event.id;
 		}
 	}
+	limit_backlog(transaction);
 }
 
 static unsigned effective_priority(const sr_transaction_t *transaction)
--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -43,6 +43,7 @@
 	gboolean freed;
 	gboolean in_callback;
 	gboolean has_failed; /* sending failed; reported on the next wakeup */
+	gboolean is_congested;
 };
 
 static void destroy_channel(sr_channel_t *channel)
@@ -61,7 +62,7 @@
 	GIOCondition wanted = 0;
 
 	if (channel->connecting || channel->send_buffer->len > channel->sent ||
-	    channel->has_failed)
+	    channel->has_failed || channel->is_congested)
 		wanted |= G_IO_OUT;
 	if (!channel->connecting && !channel->paused)
 		wanted |= G_IO_IN;
@@ -129,10 +130,21 @@
 	channel->sent = 0;
 }
 
+static void report_drained(sr_channel_t *channel)
+{
+	if (!channel->is_congested ||
+	    unsent(channel) > SR_CHANNEL_LOW_WATERMARK)
+		return;
+	channel->is_congested = FALSE;
+	if (channel->events.drained)
+		channel->events.drained(channel->user);
+}
+
 static void report_end(sr_channel_t *channel, sr_channel_end_reason_t how)
 {
 	channel->paused = TRUE;
 	channel->has_failed = FALSE;
+	channel->is_congested = FALSE;
 	clear_send_buffer(channel);
 	update_condition(channel);
 	channel->events.ended(channel->user, how);
@@ -187,7 +199,9 @@
 		return;
 	if (channel->sent < channel->send_buffer->len)
 		flush(channel);
-	if (ready & (G_IO_IN | G_IO_HUP | G_IO_ERR) && !channel->paused)
+	report_drained(channel);
+	if (!channel->freed && !channel->paused &&
+	    ready & (G_IO_IN | G_IO_HUP | G_IO_ERR))
 		read_input(channel);
 }
 
@@ -358,6 +372,8 @@
 		channel->has_failed = TRUE;
 	else if (!channel->connecting)
 		flush(channel);
+	if (unsent(channel) > SR_CHANNEL_HIGH_WATERMARK)
+		channel->is_congested = TRUE;
 	update_condition(channel);
 }
 
@@ -367,6 +383,11 @@
 	update_condition(channel);
 }
 
+gboolean sr_channel_is_congested(const sr_channel_t *channel)
+{
+	return channel->is_congested;
+}
+
 gboolean sr_channel_is_flushed(const sr_channel_t *channel)
 {
 	return channel->send_buffer->len == 0;
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -9,7 +9,9 @@
 /**
  * sr_channel_t - a non-blocking TCP connection on the default main context
  *
- * Bytes that the socket does not take at once are kept in a bounded buffer.
+ * Bytes that the socket does not take at once are kept in a bounded buffer. An
+ * owner that passes on what another connection sends stops reading there while
+ * the channel is congested.
  * Keep-alive probes and a timeout of unacknowledged bytes reset a connection
  * whose peer is unreachable. Callbacks run only from the main loop, never from
  * inside a call.
@@ -27,6 +29,8 @@
 	 * NULL */
 	void (*connected)(void *user);
 	void (*received)(void *user, const guint8 *data, gsize size);
+	/* the channel is not congested any more; may be NULL */
+	void (*drained)(void *user);
 	/* no more input follows; the channel may be freed here */
 	void (*ended)(void *user, sr_channel_end_reason_t how);
 } sr_channel_events_t;
@@ -35,6 +39,11 @@
  * with SR_CHANNEL_FAILED. */
 #define SR_CHANNEL_SEND_BUFFER_MAX (8 * 1024 * 1024)
 
+/** A channel is congested from the time when more bytes than the high watermark
+ * wait to be sent until no more than the low watermark do. */
+#define SR_CHANNEL_HIGH_WATERMARK (256 * 1024)
+#define SR_CHANNEL_LOW_WATERMARK (64 * 1024)
+
 /** sr_channel_new_from_fd - wrap an accepted socket and take ownership of it.
  */
 sr_channel_t *sr_channel_new_from_fd(int fd, const sr_channel_events_t *events,
@@ -78,6 +87,9 @@
 
 gboolean sr_channel_is_connected(const sr_channel_t *channel);
 
+/** sr_channel_is_congested - TRUE until drained() is called. */
+gboolean sr_channel_is_congested(const sr_channel_t *channel);
+
 /** sr_channel_is_flushed - TRUE if the send buffer is empty. */
 gboolean sr_channel_is_flushed(const sr_channel_t *channel);
 
--- a/test/gateway_rig.h
+++ b/test/gateway_rig.h
@@ -437,7 +437,7 @@
 	.ended = rig_caller_ended,
 };
 
-static caller_t *caller_new(const char *address)
+static inline caller_t *caller_new(const char *address)
 {
 	caller_t *caller = g_new0(caller_t, 1);
 
@@ -459,7 +459,7 @@
 	return fd;
 }
 
-static void caller_free(caller_t *caller)
+static inline void caller_free(caller_t *caller)
 {
 	sr_channel_free(caller->channel);
 	g_string_free(caller->received, TRUE);
@@ -472,9 +472,9 @@
 }
 
 /** caller_request - send a valid request; each of the fields ends with CRLF. */
-static void caller_request(caller_t *caller, const char *method,
-			   const char *path, const char *id, const char *fields,
-			   const char *body)
+static inline void caller_request(caller_t *caller, const char *method,
+				  const char *path, const char *id,
+				  const char *fields, const char *body)
 {
 	char *text =
 		g_strdup_printf("%s %s HTTP/1.1\r\nHost: h.example\r\n"
@@ -495,7 +495,8 @@
 
 /** caller_wait_for - run the main loop until the text was received, the
  * connection has ended or ms have passed; TRUE if the text was received. */
-static gboolean caller_wait_for(caller_t *caller, const char *text, unsigned ms)
+static inline gboolean caller_wait_for(caller_t *caller, const char *text,
+				       unsigned ms)
 {
 	gboolean timed_out = FALSE;
 	guint timer = g_timeout_add(ms, rig_on_timeout, &timed_out);
