End a connection whose send buffer has overflowed

A caller that read nothing got no end of its connection, and the gateway read and dropped the rest of the stream: the failure was reported when the socket became writable, which it does not while the peer reads nothing.

The loop is now woken up at once for it.

test_overflow_ends_a_channel_whose_peer_reads_nothing failed before.

--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -210,6 +210,7 @@
 	sr_channel_t *channel = user;
 
 	(void)fd;
+	g_source_set_ready_time(channel->source, -1);
 	channel->in_callback = TRUE;
 	handle_ready(channel, ready);
 	channel->in_callback = FALSE;
@@ -368,10 +369,13 @@
 	compact_send_buffer(channel);
 	g_byte_array_append(channel->send_buffer, (const guint8 *)data + sent,
 			    (guint)(size - sent));
-	if (unsent(channel) > SR_CHANNEL_SEND_BUFFER_MAX)
+	if (unsent(channel) > SR_CHANNEL_SEND_BUFFER_MAX) {
 		channel->has_failed = TRUE;
-	else if (!channel->connecting)
+		/* the socket of a peer that does not read is not writable */
+		g_source_set_ready_time(channel->source, 0);
+	} else if (!channel->connecting) {
 		flush(channel);
+	}
 	if (unsent(channel) > SR_CHANNEL_HIGH_WATERMARK)
 		channel->is_congested = TRUE;
 	update_condition(channel);
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -431,6 +431,51 @@
 	close(fds[1]);
 }
 
+static void note_end(void *user, sr_channel_end_reason_t how)
+{
+	*(int *)user = (int)how;
+}
+
+static gboolean set_flag(gpointer flag)
+{
+	*(gboolean *)flag = TRUE;
+	return G_SOURCE_REMOVE;
+}
+
+/* Runs the main loop until the channel has ended, for a second at most. */
+static void wait_for_end(const int *end)
+{
+	gboolean timed_out = FALSE;
+	guint timer = g_timeout_add(1000, set_flag, &timed_out);
+
+	while (*end < 0 && !timed_out)
+		g_main_context_iteration(NULL, TRUE);
+	if (!timed_out)
+		g_source_remove(timer);
+}
+
+/* Guards against a failure that is never reported: after more was written than
+ * a channel holds, its owner waited for a peer that reads nothing. */
+static void test_overflow_ends_a_channel_whose_peer_reads_nothing(void **state)
+{
+	const sr_channel_events_t events = { .ended = note_end };
+	char *message = g_malloc0(SR_CHANNEL_SEND_BUFFER_MAX);
+	sr_channel_t *channel;
+	int end = -1;
+	int fds[2];
+
+	(void)state;
+	assert_false(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds));
+	channel = sr_channel_new_from_fd(fds[0], &events, &end);
+	sr_channel_write(channel, message, SR_CHANNEL_SEND_BUFFER_MAX);
+	sr_channel_write(channel, message, SR_CHANNEL_SEND_BUFFER_MAX);
+	wait_for_end(&end);
+	assert_int_equal(end, SR_CHANNEL_FAILED);
+	sr_channel_free(channel);
+	close(fds[1]);
+	g_free(message);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -447,6 +492,8 @@
 		cmocka_unit_test(test_user_timeout_and_keep_alive_agree),
 		cmocka_unit_test(test_buffer_of_a_large_write_is_released),
 		cmocka_unit_test(test_send_buffer_holds_only_unsent_bytes),
+		cmocka_unit_test(
+			test_overflow_ends_a_channel_whose_peer_reads_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
