End a paused connection that is reset

poll() reports a reset whether it is waited for or not, so that the loop spun until the owner of a paused connection resumed it. It now ends at once.

--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -44,6 +44,7 @@
 	gboolean in_callback;
 	gboolean has_failed; /* sending failed; reported on the next wakeup */
 	gboolean is_congested;
+	gboolean has_ended; /* ended() was called */
 };
 
 static void destroy_channel(sr_channel_t *channel)
@@ -142,6 +143,7 @@
 
 static void report_end(sr_channel_t *channel, sr_channel_end_reason_t how)
 {
+	channel->has_ended = TRUE;
 	channel->paused = TRUE;
 	channel->has_failed = FALSE;
 	channel->is_congested = FALSE;
@@ -189,14 +191,21 @@
 
 static void handle_ready(sr_channel_t *channel, GIOCondition ready)
 {
+	if (channel->has_ended)
+		return;
 	if (channel->connecting) {
 		finish_connect(channel);
 	} else if (channel->has_failed) {
 		report_end(channel, SR_CHANNEL_FAILED);
 		return;
 	}
-	if (channel->freed || channel->connecting)
+	if (channel->freed || channel->has_ended || channel->connecting)
+		return;
+	if (channel->paused && ready & (G_IO_HUP | G_IO_ERR)) {
+		/* poll() reports these whether they are waited for or not */
+		report_end(channel, SR_CHANNEL_FAILED);
 		return;
+	}
 	if (channel->sent < channel->send_buffer->len)
 		flush(channel);
 	report_drained(channel);
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -82,7 +82,8 @@
  * by ended(). */
 void sr_channel_write(sr_channel_t *channel, const void *data, gsize size);
 
-/** sr_channel_set_paused - TRUE stops reading, FALSE resumes it. */
+/** sr_channel_set_paused - TRUE stops reading, FALSE resumes it. A connection
+ * that is reset meanwhile ends at once, with its unread bytes. */
 void sr_channel_set_paused(sr_channel_t *channel, gboolean paused);
 
 gboolean sr_channel_is_connected(const sr_channel_t *channel);
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -476,6 +476,49 @@
 	g_free(message);
 }
 
+/* Returns a connected pair of TCP sockets; the first is the accepted one. */
+static void connect_pair(int fds[2])
+{
+	struct sockaddr_in in = { .sin_family = AF_INET };
+	socklen_t size = sizeof(in);
+	int listener = sr_listen("127.0.0.1:0");
+
+	assert_true(listener >= 0);
+	getsockname(listener, (struct sockaddr *)&in, &size);
+	fds[1] = socket(AF_INET, SOCK_STREAM, 0);
+	assert_false(connect(fds[1], (struct sockaddr *)&in, sizeof(in)));
+	fds[0] = sr_accept(listener);
+	assert_true(fds[0] >= 0);
+	close(listener);
+}
+
+static void reset_connection(int fd)
+{
+	const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	close(fd);
+}
+
+/* Guards against a loop that spins: poll() reports the reset of a connection
+ * also while its channel does not read. */
+static void test_reset_ends_a_paused_channel(void **state)
+{
+	const sr_channel_events_t events = { .ended = note_end };
+	sr_channel_t *channel;
+	int end = -1;
+	int fds[2];
+
+	(void)state;
+	connect_pair(fds);
+	channel = sr_channel_new_from_fd(fds[0], &events, &end);
+	sr_channel_set_paused(channel, TRUE);
+	reset_connection(fds[1]);
+	wait_for_end(&end);
+	assert_int_equal(end, SR_CHANNEL_FAILED);
+	sr_channel_free(channel);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -494,6 +537,7 @@
 		cmocka_unit_test(test_send_buffer_holds_only_unsent_bytes),
 		cmocka_unit_test(
 			test_overflow_ends_a_channel_whose_peer_reads_nothing),
+		cmocka_unit_test(test_reset_ends_a_paused_channel),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
