Measure the turns of the main loop

A source of the highest priority takes the time after each poll and before the next one. sassafras_loop_turn_seconds has all turns; those of 50 ms or more are logged.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -76,6 +76,8 @@
 	daemon->clock = options->clock;
 	daemon->log = sr_log_new(&log);
 	daemon->metrics = sr_metrics_new();
+	daemon->loop_watch =
+		sr_loop_watch_new(daemon->clock, daemon->log, daemon->metrics);
 	open_trace(daemon, options->seed + 1);
 	daemon->upstream = sr_upstream_client_new();
 	daemon->dispatch = sr_dispatch_new(&dispatch);
@@ -440,6 +442,7 @@
 	sr_trace_free(daemon->trace);
 	if (daemon->trace_file)
 		fclose(daemon->trace_file);
+	sr_loop_watch_free(daemon->loop_watch);
 	sr_metrics_free(daemon->metrics);
 	sr_log_free(daemon->log);
 	g_free(daemon);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/log.h"
+#include "base/loop_watch.h"
 #include "base/metrics.h"
 #include "base/settings.h"
 #include "base/trace.h"
@@ -27,6 +28,7 @@
 	FILE *trace_file;
 	sr_log_t *log;
 	sr_metrics_t *metrics;
+	sr_loop_watch_t *loop_watch;
 	sr_trace_t *trace;
 	sr_upstream_client_t *upstream;
 	sr_dispatch_t *dispatch;
