Write the events of a read together, and take no empty line for one

The events of a read now leave in one chunk, and what is recorded of a first event is recorded once. An empty line that ends no event is passed on with the event after it, or at the end of the stream; nothing but empty lines ends at the size limit of an event. The parser reads each byte once, however the stream is split; before, it began again at the start of the event with each read.

--- a/src/gateway/transaction.c
+++ b/src/gateway/transaction.c
@@ -35,7 +35,7 @@
 			target <= 0 || elapsed <= target);
 }
 
-static void record_event(sr_transaction_t *transaction)
+static void record_first_event(sr_transaction_t *transaction)
 {
 	sr_gateway_service_state_t *state = sr_gateway_service_state(
 		transaction->gateway, transaction->service);
@@ -53,13 +53,70 @@
 	transaction->prefill_backlog = -1;
 	sr_transaction_release_prefill(transaction);
 	sr_transaction_report_execution(transaction);
-	if (transaction->n_events++ == 0) {
-		transaction->output_at = sr_transaction_now(transaction);
-		record_output(transaction);
-	}
+	transaction->output_at = sr_transaction_now(transaction);
+	record_output(transaction);
+}
+
+static void record_events(sr_transaction_t *transaction, unsigned n)
+{
+	if (n == 0)
+		return;
+	if (transaction->n_events == 0)
+		record_first_event(transaction);
+	transaction->n_events += n;
 	sr_transaction_report_output(transaction);
 }
 
+/** event_run_t - events that follow each other in the parser's buffer */
+typedef struct {
+	const guint8 *data;
+	gsize size;
+} event_run_t;
+
+/* Writes a run in one chunk: one for each event would let an instance that
+ * sends tiny ones hold up the loop. */
+static void write_run(sr_transaction_t *transaction, event_run_t *run)
+{
+	if (run->size == 0)
+		return;
+	if (!transaction->is_streaming)
+		sr_transaction_begin_stream(transaction);
+	sr_session_write_chunk(transaction->session, run->data, run->size);
+	run->size = 0;
+}
+
+/* TRUE if the caller has the event already, from another attempt. */
+static gboolean is_repeated(const sr_transaction_t *transaction,
+			    const sr_event_t *event)
+{
+	return event->has_id && transaction->has_last_event &&
+	       event->id <= transaction->last_event;
+}
+
+static void write_events(sr_transaction_t *transaction)
+{
+	event_run_t run = { 0 };
+	sr_event_t event;
+	unsigned n = 0;
+
+	while (sr_event_parser_next(transaction->event_parser, &event)) {
+		n++;
+		if (is_repeated(transaction, &event)) {
+			write_run(transaction, &run);
+			continue;
+		}
+		if (run.size == 0)
+			run.data = event.data;
+		run.size += event.size;
+		if (event.has_id) {
+			transaction->has_last_event = TRUE;
+			transaction->last_event = event.id;
+		}
+	}
+	record_events(transaction, n);
+	write_run(transaction, &run);
+}
+
 /* The instance waits while its caller is behind. */
 static void limit_backlog(sr_transaction_t *transaction)
 {
@@ -79,8 +136,6 @@
 void sr_transaction_on_stream_data(sr_transaction_t *transaction,
 				   const guint8 *data, gsize size)
 {
-	sr_event_t event;
-
 	if (!transaction->event_parser)
 		transaction->event_parser = sr_event_parser_new();
 	if (!sr_event_parser_feed(transaction->event_parser, data, size)) {
@@ -89,20 +144,7 @@
 			"event in the stream exceeds the size limit");
 		return;
 	}
-	while (sr_event_parser_next(transaction->event_parser, &event)) {
-		record_event(transaction);
-		if (event.has_id && transaction->has_last_event &&
-		    event.id <= transaction->last_event)
-			continue;
-		if (!transaction->is_streaming)
-			sr_transaction_begin_stream(transaction);
-		sr_session_write_chunk(transaction->session, event.data,
-				       event.size);
-		if (event.has_id) {
-			transaction->has_last_event = TRUE;
-			transaction->last_event = event.id;
-		}
-	}
+	write_events(transaction);
 	limit_backlog(transaction);
 }
 
@@ -512,11 +554,18 @@
 	return SR_ATTEMPT_TRUNCATED;
 }
 
-/* A stream without any event still needs a response head. */
+/* A stream without any event still needs a response head. Empty lines may
+ * follow its last event. */
 void sr_transaction_finish_stream(sr_transaction_t *transaction)
 {
+	const guint8 *rest = NULL;
+	gsize size = 0;
+
 	if (!transaction->is_streaming)
 		sr_transaction_begin_stream(transaction);
+	if (transaction->event_parser)
+		rest = sr_event_parser_rest(transaction->event_parser, &size);
+	sr_session_write_chunk(transaction->session, rest, size);
 	sr_transaction_end_stream(transaction);
 }
 
--- a/test/gateway_flow_control_test.c
+++ b/test/gateway_flow_control_test.c
@@ -1,5 +1,5 @@
 /*
- * Streams that instances send faster than callers read them.
+ * Streams that instances send faster than callers read them, or in tiny events.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -148,10 +148,57 @@
 	fixture_free(&fixture);
 }
 
+#define N_TINY_EVENTS 16384
+
+static void serve_tiny_events(fake_connection_t *connection,
+			      const sr_message_t *request)
+{
+	GString *events = g_string_new(NULL);
+
+	for (unsigned i = 0; i < N_TINY_EVENTS; i++)
+		g_string_append(events, ":\n\n");
+	begin_stream(connection, request);
+	rig_send(connection, "%zx\r\n%s\r\n0\r\n\r\n", events->len,
+		 events->str);
+	g_string_free(events, TRUE);
+}
+
+/* Each chunk begins with a line that holds its size only. */
+static unsigned count_chunks(const char *stream)
+{
+	char **lines = g_strsplit(stream, "\r\n", -1);
+	unsigned n = 0;
+
+	for (char **line = lines; *line; line++) {
+		gsize size = strlen(*line);
+
+		n += size > 0 && strspn(*line, "0123456789abcdef") == size;
+	}
+	g_strfreev(lines);
+	return n;
+}
+
+/* Guards against a loop that one instance keeps busy: each of its events was
+ * written with a call of its own, some 80,000 for one turn. */
+static void test_tiny_events_leave_together(void **state)
+{
+	rig_t *rig = rig_new(serve_tiny_events);
+	caller_t *caller = caller_new(rig->caller_address);
+
+	(void)state;
+	caller_request(caller, "POST", "/stream/x", "r1", "", "");
+	assert_true(caller_wait_for(caller, "\r\n0\r\n\r\n", 1500));
+	assert_true(caller->received->len > N_TINY_EVENTS * strlen(":\n\n"));
+	assert_true(count_chunks(caller->received->str) < N_TINY_EVENTS / 64);
+	caller_free(caller);
+	rig_free(rig);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_late_reader_gets_the_whole_stream),
+		cmocka_unit_test(test_tiny_events_leave_together),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 #include <malloc.h>
 #include <netinet/tcp.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "http/channel.h"
@@ -278,6 +279,61 @@
 	}
 }
 
+/* Guards against a run of line feeds that is taken for as many events. The
+ * bytes have to stay the same all the same. */
+static void test_empty_lines_are_no_events(void **state)
+{
+	static const char text[] = "\n\r\n\ndata: a\n\n\n\n";
+	static const char first[] = "\n\r\n\ndata: a\n\n";
+	sr_event_parser_t *events = sr_event_parser_new();
+	sr_event_t event;
+	gsize rest;
+
+	(void)state;
+	assert_true(sr_event_parser_feed(events, (const guint8 *)text, 4));
+	assert_false(sr_event_parser_next(events, &event));
+	assert_true(sr_event_parser_is_between_events(events));
+	assert_true(sr_event_parser_feed(events, (const guint8 *)text + 4,
+					 strlen(text) - 4));
+	assert_true(sr_event_parser_next(events, &event));
+	assert_int_equal(event.size, strlen(first));
+	assert_memory_equal(event.data, first, event.size);
+	assert_false(sr_event_parser_next(events, &event));
+	assert_true(sr_event_parser_is_between_events(events));
+	assert_memory_equal(sr_event_parser_rest(events, &rest), "\n\n", 2);
+	assert_int_equal(rest, 2);
+	sr_event_parser_free(events);
+}
+
+/** Bytes of one read, and the processor time that an event of the largest size
+ * may take in such reads, in s: well below a turn of the loop for each read. */
+#define SMALL_READ 16
+#define LARGE_EVENT_TIME 1.0
+
+/* Guards against an event that is searched for its end from its beginning with
+ * each read. */
+static void test_large_event_in_small_reads(void **state)
+{
+	sr_event_parser_t *events = sr_event_parser_new();
+	guint8 data[SMALL_READ];
+	sr_event_t event;
+	clock_t started = clock();
+	gsize size = 0;
+
+	(void)state;
+	memset(data, 'x', sizeof(data));
+	for (; size + SMALL_READ < SR_EVENT_BUFFER_MAX; size += SMALL_READ) {
+		assert_true(sr_event_parser_feed(events, data, SMALL_READ));
+		assert_false(sr_event_parser_next(events, &event));
+	}
+	assert_true(sr_event_parser_feed(events, (const guint8 *)"\n\n", 2));
+	assert_true(sr_event_parser_next(events, &event));
+	assert_int_equal(event.size, size + 2);
+	assert_true((double)(clock() - started) / CLOCKS_PER_SEC <
+		    LARGE_EVENT_TIME);
+	sr_event_parser_free(events);
+}
+
 static int option(int fd, int level, int name)
 {
 	int value = -1;
@@ -532,6 +588,8 @@
 		cmocka_unit_test(test_interim_response_is_skipped),
 		cmocka_unit_test(test_hop_by_hop_fields),
 		cmocka_unit_test(test_events_are_split_at_boundaries),
+		cmocka_unit_test(test_empty_lines_are_no_events),
+		cmocka_unit_test(test_large_event_in_small_reads),
 		cmocka_unit_test(test_user_timeout_and_keep_alive_agree),
 		cmocka_unit_test(test_buffer_of_a_large_write_is_released),
 		cmocka_unit_test(test_send_buffer_holds_only_unsent_bytes),
