Check the status line of responses

Names of fields with blanks or control bytes were rejected already, but for those in trailers.

Cause: http_parser counts no digits of a status and takes any byte in the reason phrase and any version of one digit on each side.

The parser now checks the whole line against RFC 9112, 4, and the names of trailers as well. 101 is rejected, as no request asks for an upgrade.

test_malformed_responses_are_rejected (16 of 43 responses were accepted) and test_malformed_answer_is_a_failure failed before.

--- a/src/http/parser.c
+++ b/src/http/parser.c
@@ -7,6 +7,7 @@
 	sr_parser_options_t options;
 	http_parser parser;
 	sr_message_t message;
+	GString *status_line; /* responses, as far as it was read */
 	GString *target;
 	GString *reason;
 	GString *name;
@@ -14,6 +15,7 @@
 	gsize header_size;
 	guint8 last_byte; /* last header byte that was read; 0 if none */
 	gboolean expects_final_lf; /* after the CR of the empty line */
+	gboolean has_status_line;
 	gboolean has_input;
 	gboolean has_value;
 	gboolean no_body;
@@ -58,13 +60,13 @@
 {
 	sr_parser_t *parser = p->data;
 
-	if (parser->message.headers_complete) /* a trailer, which is dropped */
-		return 0;
-	add_pending_field(parser);
 	for (size_t i = 0; i < size; i++) {
 		if (!is_token_char(at[i]))
 			return 1;
 	}
+	if (parser->message.headers_complete) /* a trailer, which is dropped */
+		return 0;
+	add_pending_field(parser);
 	g_string_append_len(parser->name, at, (gssize)size);
 	return 0;
 }
@@ -185,6 +187,7 @@
 {
 	parser->message.headers = sr_headers_new();
 	parser->message.body = g_byte_array_new();
+	g_string_truncate(parser->status_line, 0);
 	g_string_truncate(parser->target, 0);
 	g_string_truncate(parser->reason, 0);
 	g_string_truncate(parser->name, 0);
@@ -192,6 +195,7 @@
 	parser->header_size = 0;
 	parser->last_byte = 0;
 	parser->expects_final_lf = FALSE;
+	parser->has_status_line = FALSE;
 	parser->has_input = FALSE;
 	parser->has_value = FALSE;
 	parser->no_body = FALSE;
@@ -208,6 +212,7 @@
 	sr_parser_t *parser = g_new0(sr_parser_t, 1);
 
 	parser->options = *options;
+	parser->status_line = g_string_new(NULL);
 	parser->target = g_string_new(NULL);
 	parser->reason = g_string_new(NULL);
 	parser->name = g_string_new(NULL);
@@ -221,6 +226,7 @@
 	if (!parser)
 		return;
 	clear_message(&parser->message);
+	g_string_free(parser->status_line, TRUE);
 	g_string_free(parser->target, TRUE);
 	g_string_free(parser->reason, TRUE);
 	g_string_free(parser->name, TRUE);
@@ -240,9 +246,50 @@
 	parser->no_body = TRUE;
 }
 
+/* Whether it is one of RFC 9112, 4, without its CRLF. http_parser accepts any
+ * number of digits and any byte in the reason. A status outside 100 to 599 is
+ * invalid (RFC 9110, 15); 101 answers an upgrade, which no request asks for. */
+static gboolean is_status_line(const char *line, gsize size)
+{
+	static const char prefix[] = "HTTP/1.";
+	const gsize status_at = strlen("HTTP/1.1 ");
+	const gsize status_end = status_at + 3;
+	unsigned status = 0;
+
+	if (size < status_end || memcmp(line, prefix, strlen(prefix)) ||
+	    !g_ascii_isdigit(line[status_at - 2]) || line[status_at - 1] != ' ')
+		return FALSE;
+	for (gsize i = status_at; i < status_end; i++) {
+		if (!g_ascii_isdigit(line[i]))
+			return FALSE;
+		status = 10 * status + (unsigned)(line[i] - '0');
+	}
+	if (status < 100 || status > 599 || status == 101)
+		return FALSE;
+	for (gsize i = status_end; i < size; i++) {
+		if (g_ascii_iscntrl(line[i]) && line[i] != '\t')
+			return FALSE;
+	}
+	return size == status_end || line[status_end] == ' ';
+}
+
+/* FALSE if the byte ends an invalid status line. */
+static gboolean add_to_status_line(sr_parser_t *parser, guint8 c)
+{
+	GString *line = parser->status_line;
+
+	if (c != '\n') {
+		g_string_append_c(line, (char)c);
+		return TRUE;
+	}
+	parser->has_status_line = TRUE;
+	/* the line feed follows a carriage return */
+	return is_status_line(line->str, line->len - 1);
+}
+
 /* Rejects bytes of the header section that http_parser would accept: NUL, a
- * line feed or carriage return alone, and folded lines. Returns how many bytes
- * belong to the header section, or -1. */
+ * line feed or carriage return alone, folded lines, and an invalid status line.
+ * Returns how many bytes belong to the header section, or -1. */
 static gssize check_header_bytes(sr_parser_t *parser, const guint8 *data,
 				 gsize size)
 {
@@ -254,6 +301,9 @@
 			return -1;
 		if (parser->last_byte == '\n' && (c == ' ' || c == '\t'))
 			return -1;
+		if (parser->options.kind == SR_MESSAGE_RESPONSE &&
+		    !parser->has_status_line && !add_to_status_line(parser, c))
+			return -1;
 		if (parser->expects_final_lf) {
 			parser->expects_final_lf = FALSE;
 			parser->last_byte = 0;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -12,8 +12,9 @@
  * The grammar is that of http_parser. In addition, the parser rejects what two
  * parsers could frame differently: a line feed without a carriage return,
  * folded lines, a field name with a space, two lengths, a length together with
- * a transfer coding, and a coding other than chunked. Bytes after the end of a
- * message are left to the caller.
+ * a transfer coding, and a coding other than chunked; and a response whose
+ * status line is invalid. Bytes after the end of a message are left to the
+ * caller.
  */
 typedef struct sr_parser sr_parser_t;
 
--- a/test/gateway_cut_answer_test.c
+++ b/test/gateway_cut_answer_test.c
@@ -1,6 +1,7 @@
 /*
  * An instance breaks off its answer at any byte and closes the connection, or
- * resets it while the request is still being written.
+ * resets it while the request is still being written; or it sends bytes that
+ * are no answer.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -241,12 +242,61 @@
 	}
 }
 
+/** Answer of the case being played. */
+static const char *answer;
+
+static void serve_answer(fake_connection_t *connection,
+			 const sr_message_t *request)
+{
+	(void)request;
+	rig_send(connection, "%s", answer);
+}
+
+/* Guards against MIXED: bytes that are no answer in HTTP/1.1, passed on as one
+ * or dropped as an interim one, so that the caller waited until its deadline.
+ */
+static void test_malformed_answer_is_a_failure(void **state)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 000 OK\r\nX-Request: r1\r\nX-Signature: s\r\n"
+		"Content-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 20 OK\r\nX-Request: r1\r\nX-Signature: s\r\n"
+		"Content-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 600 OK\r\nX-Request: r1\r\nX-Signature: s\r\n"
+		"Content-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 200 O\033K\r\nX-Request: r1\r\nX-Signature: s\r\n"
+		"Content-Length: 4\r\n\r\nbody",
+		HEAD "X A: c\r\nContent-Length: 4\r\n\r\nbody",
+		HEAD "X\001A: c\r\nContent-Length: 4\r\n\r\nbody",
+		HEAD "Content-Length : 2\r\n\r\nbody",
+		HEAD "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n"
+		     "0\r\n\r\n",
+		HEAD "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+		     "0\r\nX A: c\r\n\r\n",
+	};
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(answers); i++) {
+		rig_t *rig = rig_new(serve_answer);
+		caller_t *caller = caller_new(rig->caller_address);
+
+		answer = answers[i];
+		caller_request(caller, "POST", "/once/x", "r1", "", "");
+		if (!caller_wait_for(caller, "HTTP/1.1 502 ", 500) ||
+		    strstr(caller->received->str, "X-Signature"))
+			fail_msg("case %zu: %s", i, caller->received->str);
+		caller_free(caller);
+		rig_free(rig);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_answer_that_is_cut_is_no_whole_success),
 		cmocka_unit_test(test_reset_during_an_upload_is_no_end),
 		cmocka_unit_test(test_whole_answer_before_a_reset_is_passed_on),
+		cmocka_unit_test(test_malformed_answer_is_a_failure),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/http_test.c
+++ b/test/http_test.c
@@ -219,6 +219,82 @@
 	}
 }
 
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+
+/* Guards against bytes that are no answer in HTTP/1.1 and are passed on as one:
+ * a status that does not exist, or a field whose name is no token. */
+static void test_malformed_responses_are_rejected(void **state)
+{
+	static const char *const texts[] = {
+		/* status lines */
+		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 000 OK\r\n\r\n" OK_HEAD "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 0200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 00200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 600 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 999 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 -200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1\t200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200\tOK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 \r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 O\001K\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 O\033K\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 O\177K\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/0.9 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.10 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"http/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		/* nothing was asked that switches protocols */
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+		"Connection: upgrade\r\n\r\n" OK_HEAD
+		"Content-Length: 0\r\n\r\n",
+		/* field lines */
+		OK_HEAD "A b: c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "A : c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD " A: c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "A\t: c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "A\001: c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "A\177: c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "A\200: c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "(A): c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD ": c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "no colon\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "nocolon\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "A: b\001c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "A: b\177c\r\nContent-Length: 0\r\n\r\n",
+		OK_HEAD "Content-Length : 2\r\n\r\nab",
+		OK_HEAD "Content-Length\001: 2\r\n\r\nab",
+		OK_HEAD "Content-Length: 2\001\r\n\r\nab",
+		OK_HEAD "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+		OK_HEAD "Transfer-Encoding: chunked\001\r\n\r\n0\r\n\r\n",
+		/* trailers */
+		OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n"
+			"A b: c\r\n\r\n",
+		OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n"
+			"A\001: c\r\n\r\n",
+		OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n"
+			"A: b\001c\r\n\r\n",
+	};
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+		for (gsize chunk_size = 1; chunk_size < 200; chunk_size += 33) {
+			sr_parser_t *parser = new_parser(SR_MESSAGE_RESPONSE);
+
+			if (feed_in_chunks(parser, texts[i], chunk_size,
+					   NULL) != SR_ERR_PROTOCOL)
+				fail_msg(
+					"response %zu was accepted in chunks of %zu: %s\n",
+					i, chunk_size, texts[i]);
+			sr_parser_free(parser);
+		}
+	}
+}
+
 static void test_interim_response_is_skipped(void **state)
 {
 	sr_parser_t *parser = new_parser(SR_MESSAGE_RESPONSE);
@@ -615,6 +691,7 @@
 		cmocka_unit_test(test_upgrade_is_an_ordinary_request),
 		cmocka_unit_test(test_response_without_length),
 		cmocka_unit_test(test_truncated_response_is_incomplete),
+		cmocka_unit_test(test_malformed_responses_are_rejected),
 		cmocka_unit_test(test_interim_response_is_skipped),
 		cmocka_unit_test(test_hop_by_hop_fields),
 		cmocka_unit_test(test_many_fields_are_looked_at_once),
