--- a/test/gateway_flow_control_test.c
+++ b/test/gateway_flow_control_test.c
@@ -38,7 +38,7 @@
 	int size = g_snprintf(event, sizeof(event), "id: %u\ndata: ", number);
 
 	memset(event + size, 'x', sizeof(event) - (gsize)size);
-	memcpy(event + sizeof(event) - 2, "\n\n", 2);
+	memset(event + sizeof(event) - 2, '\n', 2);
 	rig_send(source, "%x\r\n", EVENT_SIZE);
 	sr_channel_write(source->channel, event, sizeof(event));
 	rig_send(source, "\r\n");
