Read upstreams by the strict parser

The client of upstreams now sends over sr_channel_t and reads by sr_parser_t, as the gateway does. Its interface stays but for the type of the header fields and a clock for the age of idle connections.

Ruled out: a check of the head beside libsoup, which gives out fields only after it has dropped lines.

--- a/bench/proxy_bench.c
+++ b/bench/proxy_bench.c
@@ -303,6 +303,7 @@
 /* The client: repeats a call and records its latency. */
 
 typedef struct {
+	sr_clock_t *clock;
 	sr_upstream_client_t *client;
 	char address[32];
 	const char *method;
@@ -323,7 +324,7 @@
 
 static void send_next(load_t *load);
 
-static void on_headers(void *user, unsigned status, SoupMessageHeaders *headers)
+static void on_headers(void *user, unsigned status, const sr_headers_t *headers)
 {
 	call_t *call = user;
 
@@ -384,7 +385,8 @@
 static void init_load(load_t *load, const process_t *target, const char *path)
 {
 	memset(load, 0, sizeof(*load));
-	load->client = sr_upstream_client_new();
+	load->clock = sr_clock_new_real();
+	load->client = sr_upstream_client_new(load->clock);
 	load->method = "GET";
 	load->path = path;
 	load->latencies = g_array_new(FALSE, FALSE, sizeof(sr_usec_t));
@@ -395,6 +397,7 @@
 static void clear_load(load_t *load)
 {
 	sr_upstream_client_free(load->client);
+	sr_clock_free(load->clock);
 	g_array_unref(load->latencies);
 	g_clear_pointer(&load->body, g_bytes_unref);
 }
--- a/src/caller/relay.c
+++ b/src/caller/relay.c
@@ -311,21 +311,22 @@
 		relay_bytes(relay, data, size);
 }
 
-static gboolean is_event_stream(SoupMessageHeaders *headers)
+static gboolean is_event_stream(const sr_headers_t *headers)
 {
-	const char *type = soup_message_headers_get_content_type(headers, NULL);
+	static const char media_type[] = "text/event-stream";
+	const char *type = sr_headers_get(headers, "Content-Type");
 
-	return type && !g_ascii_strcasecmp(type, "text/event-stream");
+	return type && strcspn(type, "; \t") == strlen(media_type) &&
+	       !g_ascii_strncasecmp(type, media_type, strlen(media_type));
 }
 
-static void copy_fields(sr_relay_t *relay, SoupMessageHeaders *headers)
+static void copy_fields(sr_relay_t *relay, const sr_headers_t *headers)
 {
 	SoupMessageHeaders *to = soup_server_message_get_response_headers(
 		relay->request->message);
 
 	for (size_t i = 0; i < G_N_ELEMENTS(answer_fields); i++) {
-		const char *value =
-			soup_message_headers_get_one(headers, answer_fields[i]);
+		const char *value = sr_headers_get(headers, answer_fields[i]);
 
 		soup_message_headers_remove(to, answer_fields[i]);
 		if (value)
@@ -335,8 +336,9 @@
 }
 
 /* Prepares for an answer that will be relayed. */
-static void accept_headers(sr_relay_t *relay, SoupMessageHeaders *headers)
+static void accept_headers(sr_relay_t *relay, const sr_headers_t *headers)
 {
+	const char *length = sr_headers_get(headers, "Content-Length");
 	gboolean is_stream =
 		relay->request->service->kind == SR_SERVICE_MODEL &&
 		relay->status == 200 && is_event_stream(headers);
@@ -344,20 +346,17 @@
 	sr_token_stream_free(relay->token_stream);
 	relay->token_stream = is_stream ? sr_token_stream_new() : NULL;
 	relay->length = -1;
-	if (!is_stream && soup_message_headers_get_encoding(headers) ==
-				  SOUP_ENCODING_CONTENT_LENGTH)
-		relay->length =
-			soup_message_headers_get_content_length(headers);
+	if (!is_stream && length)
+		relay->length = g_ascii_strtoll(length, NULL, 10);
 	relay->remaining = relay->length;
 	g_string_truncate(relay->output, 0);
 	copy_fields(relay, headers);
 }
 
-static void on_headers(void *user, unsigned status, SoupMessageHeaders *headers)
+static void on_headers(void *user, unsigned status, const sr_headers_t *headers)
 {
 	sr_relay_t *relay = user;
-	const char *executed =
-		soup_message_headers_get_one(headers, "X-Executed");
+	const char *executed = sr_headers_get(headers, "X-Executed");
 
 	relay->status = status;
 	relay->not_run =
@@ -511,7 +510,7 @@
 }
 
 static void ignore_headers(void *user, unsigned status,
-			   SoupMessageHeaders *headers)
+			   const sr_headers_t *headers)
 {
 }
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -79,7 +79,7 @@
 	daemon->loop_watch =
 		sr_loop_watch_new(daemon->clock, daemon->log, daemon->metrics);
 	open_trace(daemon, options->seed + 1);
-	daemon->upstream = sr_upstream_client_new();
+	daemon->upstream = sr_upstream_client_new(daemon->clock);
 	daemon->dispatch = sr_dispatch_new(&dispatch);
 	create_caller(daemon, options->seed + 2);
 	daemon->probes = sr_probes_new(daemon->metrics);
--- a/src/daemon/posting_run.c
+++ b/src/daemon/posting_run.c
@@ -162,18 +162,18 @@
 	g_assert(!will_retry);
 }
 
-static void on_headers(void *user, unsigned status, SoupMessageHeaders *headers)
+static void on_headers(void *user, unsigned status, const sr_headers_t *headers)
 {
 	run_t *run = user;
-	const char *executed =
-		soup_message_headers_get_one(headers, "X-Executed");
+	const char *executed = sr_headers_get(headers, "X-Executed");
+	const char *type = sr_headers_get(headers, "Content-Type");
 
 	run->status = status;
 	run->not_run =
 		status == 503 && executed && !strcmp(executed, "not-run");
 	g_free(run->content_type);
 	run->content_type =
-		g_strdup(soup_message_headers_get_content_type(headers, NULL));
+		type ? g_strndup(type, strcspn(type, "; \t")) : NULL;
 }
 
 static void on_data(void *user, const guint8 *data, gsize size)
--- a/src/upstream/client.h
+++ b/src/upstream/client.h
@@ -2,7 +2,9 @@
 #define SR_UPSTREAM_CLIENT_H
 
 #include <glib.h>
-#include <libsoup/soup.h>
+
+#include "base/clock.h"
+#include "http/headers.h"
 
 /**
  * sr_upstream_client_t - HTTP client for model engines and plain services
@@ -13,10 +15,9 @@
  * upstream has just closed, it would be unknown whether the request ran.
  *
  * A response is complete if it has the length that its headers state, or if it
- * ends with the last chunk of chunked transfer coding. libsoup reports a
- * connection that was closed between two chunks as the end of the body. The
- * client detects this, unless the upstream sent "Connection: close". A response
- * with neither a length nor chunks ends when the connection is closed.
+ * ends with the last chunk of chunked transfer coding. A response with neither
+ * a length nor chunks ends when the connection is closed; one that is reset is
+ * broken. So is one that is no valid HTTP/1.1, see sr_parser_t.
  */
 typedef struct sr_upstream_client sr_upstream_client_t;
 
@@ -34,12 +35,6 @@
 	SR_FETCH_BROKEN,   /* failed before the response was complete */
 } sr_fetch_end_t;
 
-/** sr_header_t - a header field; sr_upstream_send() copies both strings. */
-typedef struct {
-	const char *name;
-	const char *value; /* NULL leaves the field out */
-} sr_header_t;
-
 /**
  * sr_fetch_options_t - a request and its callbacks
  *
@@ -49,8 +44,8 @@
 typedef struct {
 	const char *address; /* IP:PORT */
 	const char *method;
-	const char *path; /* with the query string */
-	const sr_header_t *headers;
+	const char *path;	    /* with the query string */
+	const sr_header_t *headers; /* one whose value is NULL is left out */
 	unsigned n_headers;
 	const char *content_type; /* NULL if there is no body */
 	GBytes *body;		  /* or NULL */
@@ -58,7 +53,7 @@
 	/* called at most once, before any data; headers are valid during the
 	 * call */
 	void (*on_headers)(void *user, unsigned status,
-			   SoupMessageHeaders *headers);
+			   const sr_headers_t *headers);
 	/* called for each piece of the body; data is valid during the call */
 	void (*on_data)(void *user, const guint8 *data, gsize size);
 	/* called once unless the request is cancelled; detail is the reason of
@@ -67,8 +62,9 @@
 	void *user;
 } sr_fetch_options_t;
 
-/** sr_upstream_client_new - free with sr_upstream_client_free(). */
-sr_upstream_client_t *sr_upstream_client_new(void);
+/** sr_upstream_client_new - the clock is borrowed; free with
+ * sr_upstream_client_free(). */
+sr_upstream_client_t *sr_upstream_client_new(sr_clock_t *clock);
 
 /**
  * sr_upstream_client_free - cancel all requests without callbacks and close
@@ -80,7 +76,7 @@
  * sr_upstream_send - start a request
  *
  * No callback runs before it returns. Returns NULL, and calls none, if the
- * address and path don't form a valid URL.
+ * address, the method, the path or a field can't be sent.
  */
 sr_fetch_t *sr_upstream_send(sr_upstream_client_t *client,
 			     const sr_fetch_options_t *options);
@@ -88,8 +84,8 @@
 /**
  * sr_fetch_pause - stop reading the response
  *
- * It may be called at any time, also in on_headers and on_data. The result of
- * an operation that is pending is still passed to its callback.
+ * It may be called at any time, also in on_headers and on_data. Neither on_data
+ * nor a complete response's on_end is called until the resume.
  */
 void sr_fetch_pause(sr_fetch_t *fetch);
 
--- a/src/upstream/engine_orders.c
+++ b/src/upstream/engine_orders.c
@@ -65,7 +65,7 @@
 	sr_engine_orders_t *orders = call->orders;
 	const char *version = NULL;
 
-	if (status == SOUP_STATUS_OK && response)
+	if (status == 200 && response)
 		version = loaded_version(response, call->version);
 	sr_orders_report_state(orders->core, sr_clock_now(orders->clock),
 			       call->upstream, version);
--- a/src/upstream/engine_poller.c
+++ b/src/upstream/engine_poller.c
@@ -72,7 +72,7 @@
 	sr_engine_poller_t *poller = engine->poller;
 	sr_load_report_t report;
 
-	if (!end_query(engine) || status != SOUP_STATUS_OK || !response)
+	if (!end_query(engine) || status != 200 || !response)
 		return;
 	report.running = (unsigned)CLAMP(get_integer(response, "running"), 0,
 					 G_MAXINT32);
@@ -110,7 +110,7 @@
 	engine_t *engine = user;
 	json_object *events = NULL;
 
-	if (!end_query(engine) || status != SOUP_STATUS_OK || !response)
+	if (!end_query(engine) || status != 200 || !response)
 		return;
 	/* sequence numbers start again when an engine is restarted */
 	if ((guint64)MAX(get_integer(response, "last"), 0) <
--- a/src/upstream/query.c
+++ b/src/upstream/query.c
@@ -52,7 +52,7 @@
 	end_query(query, 0, NULL);
 }
 
-static void on_headers(void *user, unsigned status, SoupMessageHeaders *headers)
+static void on_headers(void *user, unsigned status, const sr_headers_t *headers)
 {
 	((query_t *)user)->status = status;
 }
--- a/test/caller_rig.h
+++ b/test/caller_rig.h
@@ -385,8 +385,8 @@
 	trace.clock = rig->clock;
 	rig->trace = sr_trace_new(&trace);
 	rig->dispatch = sr_dispatch_new(&dispatch);
-	rig->upstream = sr_upstream_client_new();
-	rig->client = sr_upstream_client_new();
+	rig->upstream = sr_upstream_client_new(rig->clock);
+	rig->client = sr_upstream_client_new(rig->clock);
 	options.clock = rig->clock;
 	options.metrics = rig->metrics;
 	options.trace = rig->trace;
@@ -465,13 +465,12 @@
 }
 
 static inline void rig_on_headers(void *user, unsigned status,
-				  SoupMessageHeaders *headers)
+				  const sr_headers_t *headers)
 {
 	rig_answer_t *answer = user;
 
 	answer->status = status;
-	answer->retry_after =
-		g_strdup(soup_message_headers_get_one(headers, "Retry-After"));
+	answer->retry_after = g_strdup(sr_headers_get(headers, "Retry-After"));
 }
 
 static inline void rig_on_data(void *user, const guint8 *data, gsize size)
--- a/test/postings_test.c
+++ b/test/postings_test.c
@@ -290,7 +290,7 @@
 	host->dispatch = sr_dispatch_new(&dispatch);
 	sr_dispatch_set_config(host->dispatch, sr_clock_now(fixture->clock),
 			       fixture->config);
-	host->http = sr_upstream_client_new();
+	host->http = sr_upstream_client_new(fixture->clock);
 	host->metrics = sr_metrics_new();
 	host->trace = sr_trace_new(&trace);
 	options.metrics = host->metrics;
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <sys/socket.h>
 
 #include "caller_rig.h"
 
@@ -17,12 +18,18 @@
 	CLOSE_IN_HEADER,      /* within the header of the response */
 	CLOSE_BETWEEN_CHUNKS, /* the response is incomplete */
 	CLOSE_AFTER_RESPONSE, /* the response is complete */
+	CLOSE_AFTER_TEXT,     /* server_t.text */
+	RESET_AFTER_TEXT,     /* the same */
 } close_point_t;
 
+/** For the age of idle connections. */
+static sr_clock_t *real_clock;
+
 typedef struct {
 	GSocketService *service;
 	char address[32];
 	close_point_t close_point;
+	const char *text;
 	unsigned n_connections;
 	unsigned n_requests;
 	GPtrArray *open; /* GSocketConnection */
@@ -44,6 +51,16 @@
 	g_free(session);
 }
 
+static void reset_session(session_t *session)
+{
+	const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+	GSocket *socket = g_socket_connection_get_socket(session->stream);
+
+	setsockopt(g_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &at_once,
+		   sizeof(at_once));
+	end_session(session);
+}
+
 static void write_text(session_t *session, const char *text)
 {
 	g_output_stream_write_all(
@@ -73,6 +90,13 @@
 	case CLOSE_AFTER_RESPONSE:
 		write_text(session, complete);
 		break;
+	case CLOSE_AFTER_TEXT:
+		write_text(session, server->text);
+		break;
+	case RESET_AFTER_TEXT:
+		write_text(session, server->text);
+		reset_session(session);
+		return;
 	case CLOSE_NEVER:
 		write_text(session, complete);
 		memset(session->buffer, 0, sizeof(session->buffer));
@@ -194,7 +218,8 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(close_points); i++) {
 		for (size_t j = 0; j < G_N_ELEMENTS(methods); j++) {
-			sr_upstream_client_t *client = sr_upstream_client_new();
+			sr_upstream_client_t *client =
+				sr_upstream_client_new(real_clock);
 			server_t server;
 
 			open_server(&server,
@@ -220,7 +245,7 @@
 
 static void test_refused_connection_reports_not_sent(void **state)
 {
-	sr_upstream_client_t *client = sr_upstream_client_new();
+	sr_upstream_client_t *client = sr_upstream_client_new(real_clock);
 	server_t server;
 
 	open_server(&server, CLOSE_NEVER);
@@ -233,7 +258,7 @@
 
 static void test_idempotent_requests_share_a_connection(void **state)
 {
-	sr_upstream_client_t *client = sr_upstream_client_new();
+	sr_upstream_client_t *client = sr_upstream_client_new(real_clock);
 	server_t server;
 
 	open_server(&server, CLOSE_NEVER);
@@ -249,14 +274,80 @@
 	rig_settle();
 }
 
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+
+/* Guards against bytes that are no answer in HTTP/1.1 and are passed on as one.
+ */
+static void test_malformed_response_is_broken(void **state)
+{
+	static const char *const texts[] = {
+		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 O\033K\r\nContent-Length: 2\r\n\r\nok",
+		OK_HEAD "A b: c\r\nContent-Length: 2\r\n\r\nok",
+		OK_HEAD "A\001: c\r\nContent-Length: 2\r\n\r\nok",
+		OK_HEAD "Content-Length : 1\r\n\r\nok",
+		OK_HEAD "Content-Length\001: 1\r\n\r\nok",
+		OK_HEAD "Content-Length: 2\r\nContent-Length: 1\r\n\r\nok",
+		OK_HEAD "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n"
+			"0\r\n\r\n",
+		OK_HEAD "Transfer-Encoding: gzip\r\n\r\nok",
+		OK_HEAD "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+			"\r\n2\r\nok\r\n0\r\n\r\n",
+		OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2zz\r\nok\r\n"
+			"0\r\n\r\n",
+	};
+	sr_upstream_client_t *client = sr_upstream_client_new(real_clock);
+
+	(void)state;
+	for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+		server_t server;
+
+		open_server(&server, CLOSE_AFTER_TEXT);
+		server.text = texts[i];
+		if (send_one(client, server.address, "POST", FALSE) !=
+		    SR_FETCH_BROKEN)
+			fail_msg("case %zu: %s", i, texts[i]);
+		close_server(&server);
+	}
+	sr_upstream_client_free(client);
+}
+
+/* Guards against part of a response that is taken for the whole one: it has no
+ * length, and its connection is reset. One that is closed in order is whole. */
+static void test_reset_is_no_end_of_a_response(void **state)
+{
+	sr_upstream_client_t *client = sr_upstream_client_new(real_clock);
+	server_t server;
+
+	(void)state;
+	open_server(&server, CLOSE_AFTER_TEXT);
+	server.text = OK_HEAD "\r\nok";
+	assert_int_equal(send_one(client, server.address, "POST", FALSE),
+			 SR_FETCH_COMPLETE);
+	server.close_point = RESET_AFTER_TEXT;
+	assert_int_equal(send_one(client, server.address, "POST", FALSE),
+			 SR_FETCH_BROKEN);
+	close_server(&server);
+	sr_upstream_client_free(client);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_non_idempotent_request_is_sent_at_most_once),
 		cmocka_unit_test(test_refused_connection_reports_not_sent),
+		cmocka_unit_test(test_malformed_response_is_broken),
+		cmocka_unit_test(test_reset_is_no_end_of_a_response),
 		cmocka_unit_test(test_idempotent_requests_share_a_connection),
 	};
+	int n_failed;
 
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	real_clock = sr_clock_new_real();
+	n_failed = cmocka_run_group_tests(tests, NULL, NULL);
+	sr_clock_free(real_clock);
+	return n_failed;
 }
