--- a/test/fuzz/http_fuzz.c
+++ b/test/fuzz/http_fuzz.c
@@ -1,7 +1,8 @@
 /*
  * Parses the input as a request and as a response, at once and byte by byte.
  * Both parses must give the same result, and no message may have two framing
- * headers. The input is also split as an event stream.
+ * headers. The input is also split as an event stream, whose events must not
+ * depend on the size of the reads.
  */
 #include <string.h>
 
@@ -61,19 +62,58 @@
 			 whole.body == by_byte.body);
 }
 
-int LLVMFuzzerTestOneInput(const guint8 *data, size_t size)
+/* Appends the events that the bytes hold in reads of read_size, each after its
+ * id and before a mark, and then the rest; FALSE if an event is too large. */
+static gboolean split_events(const guint8 *data, gsize size, gsize read_size,
+			     GString *out)
 {
 	sr_event_parser_t *events = sr_event_parser_new();
+	gboolean ok = TRUE;
+	const guint8 *rest;
+	gsize rest_size;
 	sr_event_t event;
 
-	if (size > 0) {
-		compare_parses(SR_MESSAGE_REQUEST, data, size);
-		compare_parses(SR_MESSAGE_RESPONSE, data, size);
-	}
-	if (sr_event_parser_feed(events, data, size)) {
-		while (sr_event_parser_next(events, &event))
+	for (gsize at = 0; ok && at < size; at += read_size) {
+		ok = sr_event_parser_feed(events, data + at,
+					  MIN(read_size, size - at));
+		while (ok && sr_event_parser_next(events, &event)) {
 			g_assert(event.size > 0);
+			g_string_append_printf(out, "%d %" G_GUINT64_FORMAT " ",
+					       event.has_id, event.id);
+			g_string_append_len(out, (const char *)event.data,
+					    (gssize)event.size);
+			g_string_append_c(out, '|');
+		}
 	}
+	rest = sr_event_parser_rest(events, &rest_size);
+	g_string_append_len(out, (const char *)rest, (gssize)rest_size);
 	sr_event_parser_free(events);
+	return ok;
+}
+
+static void compare_splits(const guint8 *data, gsize size)
+{
+	GString *whole = g_string_new(NULL);
+	GString *by_byte = g_string_new(NULL);
+	GString *in_reads = g_string_new(NULL);
+
+	if (split_events(data, size, size, whole) &&
+	    split_events(data, size, 1, by_byte) &&
+	    split_events(data, size, (gsize)data[0] + 1, in_reads)) {
+		g_assert(g_string_equal(whole, by_byte));
+		g_assert(g_string_equal(whole, in_reads));
+	}
+	g_string_free(whole, TRUE);
+	g_string_free(by_byte, TRUE);
+	g_string_free(in_reads, TRUE);
+}
+
+int LLVMFuzzerTestOneInput(const guint8 *data, size_t size)
+{
+	if (size == 0)
+		return 0;
+	compare_parses(SR_MESSAGE_REQUEST, data, size);
+	compare_parses(SR_MESSAGE_RESPONSE, data, size);
+	compare_splits(data, size);
 	return 0;
 }
