--- a/test/gateway_flow_control_test.c
+++ b/test/gateway_flow_control_test.c
@@ -180,7 +180,7 @@
 }
 
 /* Guards against a loop that one instance keeps busy: each of its events was
- * written with a call of its own, some 80,000 for one turn. */
+ * written with a call of its own. */
 static void test_tiny_events_leave_together(void **state)
 {
 	rig_t *rig = rig_new(serve_tiny_events);
