Read the store and the duties by the strict parser

src/upstream/client becomes src/http/client, and src/platform_api sends by it. An exchange keeps its timeouts, its new connection for each write and its one resend of a GET on a kept connection; connections to the store have neither a user timeout nor keep-alive probes, as before.

--- a/bench/proxy_bench.c
+++ b/bench/proxy_bench.c
@@ -304,7 +304,7 @@
 
 typedef struct {
 	sr_clock_t *clock;
-	sr_upstream_client_t *client;
+	sr_http_client_t *client;
 	char address[32];
 	const char *method;
 	const char *path;
@@ -379,14 +379,15 @@
 	call->load = load;
 	call->started_at = g_get_monotonic_time();
 	load->running++;
-	sr_upstream_send(load->client, &options);
+	sr_http_send(load->client, &options);
 }
 
 static void init_load(load_t *load, const process_t *target, const char *path)
 {
 	memset(load, 0, sizeof(*load));
 	load->clock = sr_clock_new_real();
-	load->client = sr_upstream_client_new(load->clock);
+	load->client = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = load->clock });
 	load->method = "GET";
 	load->path = path;
 	load->latencies = g_array_new(FALSE, FALSE, sizeof(sr_usec_t));
@@ -396,7 +397,7 @@
 
 static void clear_load(load_t *load)
 {
-	sr_upstream_client_free(load->client);
+	sr_http_client_free(load->client);
 	sr_clock_free(load->clock);
 	g_array_unref(load->latencies);
 	g_clear_pointer(&load->body, g_bytes_unref);
--- a/src/caller/relay.c
+++ b/src/caller/relay.c
@@ -422,7 +422,7 @@
 				    SR_SPAN_CLIENT, &context);
 	sr_trace_format(&context, traceparent);
 	relay->fetch =
-		sr_upstream_send(server_of(relay)->options.upstream, &options);
+		sr_http_send(server_of(relay)->options.upstream, &options);
 }
 
 static void start_attempt(sr_relay_t *relay)
@@ -537,7 +537,7 @@
 	};
 
 	if (relay->request->service->kind == SR_SERVICE_MODEL)
-		sr_upstream_send(server_of(relay)->options.upstream, &options);
+		sr_http_send(server_of(relay)->options.upstream, &options);
 	g_free(path);
 }
 
--- a/src/caller/server.h
+++ b/src/caller/server.h
@@ -11,7 +11,7 @@
 #include "core/config.h"
 #include "core/dispatch.h"
 #include "daemon/postings.h"
-#include "upstream/client.h"
+#include "http/client.h"
 
 /**
  * sr_caller_server_t - the HTTP server for callers
@@ -37,7 +37,7 @@
 	sr_metrics_t *metrics;
 	sr_trace_t *trace;
 	sr_dispatch_t *dispatch;
-	sr_upstream_client_t *upstream;
+	sr_http_client_t *upstream;
 	guint64 seed;	      /* of the random request ids */
 	gsize request_bytes;  /* limit of one request body */
 	gsize buffered_bytes; /* limit of all bodies and answers */
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -292,15 +292,13 @@
 static void create_platform(sr_control_t *control)
 {
 	const sr_settings_t *settings = control->options.settings;
-	char *url = g_strdup_printf("http://%s", settings->platform_address);
 	const sr_platform_options_t options = {
-		.url = url,
+		.address = settings->platform_address,
 		.clock = control->options.clock,
 		.seed = control->options.seed,
 	};
 
 	control->platform = sr_platform_new(&options);
-	g_free(url);
 }
 
 static void create_gossip(sr_control_t *control)
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -14,7 +14,7 @@
 #include "core/store.h"
 #include "daemon/members.h"
 #include "peer/peer.h"
-#include "upstream/client.h"
+#include "http/client.h"
 
 /**
  * sr_control_t - control plane of an entry host
@@ -37,7 +37,7 @@
 	sr_log_t *log;
 	sr_metrics_t *metrics;
 	sr_dispatch_t *dispatch;
-	sr_upstream_client_t *upstream;
+	sr_http_client_t *upstream;
 	SoupServer *admin_server;
 	GBytes *first_config_text; /* published if no configuration has been
 				    * accepted; or NULL */
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -79,7 +79,8 @@
 	daemon->loop_watch =
 		sr_loop_watch_new(daemon->clock, daemon->log, daemon->metrics);
 	open_trace(daemon, options->seed + 1);
-	daemon->upstream = sr_upstream_client_new(daemon->clock);
+	daemon->upstream = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = daemon->clock });
 	daemon->dispatch = sr_dispatch_new(&dispatch);
 	create_caller(daemon, options->seed + 2);
 	daemon->probes = sr_probes_new(daemon->metrics);
@@ -438,7 +439,7 @@
 	sr_probes_free(daemon->probes);
 	sr_config_unref(daemon->config);
 	sr_dispatch_free(daemon->dispatch);
-	sr_upstream_client_free(daemon->upstream);
+	sr_http_client_free(daemon->upstream);
 	sr_trace_free(daemon->trace);
 	if (daemon->trace_file)
 		fclose(daemon->trace_file);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -15,7 +15,7 @@
 #include "daemon/probes.h"
 #include "daemon/postings.h"
 #include "daemon/versions.h"
-#include "upstream/client.h"
+#include "http/client.h"
 
 /**
  * sr_daemon_t - an entry host: its parts and their connections
@@ -30,7 +30,7 @@
 	sr_metrics_t *metrics;
 	sr_loop_watch_t *loop_watch;
 	sr_trace_t *trace;
-	sr_upstream_client_t *upstream;
+	sr_http_client_t *upstream;
 	sr_dispatch_t *dispatch;
 	sr_config_t *config; /* in force, or NULL */
 	sr_postings_t *postings;
--- a/src/daemon/posting_run.c
+++ b/src/daemon/posting_run.c
@@ -268,7 +268,7 @@
 		   MAX(run->deadline - now_of(run), SR_MSEC) / SR_MSEC);
 	sr_trace_format(&run->context, traceparent);
 	sr_span_set(run->span, "upstream", target->name);
-	run->fetch = sr_upstream_send(options->upstream, &fetch);
+	run->fetch = sr_http_send(options->upstream, &fetch);
 	if (run->fetch)
 		return;
 	sr_timer_cancel(run->timer);
@@ -388,7 +388,7 @@
 	};
 
 	run->is_outcome_query = TRUE;
-	run->fetch = sr_upstream_send(postings->options.upstream, &fetch);
+	run->fetch = sr_http_send(postings->options.upstream, &fetch);
 	run->timer = sr_timer_start(postings->options.clock,
 				    run->fetch ? OUTCOME_QUERY_TIMEOUT : 0,
 				    on_query_timeout, run);
--- a/src/daemon/postings.h
+++ b/src/daemon/postings.h
@@ -14,7 +14,7 @@
 #include "core/journal.h"
 #include "core/store.h"
 #include "peer/peer.h"
-#include "upstream/client.h"
+#include "http/client.h"
 
 /**
  * sr_postings_t - runs the requests of routes that are not idempotent
@@ -90,7 +90,7 @@
 	sr_metrics_t *metrics;
 	sr_trace_t *trace;
 	sr_dispatch_t *dispatch;
-	sr_upstream_client_t *upstream;
+	sr_http_client_t *upstream;
 	sr_store_t *store;
 	sr_gossip_t *gossip; /* NULL for a single host */
 	sr_peer_t *peer;     /* NULL for a single host */
--- a/src/http/channel.c
+++ b/src/http/channel.c
@@ -373,6 +373,12 @@
 	sr_channel_free(channel);
 }
 
+void sr_channel_keep_silent(sr_channel_t *channel)
+{
+	set_option(channel->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+	set_option(channel->fd, SOL_SOCKET, SO_KEEPALIVE, 0);
+}
+
 void sr_channel_set_events(sr_channel_t *channel,
 			   const sr_channel_events_t *events, void *user)
 {
--- a/src/http/channel.h
+++ b/src/http/channel.h
@@ -74,6 +74,10 @@
  * an error. */
 void sr_channel_reset(sr_channel_t *channel);
 
+/** sr_channel_keep_silent - don't reset the connection while its peer is
+ * unreachable; the owner has a timeout. */
+void sr_channel_keep_silent(sr_channel_t *channel);
+
 /** sr_channel_set_events - replace the callbacks, for a change of owner. */
 void sr_channel_set_events(sr_channel_t *channel,
 			   const sr_channel_events_t *events, void *user);
--- a/src/upstream/client.c
+++ b/src/http/client.c
@@ -1,4 +1,4 @@
-#include "upstream/client.h"
+#include "http/client.h"
 
 #include <string.h>
 
@@ -19,8 +19,8 @@
 /** Minimum interval of the search for idle connections to close. */
 #define SWEEP_INTERVAL SR_SEC
 
-struct sr_upstream_client {
-	sr_clock_t *clock;
+struct sr_http_client {
+	sr_http_client_options_t options;
 	GHashTable *idle; /* IP:PORT -> sr_list_t of idle_t, latest last */
 	sr_usec_t swept_at;
 	sr_list_t fetches;
@@ -36,8 +36,8 @@
 
 struct sr_fetch {
 	sr_list_t link;
-	sr_upstream_client_t *client; /* NULL once ended or cancelled */
-	sr_fetch_options_t options;   /* strings and body are not kept */
+	sr_http_client_t *client;   /* NULL once ended or cancelled */
+	sr_fetch_options_t options; /* strings and body are not kept */
 	char *address;
 	GByteArray *request;
 	sr_channel_t *channel; /* NULL after the response */
@@ -46,8 +46,9 @@
 	gsize body_passed; /* bytes of it that were */
 	gboolean has_end;  /* end and detail follow the body */
 	sr_fetch_end_t end;
-	const char *detail;   /* static string */
-	guint source;	      /* passes on body and end; or 0 */
+	const char *detail; /* static string */
+	guint source;	    /* passes on body and end; or 0 */
+	gboolean is_sent;
 	gboolean is_reused;   /* the connection carried a request before */
 	gboolean has_headers; /* on_headers was called */
 	gboolean paused;
@@ -103,9 +104,9 @@
 
 /* Closes the connections that have been idle for too long, and drops the lists
  * of addresses that have none. */
-static void sweep_idle(sr_upstream_client_t *client)
+static void sweep_idle(sr_http_client_t *client)
 {
-	sr_usec_t now = sr_clock_now(client->clock);
+	sr_usec_t now = sr_clock_now(client->options.clock);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -129,7 +130,7 @@
 
 static void put_idle(sr_fetch_t *fetch)
 {
-	sr_upstream_client_t *client = fetch->client;
+	sr_http_client_t *client = fetch->client;
 	sr_list_t *list = g_hash_table_lookup(client->idle, fetch->address);
 	idle_t *idle = g_new0(idle_t, 1);
 
@@ -140,16 +141,15 @@
 				    list);
 	}
 	idle->channel = fetch->channel;
-	idle->since = sr_clock_now(client->clock);
+	idle->since = sr_clock_now(client->options.clock);
 	sr_list_append(list, &idle->link);
 	sr_channel_set_paused(idle->channel, FALSE);
 	sr_channel_set_events(idle->channel, &idle_events, idle);
 }
 
 /* NULL if there is none. The latest one is the least likely to have been closed
- * by the upstream. */
-static sr_channel_t *take_idle(sr_upstream_client_t *client,
-			       const char *address)
+ * by the server. */
+static sr_channel_t *take_idle(sr_http_client_t *client, const char *address)
 {
 	sr_list_t *list;
 	sr_channel_t *channel;
@@ -301,6 +301,7 @@
 
 static void send_request(sr_fetch_t *fetch)
 {
+	fetch->is_sent = TRUE;
 	sr_channel_write(fetch->channel, fetch->request->data,
 			 fetch->request->len);
 }
@@ -312,7 +313,7 @@
 
 static void connect_fetch(sr_fetch_t *fetch);
 
-/* An upstream may close an idle connection just before it is used. */
+/* A server may close an idle connection just before it is used. */
 static gboolean may_reconnect(const sr_fetch_t *fetch)
 {
 	return fetch->is_reused && fetch->options.idempotent &&
@@ -325,7 +326,7 @@
 
 	if (how == SR_CHANNEL_CONNECT_FAILED) {
 		end_fetch(fetch, SR_FETCH_NOT_SENT,
-			  "could not connect to the upstream");
+			  "could not connect to the server");
 	} else if (may_reconnect(fetch)) {
 		sr_channel_free(fetch->channel);
 		connect_fetch(fetch);
@@ -354,10 +355,12 @@
 		sr_channel_connect(fetch->address, &fetch_events, fetch);
 	if (!fetch->channel) {
 		set_end(fetch, SR_FETCH_NOT_SENT,
-			"could not open a connection to the upstream");
+			"could not open a connection to the server");
 		pass_on_later(fetch);
 		return;
 	}
+	if (fetch->client->options.keeps_silent_connections)
+		sr_channel_keep_silent(fetch->channel);
 	update_channel(fetch);
 }
 
@@ -374,18 +377,18 @@
 	send_request(fetch);
 }
 
-sr_upstream_client_t *sr_upstream_client_new(sr_clock_t *clock)
+sr_http_client_t *sr_http_client_new(const sr_http_client_options_t *options)
 {
-	sr_upstream_client_t *client = g_new0(sr_upstream_client_t, 1);
+	sr_http_client_t *client = g_new0(sr_http_client_t, 1);
 
-	client->clock = clock;
+	client->options = *options;
 	client->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     free_idle_list);
 	sr_list_init(&client->fetches);
 	return client;
 }
 
-void sr_upstream_client_free(sr_upstream_client_t *client)
+void sr_http_client_free(sr_http_client_t *client)
 {
 	if (!client)
 		return;
@@ -395,6 +398,11 @@
 	g_free(client);
 }
 
+void sr_http_client_close_idle(sr_http_client_t *client)
+{
+	g_hash_table_remove_all(client->idle);
+}
+
 /* CONNECT is none: the bytes after its response are no body. */
 static gboolean is_method(const char *method)
 {
@@ -462,8 +470,8 @@
 	return out;
 }
 
-sr_fetch_t *sr_upstream_send(sr_upstream_client_t *client,
-			     const sr_fetch_options_t *options)
+sr_fetch_t *sr_http_send(sr_http_client_t *client,
+			 const sr_fetch_options_t *options)
 {
 	const sr_parser_options_t parser = {
 		.kind = SR_MESSAGE_RESPONSE,
@@ -505,6 +513,11 @@
 		pass_on_later(fetch);
 }
 
+gboolean sr_fetch_is_sent(const sr_fetch_t *fetch)
+{
+	return fetch->is_sent;
+}
+
 void sr_fetch_cancel(sr_fetch_t *fetch)
 {
 	if (!fetch)
@@ -513,7 +526,7 @@
 	unlink_fetch(fetch);
 }
 
-unsigned sr_upstream_n_fetches(const sr_upstream_client_t *client)
+unsigned sr_http_client_n_fetches(const sr_http_client_t *client)
 {
 	return client->n_fetches;
 }
--- a/src/upstream/client.h
+++ b/src/http/client.h
@@ -1,5 +1,5 @@
-#ifndef SR_UPSTREAM_CLIENT_H
-#define SR_UPSTREAM_CLIENT_H
+#ifndef SR_HTTP_CLIENT_H
+#define SR_HTTP_CLIENT_H
 
 #include <glib.h>
 
@@ -7,19 +7,19 @@
 #include "http/headers.h"
 
 /**
- * sr_upstream_client_t - HTTP client for model engines and plain services
+ * sr_http_client_t - HTTP client with kept connections
  *
- * The client owns the connections to all upstreams. It has no retry policy:
- * the code that starts a request decides whether to send it again. A request
- * that is not idempotent gets a new connection: on a reused one that the
- * upstream has just closed, it would be unknown whether the request ran.
+ * It has no retry policy: the code that starts a request decides whether to
+ * send it again. A request that is not idempotent gets a new connection: on a
+ * reused one that the server has just closed, it would be unknown whether the
+ * request ran.
  *
  * A response is complete if it has the length that its headers state, or if it
  * ends with the last chunk of chunked transfer coding. A response with neither
  * a length nor chunks ends when the connection is closed; one that is reset is
  * broken. So is one that is no valid HTTP/1.1, see sr_parser_t.
  */
-typedef struct sr_upstream_client sr_upstream_client_t;
+typedef struct sr_http_client sr_http_client_t;
 
 /**
  * sr_fetch_t - an HTTP request and its response
@@ -38,7 +38,7 @@
 /**
  * sr_fetch_options_t - a request and its callbacks
  *
- * sr_upstream_send() copies the strings and references the body. user must
+ * sr_http_send() copies the strings and references the body. user must
  * remain valid until on_end or sr_fetch_cancel() is called.
  */
 typedef struct {
@@ -62,24 +62,33 @@
 	void *user;
 } sr_fetch_options_t;
 
-/** sr_upstream_client_new - the clock is borrowed; free with
- * sr_upstream_client_free(). */
-sr_upstream_client_t *sr_upstream_client_new(sr_clock_t *clock);
+typedef struct {
+	sr_clock_t *clock; /* borrowed */
+	/* Connections to a server that can't be reached are not reset; the
+	 * owner has timeouts for its requests. */
+	gboolean keeps_silent_connections;
+} sr_http_client_options_t;
+
+/** sr_http_client_new - free with sr_http_client_free(). */
+sr_http_client_t *sr_http_client_new(const sr_http_client_options_t *options);
 
 /**
- * sr_upstream_client_free - cancel all requests without callbacks and close
+ * sr_http_client_free - cancel all requests without callbacks and close
  * the connections; NULL is allowed
  */
-void sr_upstream_client_free(sr_upstream_client_t *client);
+void sr_http_client_free(sr_http_client_t *client);
+
+/** sr_http_client_close_idle - close the connections without a request. */
+void sr_http_client_close_idle(sr_http_client_t *client);
 
 /**
- * sr_upstream_send - start a request
+ * sr_http_send - start a request
  *
  * No callback runs before it returns. Returns NULL, and calls none, if the
  * address, the method, the path or a field can't be sent.
  */
-sr_fetch_t *sr_upstream_send(sr_upstream_client_t *client,
-			     const sr_fetch_options_t *options);
+sr_fetch_t *sr_http_send(sr_http_client_t *client,
+			 const sr_fetch_options_t *options);
 
 /**
  * sr_fetch_pause - stop reading the response
@@ -92,10 +101,13 @@
 /** sr_fetch_resume - continue reading after sr_fetch_pause(). */
 void sr_fetch_resume(sr_fetch_t *fetch);
 
+/** sr_fetch_is_sent - FALSE while it is certain that no byte was sent. */
+gboolean sr_fetch_is_sent(const sr_fetch_t *fetch);
+
 /** sr_fetch_cancel - end without further callbacks; NULL is allowed. */
 void sr_fetch_cancel(sr_fetch_t *fetch);
 
-/** sr_upstream_n_fetches - number of requests that have not ended. */
-unsigned sr_upstream_n_fetches(const sr_upstream_client_t *client);
+/** sr_http_client_n_fetches - number of requests that have not ended. */
+unsigned sr_http_client_n_fetches(const sr_http_client_t *client);
 
 #endif
--- a/src/platform_api/client.c
+++ b/src/platform_api/client.c
@@ -1,6 +1,5 @@
 #include "platform_api/client.h"
 
-#include <libsoup/soup.h>
 #include <string.h>
 
 #include "base/list.h"
@@ -11,9 +10,6 @@
 /* Lower limit of sr_platform_set_rate(), in calls per second. */
 #define MIN_RATE 0.1
 
-/* How long an unused connection is kept, in seconds. */
-#define IDLE_TIMEOUT_S 30
-
 typedef enum {
 	CALL_OBJECT,  /* to the object API, by the store */
 	CALL_REQUEST, /* by sr_platform_request() */
@@ -27,7 +23,7 @@
 	sr_store_class_t class;
 	gboolean long_poll;
 	char *method;
-	char *url;
+	char *path;
 	char *if_match;
 	const char *if_none_match;
 	const char *content_type;
@@ -44,8 +40,8 @@
 struct sr_platform {
 	sr_store_t store;
 	sr_clock_t *clock;
-	SoupSession *session;
-	char *url;
+	sr_http_client_t *client;
+	char *address;
 	sr_budget_t budget;
 	unsigned max_in_flight;
 	unsigned max_queued;
@@ -63,7 +59,7 @@
 static void free_call(call_t *call)
 {
 	g_free(call->method);
-	g_free(call->url);
+	g_free(call->path);
 	g_free(call->if_match);
 	g_strfreev(call->headers);
 	g_clear_pointer(&call->body, g_bytes_unref);
@@ -176,23 +172,11 @@
 
 static void process_queues(sr_platform_t *platform);
 
-static SoupSession *new_session(unsigned max_in_flight)
-{
-	SoupSession *session = soup_session_new_with_options(
-		"max-conns", (int)max_in_flight * 2, "max-conns-per-host",
-		(int)max_in_flight * 2, "timeout", 0, "idle-timeout",
-		IDLE_TIMEOUT_S, NULL);
-
-	soup_session_set_proxy_resolver(session, NULL);
-	return session;
-}
-
 /* What made one connection silent may have done so to all: kept ones are
  * closed, those in use end with their calls. */
 static void leave_kept_connections(sr_platform_t *platform)
 {
-	g_object_unref(platform->session);
-	platform->session = new_session(platform->max_in_flight);
+	sr_http_client_close_idle(platform->client);
 }
 
 /* Ends a call that was throttled, lost, not sent or answered with a 5xx. */
@@ -247,10 +231,11 @@
 {
 	sr_platform_t *platform = call->platform;
 	sr_exchange_options_t options = {
-		.session = platform->session,
+		.client = platform->client,
 		.clock = platform->clock,
 		.method = call->method,
-		.url = call->url,
+		.address = platform->address,
+		.path = call->path,
 		.if_match = call->if_match,
 		.if_none_match = call->if_none_match,
 		.content_type = call->content_type,
@@ -372,31 +357,30 @@
 	schedule_processing(platform, 0);
 }
 
-static char *object_url(const sr_platform_t *platform,
-			const sr_store_call_t *options, sr_usec_t timeout)
+static char *object_path(const sr_store_call_t *options, sr_usec_t timeout)
 {
 	char *key = g_uri_escape_string(
 		options->key, options->op == SR_STORE_LIST ? NULL : "/", FALSE);
-	GString *url = g_string_new(platform->url);
+	GString *path = g_string_new(NULL);
 
 	if (options->op == SR_STORE_LIST)
-		g_string_append_printf(url, "/objects?prefix=%s", key);
+		g_string_append_printf(path, "/objects?prefix=%s", key);
 	else
-		g_string_append_printf(url, "/objects/%s", key);
+		g_string_append_printf(path, "/objects/%s", key);
 	if (options->op == SR_STORE_LIST && options->after) {
-		g_string_append(url, "&after=");
-		g_string_append_uri_escaped(url, options->after, NULL, FALSE);
+		g_string_append(path, "&after=");
+		g_string_append_uri_escaped(path, options->after, NULL, FALSE);
 	}
 	if (options->op == SR_STORE_LIST && options->limit)
-		g_string_append_printf(url, "&limit=%u", options->limit);
+		g_string_append_printf(path, "&limit=%u", options->limit);
 	if (options->op == SR_STORE_WATCH)
-		g_string_append_printf(url,
+		g_string_append_printf(path,
 				       "?watch=%" G_GUINT64_FORMAT
 				       "&timeout_s=%" G_GINT64_FORMAT,
 				       options->if_version,
 				       MAX(timeout / SR_SEC, 1));
 	g_free(key);
-	return g_string_free(url, FALSE);
+	return g_string_free(path, FALSE);
 }
 
 static void set_method(call_t *call, const sr_store_call_t *options)
@@ -439,7 +423,7 @@
 	if (!call->timeout)
 		call->timeout = call->long_poll ? SR_PLATFORM_WATCH_TIMEOUT :
 						  platform->default_timeout;
-	call->url = object_url(platform, options, call->timeout);
+	call->path = object_path(options, call->timeout);
 	set_method(call, options);
 	call->content_type = "application/octet-stream";
 	if (options->value)
@@ -461,7 +445,7 @@
 	call->timeout =
 		request->timeout ? request->timeout : platform->default_timeout;
 	call->method = g_strdup(request->method);
-	call->url = g_strconcat(platform->url, request->path, NULL);
+	call->path = g_strdup(request->path);
 	call->content_type = "application/json";
 	call->headers = g_strdupv((char **)request->headers);
 	if (request->body)
@@ -521,6 +505,10 @@
 sr_platform_t *sr_platform_new(const sr_platform_options_t *options)
 {
 	sr_platform_t *platform = g_new0(sr_platform_t, 1);
+	const sr_http_client_options_t client = {
+		.clock = options->clock,
+		.keeps_silent_connections = TRUE,
+	};
 	double rate = options->calls_per_s > 0 ? options->calls_per_s :
 						 SR_PLATFORM_DEFAULT_RATE;
 	double burst =
@@ -529,7 +517,7 @@
 	platform->store.submit = submit_object;
 	platform->store.cancel_all = cancel_objects;
 	platform->clock = options->clock;
-	platform->url = g_strdup(options->url);
+	platform->address = g_strdup(options->address);
 	platform->max_in_flight = options->max_in_flight ?
 					  options->max_in_flight :
 					  SR_PLATFORM_DEFAULT_IN_FLIGHT;
@@ -542,7 +530,7 @@
 	platform->watch_grace = options->watch_grace ?
 					options->watch_grace :
 					SR_PLATFORM_DEFAULT_WATCH_GRACE;
-	platform->session = new_session(platform->max_in_flight);
+	platform->client = sr_http_client_new(&client);
 	sr_budget_init(&platform->budget, rate, burst, options->seed,
 		       sr_clock_now(options->clock));
 	if (options->backoff_max)
@@ -569,10 +557,9 @@
 	sr_list_for_each_safe (pos, &platform->in_flight)
 		cancel_in_flight(sr_list_entry(pos, call_t, link));
 	sr_timer_cancel(platform->queue_timer);
-	soup_session_abort(platform->session);
-	g_object_unref(platform->session);
+	sr_http_client_free(platform->client);
 	sr_budget_clear(&platform->budget);
-	g_free(platform->url);
+	g_free(platform->address);
 	g_free(platform);
 }
 
--- a/src/platform_api/client.h
+++ b/src/platform_api/client.h
@@ -21,11 +21,11 @@
 typedef struct sr_platform sr_platform_t;
 
 typedef struct {
-	const char *url;    /* copied; e.g. "http://127.0.0.1:8500" */
-	sr_clock_t *clock;  /* borrowed */
-	guint64 seed;	    /* for jitter */
-	double calls_per_s; /* 0 for SR_PLATFORM_DEFAULT_RATE */
-	double burst;	    /* in calls; 0 for SR_PLATFORM_DEFAULT_BURST */
+	const char *address; /* copied; IP:PORT */
+	sr_clock_t *clock;   /* borrowed */
+	guint64 seed;	     /* for jitter */
+	double calls_per_s;  /* 0 for SR_PLATFORM_DEFAULT_RATE */
+	double burst;	     /* in calls; 0 for SR_PLATFORM_DEFAULT_BURST */
 	/* without long polls; 0 for SR_PLATFORM_DEFAULT_IN_FLIGHT */
 	unsigned max_in_flight;
 	/* per class; 0 for SR_PLATFORM_DEFAULT_QUEUED */
--- a/src/platform_api/exchange.h
+++ b/src/platform_api/exchange.h
@@ -1,9 +1,8 @@
 #ifndef SR_PLATFORM_API_EXCHANGE_H
 #define SR_PLATFORM_API_EXCHANGE_H
 
-#include <libsoup/soup.h>
-
 #include "base/clock.h"
+#include "http/client.h"
 
 /**
  * sr_exchange_t - one HTTP request and its answer, with a timeout
@@ -13,8 +12,7 @@
  * it takes depends on its size and on the link. An answer without end is given
  * up after SR_EXCHANGE_ANSWER_TIME.
  *
- * A request other than GET is sent on a new connection: libsoup would
- * otherwise resend a PUT after a reused connection broke, and a conditional
+ * A request other than GET is sent on a new connection and once: a conditional
  * write that had taken effect would be answered as a conflict.
  */
 typedef struct sr_exchange sr_exchange_t;
@@ -34,10 +32,11 @@
 typedef void (*sr_exchange_fn)(void *user, const sr_exchange_result_t *result);
 
 typedef struct {
-	SoupSession *session; /* borrowed */
-	sr_clock_t *clock;    /* borrowed */
+	sr_http_client_t *client; /* borrowed */
+	sr_clock_t *clock;	  /* borrowed */
 	const char *method;
-	const char *url;
+	const char *address;	   /* IP:PORT */
+	const char *path;	   /* with the query */
 	const char *if_match;	   /* or NULL */
 	const char *if_none_match; /* or NULL */
 	const char *content_type;  /* of body */
@@ -54,7 +53,8 @@
 /**
  * sr_exchange_new - send a request
  *
- * Returns NULL if the URL is not valid; done is then not called.
+ * Returns NULL if the address, the path or a field can't be sent; done is then
+ * not called.
  */
 sr_exchange_t *sr_exchange_new(const sr_exchange_options_t *options);
 
--- a/src/upstream/query.c
+++ b/src/upstream/query.c
@@ -9,7 +9,7 @@
 #define MAX_JSON_DEPTH 8
 
 struct sr_queries {
-	sr_upstream_client_t *client;
+	sr_http_client_t *client;
 	sr_clock_t *clock;
 	sr_list_t pending; /* query_t */
 };
@@ -100,7 +100,7 @@
 	return g_bytes_new(text, strlen(text));
 }
 
-sr_queries_t *sr_queries_new(sr_upstream_client_t *client, sr_clock_t *clock)
+sr_queries_t *sr_queries_new(sr_http_client_t *client, sr_clock_t *clock)
 {
 	sr_queries_t *queries = g_new0(sr_queries_t, 1);
 
@@ -143,6 +143,6 @@
 	/* the timer also ends a query that could not be sent */
 	query->timer = sr_timer_start(queries->clock, SR_QUERY_TIMEOUT,
 				      on_timeout, query);
-	query->fetch = sr_upstream_send(queries->client, &fetch);
+	query->fetch = sr_http_send(queries->client, &fetch);
 	g_clear_pointer(&fetch.body, g_bytes_unref);
 }
--- a/src/upstream/query.h
+++ b/src/upstream/query.h
@@ -4,7 +4,7 @@
 #include <json-c/json.h>
 
 #include "base/clock.h"
-#include "upstream/client.h"
+#include "http/client.h"
 
 /**
  * sr_queries_t - short requests to upstreams whose response is a JSON object:
@@ -39,7 +39,7 @@
 } sr_query_options_t;
 
 /** sr_queries_new - borrows client and clock. */
-sr_queries_t *sr_queries_new(sr_upstream_client_t *client, sr_clock_t *clock);
+sr_queries_t *sr_queries_new(sr_http_client_t *client, sr_clock_t *clock);
 
 /** sr_queries_free - end each pending query with status 0; NULL is allowed. */
 void sr_queries_free(sr_queries_t *queries);
--- a/test/caller_rig.h
+++ b/test/caller_rig.h
@@ -64,8 +64,8 @@
 	sr_metrics_t *metrics;
 	sr_trace_t *trace;
 	sr_dispatch_t *dispatch;
-	sr_upstream_client_t *upstream;
-	sr_upstream_client_t *client;
+	sr_http_client_t *upstream;
+	sr_http_client_t *client;
 	sr_caller_server_t *server;
 	sr_config_t *config;
 	rig_upstream_t upstreams[RIG_N_UPSTREAMS];
@@ -385,8 +385,10 @@
 	trace.clock = rig->clock;
 	rig->trace = sr_trace_new(&trace);
 	rig->dispatch = sr_dispatch_new(&dispatch);
-	rig->upstream = sr_upstream_client_new(rig->clock);
-	rig->client = sr_upstream_client_new(rig->clock);
+	rig->upstream = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = rig->clock });
+	rig->client = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = rig->clock });
 	options.clock = rig->clock;
 	options.metrics = rig->metrics;
 	options.trace = rig->trace;
@@ -403,9 +405,9 @@
 
 static inline void rig_free(rig_t *rig)
 {
-	sr_upstream_client_free(rig->client);
+	sr_http_client_free(rig->client);
 	sr_caller_server_free(rig->server);
-	sr_upstream_client_free(rig->upstream);
+	sr_http_client_free(rig->upstream);
 	sr_dispatch_free(rig->dispatch);
 	sr_config_unref(rig->config);
 	sr_trace_free(rig->trace);
@@ -536,7 +538,7 @@
 
 	answer->body = g_string_new(NULL);
 	answer->pause_after = request->pause_after;
-	answer->fetch = sr_upstream_send(rig->client, &options);
+	answer->fetch = sr_http_send(rig->client, &options);
 	g_free(address);
 	g_free(token);
 	g_bytes_unref(body);
--- a/test/platform_adapter_test.c
+++ b/test/platform_adapter_test.c
@@ -304,7 +304,7 @@
 		.user = store,
 	};
 	GSList *uris;
-	char *url;
+	char *address;
 
 	store->list = "{\"items\":[{\"metadata\":{\"name\":\"a\",\"revision\":"
 		      "3}},{\"metadata\":{\"name\":\"b\",\"revision\":4}}],"
@@ -316,16 +316,15 @@
 	soup_server_add_handler(store->server, NULL, on_request, store, NULL);
 	assert_true(soup_server_listen_local(store->server, 0, 0, NULL));
 	uris = soup_server_get_uris(store->server);
-	url = g_strdup_printf("http://127.0.0.1:%d",
-			      g_uri_get_port(uris->data));
+	address = g_strdup_printf("127.0.0.1:%d", g_uri_get_port(uris->data));
 	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
-	client.url = url;
+	client.address = address;
 	client.clock = store->clock;
 	store->client = sr_platform_new(&client);
 	feed.client = store->client;
 	feed.clock = store->clock;
 	store->feed = sr_object_feed_new(&feed);
-	g_free(url);
+	g_free(address);
 	return store;
 }
 
--- a/test/platform_answer_test.c
+++ b/test/platform_answer_test.c
@@ -91,15 +91,16 @@
 	sr_platform_options_t options = { .seed = 1 };
 	struct sockaddr_in in = { .sin_family = AF_INET };
 	socklen_t size = sizeof(in);
-	char url[40];
+	char address[32];
 
 	f->listener = sr_listen("127.0.0.1:0");
 	assert_true(f->listener >= 0);
 	getsockname(f->listener, (struct sockaddr *)&in, &size);
 	f->accept_source = g_unix_fd_add(f->listener, G_IO_IN, on_accept, f);
-	g_snprintf(url, sizeof(url), "http://127.0.0.1:%u", ntohs(in.sin_port));
+	g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+		   ntohs(in.sin_port));
 	f->clock = sr_clock_new_manual(SR_SEC);
-	options.url = url;
+	options.address = address;
 	options.clock = f->clock;
 	f->platform = sr_platform_new(&options);
 	*state = f;
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -118,15 +118,15 @@
 static void start_client(fixture_t *f, unsigned max_in_flight)
 {
 	GSList *uris = soup_server_get_uris(f->server);
-	char *url = g_strdup_printf("http://127.0.0.1:%d",
-				    g_uri_get_port(uris->data));
-	sr_platform_options_t options = { .url = url,
+	char *address =
+		g_strdup_printf("127.0.0.1:%d", g_uri_get_port(uris->data));
+	sr_platform_options_t options = { .address = address,
 					  .clock = f->clock,
 					  .max_in_flight = max_in_flight,
 					  .seed = 1 };
 
 	f->platform = sr_platform_new(&options);
-	g_free(url);
+	g_free(address);
 	g_slist_free_full(uris, (GDestroyNotify)g_uri_unref);
 }
 
--- a/test/postings_test.c
+++ b/test/postings_test.c
@@ -46,7 +46,7 @@
 	sr_peer_t *peer;
 	sr_gossip_t *gossip;
 	sr_dispatch_t *dispatch;
-	sr_upstream_client_t *http;
+	sr_http_client_t *http;
 	sr_metrics_t *metrics;
 	sr_trace_t *trace;
 	sr_postings_t *postings;
@@ -290,7 +290,8 @@
 	host->dispatch = sr_dispatch_new(&dispatch);
 	sr_dispatch_set_config(host->dispatch, sr_clock_now(fixture->clock),
 			       fixture->config);
-	host->http = sr_upstream_client_new(fixture->clock);
+	host->http = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = fixture->clock });
 	host->metrics = sr_metrics_new();
 	host->trace = sr_trace_new(&trace);
 	options.metrics = host->metrics;
@@ -310,7 +311,7 @@
 		return;
 	sr_postings_free(host->postings);
 	host->postings = NULL;
-	sr_upstream_client_free(host->http);
+	sr_http_client_free(host->http);
 	sr_dispatch_free(host->dispatch);
 	sr_gossip_free(host->gossip);
 	sr_peer_free(host->peer);
--- a/test/upstream_test.c
+++ b/test/upstream_test.c
@@ -175,9 +175,8 @@
 	g_object_unref(server->service);
 }
 
-static sr_fetch_end_t send_one(sr_upstream_client_t *client,
-			       const char *address, const char *method,
-			       gboolean idempotent)
+static sr_fetch_end_t send_one(sr_http_client_t *client, const char *address,
+			       const char *method, gboolean idempotent)
 {
 	rig_answer_t response = { .body = g_string_new(NULL) };
 	GBytes *body = g_bytes_new_static("{}", 2);
@@ -194,7 +193,7 @@
 		.user = &response,
 	};
 
-	response.fetch = sr_upstream_send(client, &options);
+	response.fetch = sr_http_send(client, &options);
 	assert_non_null(response.fetch);
 	RIG_WAIT(response.ended);
 	g_string_free(response.body, TRUE);
@@ -218,8 +217,9 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(close_points); i++) {
 		for (size_t j = 0; j < G_N_ELEMENTS(methods); j++) {
-			sr_upstream_client_t *client =
-				sr_upstream_client_new(real_clock);
+			sr_http_client_t *client =
+				sr_http_client_new(&(sr_http_client_options_t){
+					.clock = real_clock });
 			server_t server;
 
 			open_server(&server,
@@ -236,7 +236,7 @@
 			rig_settle();
 			assert_int_equal(server.n_connections, 1);
 			assert_true(server.n_requests <= 1);
-			sr_upstream_client_free(client);
+			sr_http_client_free(client);
 			close_server(&server);
 			rig_settle();
 		}
@@ -245,20 +245,22 @@
 
 static void test_refused_connection_reports_not_sent(void **state)
 {
-	sr_upstream_client_t *client = sr_upstream_client_new(real_clock);
+	sr_http_client_t *client = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = real_clock });
 	server_t server;
 
 	open_server(&server, CLOSE_NEVER);
 	close_server(&server);
 	assert_int_equal(send_one(client, server.address, "POST", FALSE),
 			 SR_FETCH_NOT_SENT);
-	sr_upstream_client_free(client);
+	sr_http_client_free(client);
 	rig_settle();
 }
 
 static void test_idempotent_requests_share_a_connection(void **state)
 {
-	sr_upstream_client_t *client = sr_upstream_client_new(real_clock);
+	sr_http_client_t *client = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = real_clock });
 	server_t server;
 
 	open_server(&server, CLOSE_NEVER);
@@ -269,7 +271,7 @@
 	assert_int_equal(send_one(client, server.address, "POST", FALSE),
 			 SR_FETCH_COMPLETE);
 	assert_int_equal(server.n_connections, 2);
-	sr_upstream_client_free(client);
+	sr_http_client_free(client);
 	close_server(&server);
 	rig_settle();
 }
@@ -299,7 +301,8 @@
 		OK_HEAD "Transfer-Encoding: chunked\r\n\r\n2zz\r\nok\r\n"
 			"0\r\n\r\n",
 	};
-	sr_upstream_client_t *client = sr_upstream_client_new(real_clock);
+	sr_http_client_t *client = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = real_clock });
 
 	(void)state;
 	for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
@@ -312,14 +315,15 @@
 			fail_msg("case %zu: %s", i, texts[i]);
 		close_server(&server);
 	}
-	sr_upstream_client_free(client);
+	sr_http_client_free(client);
 }
 
 /* Guards against part of a response that is taken for the whole one: it has no
  * length, and its connection is reset. One that is closed in order is whole. */
 static void test_reset_is_no_end_of_a_response(void **state)
 {
-	sr_upstream_client_t *client = sr_upstream_client_new(real_clock);
+	sr_http_client_t *client = sr_http_client_new(
+		&(sr_http_client_options_t){ .clock = real_clock });
 	server_t server;
 
 	(void)state;
@@ -331,7 +335,7 @@
 	assert_int_equal(send_one(client, server.address, "POST", FALSE),
 			 SR_FETCH_BROKEN);
 	close_server(&server);
-	sr_upstream_client_free(client);
+	sr_http_client_free(client);
 }
 
 int main(void)
