Handle requests that were sent ahead in turns

A caller that sends thousands of tiny requests ahead delayed all others: those that need no instance were all answered in the turn of the loop that read them, and each moved the rest of the input.

Up to 16 requests of a connection are handled in a turn, and the input is moved once. A connection is not read while more than 64 KB of its input wait; that state follows from the input now, so that a closing connection is read.

--- a/src/gateway/session.c
+++ b/src/gateway/session.c
@@ -7,6 +7,10 @@
  * has its response. */
 #define MAX_PIPELINED_BYTES (64 * 1024)
 
+/** Requests of one connection that are handled in a turn of the loop, so that a
+ * caller that sends thousands of tiny ones ahead does not delay the others. */
+#define REQUESTS_PER_TURN 16
+
 /** Timeout for the body of a request, after that for its head. */
 #define BODY_TIMEOUT (20 * SR_SEC)
 
@@ -26,7 +30,8 @@
 	sr_gateway_t *gateway;
 	sr_channel_t *channel;
 	sr_parser_t *parser;
-	GByteArray *input; /* not yet parsed */
+	GByteArray *input;	 /* not yet parsed */
+	sr_timer_t *input_timer; /* goes on with it in the next turn; or NULL */
 	sr_transaction_t *transaction;
 	gsize buffered_bytes;	  /* share of gateway->buffered_bytes */
 	sr_usec_t started_at;	  /* time of the message's first byte, or of the
@@ -36,7 +41,6 @@
 	gboolean is_expired;  /* idle at the last sweep, without input since */
 	gboolean is_ignoring; /* bytes came after the shutdown */
 	gboolean is_processing; /* in process_input() */
-	gboolean is_paused;	/* because of MAX_PIPELINED_BYTES */
 	gboolean is_relayed;	/* the peer is another host */
 	gboolean is_freed;	/* sr_session_free() was called */
 	unsigned references;	/* the struct is freed at 0 */
@@ -71,6 +75,8 @@
 		sr_transaction_caller_disconnected(session->transaction);
 	session->transaction = NULL;
 	release_buffered_bytes(session);
+	sr_timer_cancel(session->input_timer);
+	session->input_timer = NULL;
 	sr_list_remove(&session->link);
 	session->gateway->n_sessions--;
 	sr_gauge_add(session->gateway->metrics.sessions, -1);
@@ -174,10 +180,6 @@
 		return;
 	}
 	sr_parser_reset(session->parser);
-	if (session->is_paused) {
-		session->is_paused = FALSE;
-		sr_channel_set_paused(session->channel, FALSE);
-	}
 	if (!session->is_processing)
 		process_input(session);
 }
@@ -295,31 +297,66 @@
 				     table->limits.max_body_bytes);
 }
 
-/* Parses the input; starts a transaction when a request is complete. */
+/* Parses input from an offset; starts a transaction if a request is complete.
+ * Returns the number of bytes used. */
+static gsize parse_input(sr_session_t *session, gsize at)
+{
+	const sr_message_t *message = sr_parser_message(session->parser);
+	gsize used = 0;
+	sr_err_t err;
+
+	if (!sr_parser_has_input(session->parser))
+		start_message(session);
+	err = sr_parser_feed(session->parser, session->input->data + at,
+			     session->input->len - at, &used);
+	if (err)
+		reject_request(session, map_parser_error(err));
+	else if (message->is_complete)
+		sr_transaction_begin(session, session->gateway, message,
+				     session->started_at,
+				     &session->transaction);
+	return used;
+}
+
+static gboolean is_parsing(const sr_session_t *session)
+{
+	return !session->is_freed && !session->transaction &&
+	       session->close_deadline == 0;
+}
+
+static void on_input_timer(void *user)
+{
+	sr_session_t *session = user;
+
+	session->input_timer = NULL;
+	process_input(session);
+}
+
+/* Parses the input, and starts transactions, up to REQUESTS_PER_TURN. */
 static void process_input(sr_session_t *session)
 {
+	gsize at = 0;
+	unsigned n = 0;
+
+	if (session->input_timer)
+		return;
 	session->references++;
 	session->is_processing = TRUE;
-	while (!session->is_freed && !session->transaction &&
-	       session->close_deadline == 0 && session->input->len > 0) {
-		const sr_message_t *message =
-			sr_parser_message(session->parser);
-		gsize used = 0;
-		sr_err_t err;
-
-		if (!sr_parser_has_input(session->parser))
-			start_message(session);
-		err = sr_parser_feed(session->parser, session->input->data,
-				     session->input->len, &used);
-		g_byte_array_remove_range(session->input, 0, (guint)used);
-		if (err)
-			reject_request(session, map_parser_error(err));
-		else if (message->is_complete)
-			sr_transaction_begin(session, session->gateway, message,
-					     session->started_at,
-					     &session->transaction);
-	}
+	for (; is_parsing(session) && at < session->input->len &&
+	       n < REQUESTS_PER_TURN;
+	     n++)
+		at += parse_input(session, at);
+	g_byte_array_remove_range(session->input, 0, (guint)at);
 	session->is_processing = FALSE;
+	if (is_parsing(session) && session->input->len > 0)
+		session->input_timer =
+			sr_timer_start(session->gateway->options.clock, 0,
+				       on_input_timer, session);
+	if (!session->is_freed)
+		sr_channel_set_paused(session->channel,
+				      session->close_deadline == 0 &&
+					      session->input->len >
+						      MAX_PIPELINED_BYTES);
 	unref(session);
 }
 
@@ -360,10 +397,6 @@
 		reject_request(session, SR_ERR_OVERLOADED);
 		return;
 	}
-	if (session->transaction && session->input->len > MAX_PIPELINED_BYTES) {
-		session->is_paused = TRUE;
-		sr_channel_set_paused(session->channel, TRUE);
-	}
 	process_input(session);
 }
 
--- a/test/gateway_flow_control_test.c
+++ b/test/gateway_flow_control_test.c
@@ -1,5 +1,6 @@
 /*
- * Streams that instances send faster than callers read them, or in tiny events.
+ * Streams that instances send faster than callers read them, or in tiny events;
+ * and callers that send many requests ahead.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -233,12 +234,49 @@
 	rig_free(rig);
 }
 
+#define N_AHEAD 4096
+#define ANSWERED_PER_TURN 64
+
+/* Guards against a loop that one caller keeps busy: all requests that it had
+ * sent ahead and that need no instance were answered in one turn. */
+static void test_requests_sent_ahead_take_turns(void **state)
+{
+	rig_t *rig = rig_new(serve_part);
+	sr_counter_t *answered = sr_metrics_counter(
+		rig->metrics, "sassafras_gateway_requests_total", "",
+		"code=\"4xx\"");
+	GString *requests = g_string_new(NULL);
+	caller_t *caller = caller_new(rig->caller_address);
+	gboolean timed_out = FALSE;
+	guint64 most = 0;
+	guint timer;
+
+	(void)state;
+	for (unsigned i = 0; i < N_AHEAD; i++)
+		g_string_append(requests, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	caller_send(caller, requests->str);
+	timer = g_timeout_add(5000, rig_on_timeout, &timed_out);
+	while (!timed_out && sr_counter_get(answered) < N_AHEAD) {
+		guint64 before = sr_counter_get(answered);
+
+		g_main_context_iteration(NULL, TRUE);
+		most = MAX(most, sr_counter_get(answered) - before);
+	}
+	assert_int_equal(sr_counter_get(answered), N_AHEAD);
+	g_source_remove(timer);
+	assert_true(most <= ANSWERED_PER_TURN);
+	g_string_free(requests, TRUE);
+	caller_free(caller);
+	rig_free(rig);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_late_reader_gets_the_whole_stream),
 		cmocka_unit_test(test_tiny_events_leave_together),
 		cmocka_unit_test(test_responses_together_are_bounded),
+		cmocka_unit_test(test_requests_sent_ahead_take_turns),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
