--- /dev/null
+++ b/review/rig3/rig.h
@@ -0,0 +1,92 @@
+#ifndef SR_REVIEW_RIG3_H
+#define SR_REVIEW_RIG3_H
+
+/*
+ * Stand-ins of the users' platform for cases that are scripts: its store, a
+ * server that answers with as many bytes as the path says, callers that take
+ * an answer slowly, and entry hosts as processes. All listen on loopback.
+ */
+#include <glib.h>
+#include <stdio.h>
+
+#define RIG_HOSTS_MAX 2
+
+/** End of the arguments of rig_text(). */
+#define RIG_END ((const char *)NULL)
+
+/** rig_t - what a case is played on */
+typedef struct {
+	const char *program; /* of an entry host */
+	GKeyFile *wire;	     /* texts in the words of the platform */
+	FILE *record;
+	GMutex lock; /* of record and runs */
+	GHashTable *runs;
+	gint64 started; /* monotonic, in us */
+	char *folder;	/* of settings and logs */
+	int store_port;
+	int server_port;
+	int host_port; /* the first of five; the same for all hosts */
+	GPid hosts[RIG_HOSTS_MAX];
+} rig_t;
+
+/** rig_text - a text of wire.txt with @NAME@ replaced; the arguments are pairs
+ * of names and values up to RIG_END. To be freed. */
+char *rig_text(const rig_t *rig, const char *group, const char *key,
+	       ...) G_GNUC_NULL_TERMINATED;
+
+/** rig_note - writes a line to the record, with the time since the start. */
+void rig_note(rig_t *rig, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+/** rig_ms - time since the start. */
+gint64 rig_ms(const rig_t *rig);
+
+/** rig_has_run - the server has begun to work on the request. */
+gboolean rig_has_run(rig_t *rig, const char *id);
+
+/** rig_start_store - lists, watches and conditional writes of objects, and
+ * the calls of duties, which are all accepted. Serves in the default context.
+ */
+gboolean rig_start_store(rig_t *rig);
+
+/** rig_start_server - answers a request after work_ms with the number of bytes
+ * that its path ends in; a thread for each connection. */
+gboolean rig_start_server(rig_t *rig, unsigned work_ms);
+
+gboolean rig_start_host(rig_t *rig, unsigned host);
+
+/** rig_end_hosts - ends all hosts by SIGKILL. */
+void rig_end_hosts(rig_t *rig);
+
+/** rig_remove_folder - removes the hosts' settings and logs. */
+void rig_remove_folder(const rig_t *rig);
+
+/** rig_find_ports - sets host_port to the first of five free ones. */
+gboolean rig_find_ports(rig_t *rig);
+
+/** rig_listen - a listening socket on 127.0.0.1 and its port; -1 if there is
+ * none. */
+int rig_listen(int *port);
+
+/** rig_ask_t - a request on a connection, and what came of it */
+typedef struct {
+	char id[24];
+	gsize size;	  /* of the body that is asked for */
+	unsigned time_ms; /* limit of the caller */
+	/* pause after the first bytes of the answer */
+	unsigned pause_ms;
+	gsize bytes_per_s; /* rate of the caller's line; 0: no limit */
+	/* result */
+	int status; /* 0 without an answer */
+	gsize got;  /* bytes of the body */
+	gint64 sent_at;
+	gint64 ended_at; /* both in ms since the start */
+} rig_ask_t;
+
+/** rig_connect - a connection of a caller to a host, with a receive buffer of
+ * that size if it is not 0; -1 if there is none. */
+int rig_connect(const rig_t *rig, unsigned host, int buffer);
+
+/** rig_ask - sends a request and reads its answer; TRUE if it is complete. */
+gboolean rig_ask(rig_t *rig, int fd, rig_ask_t *ask);
+
+#endif
