Show that requests which crash servers are not held back

Three instances that refuse connections, without a success between, count as a path that is down, and all crashes under way are dropped. A request that takes all instances of a service at once has no strike, so that it is passed on again.

--- a/review/rig3/main.c
+++ b/review/rig3/main.c
@@ -22,6 +22,9 @@
 /** Time from the start of the hosts until callers ask, in ms. */
 #define START_MS 6000
 
+/** Time for which a server that has crashed is down, in ms. */
+#define DOWN_MS 3000
+
 /** Of a SIGTERM (grace_s), and of the window after it, in ms. */
 #define GRACE_MS 8000
 #define AFTER_GRACE_MS 1000
@@ -48,6 +51,9 @@
 	/* breaks the rule; term_at is 0 without a SIGTERM */
 	gboolean (*is_broken)(const caller_t *callers, gint64 term_at);
 	gboolean has_term;
+	unsigned n_servers;
+	/* plays and judges by itself; NULL: see play() and judge() */
+	gboolean (*play)(rig_t *rig, gboolean has_trouble);
 } case_t;
 
 /* A whole request was read and passed on, its server has done its work, and the
@@ -97,6 +103,10 @@
 	  .size = 500000,
 	  .pause_ms = 4000,
 	  .is_broken = cuts_kept_connections },
+	{ .name = "crash",
+	  .work_ms = 20,
+	  .n_servers = 4,
+	  .play = rig_play_crash },
 };
 
 static const case_t *find_case(const char *name)
@@ -139,8 +149,11 @@
 {
 	GMainLoop *loop = g_main_loop_new(NULL, FALSE);
 
-	if (!rig_start_server(rig, played->work_ms) || !rig_start_store(rig) ||
-	    !rig_find_ports(rig))
+	rig->n_servers = MAX(played->n_servers, 1);
+	rig->work_ms = played->work_ms;
+	rig->down_ms = DOWN_MS;
+	if (!rig_find_ports(rig) || !rig_start_servers(rig) ||
+	    !rig_start_store(rig))
 		return FALSE;
 	g_thread_unref(g_thread_new("store", serve_store, loop));
 	for (unsigned i = 0; i < RIG_HOSTS_MAX; i++) {
@@ -192,6 +205,21 @@
 	return is_broken ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
+static int play_case(rig_t *rig, const case_t *played, gboolean has_trouble)
+{
+	caller_t callers[CALLERS];
+	gboolean is_broken;
+	gint64 term_at;
+
+	if (!played->play) {
+		term_at = play(rig, played, has_trouble, callers);
+		return judge(rig, played, callers, term_at);
+	}
+	is_broken = played->play(rig, has_trouble);
+	rig_note(rig, "the rule %s", is_broken ? "is broken" : "holds");
+	return is_broken ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
 static GPid *started_hosts;
 
 /* The case has taken too long, or is to end. */
@@ -219,7 +247,6 @@
 	const char *trouble = g_getenv("TROUBLE");
 	const case_t *played = argc == 5 ? find_case(argv[1]) : NULL;
 	rig_t rig = { .started = g_get_monotonic_time() };
-	caller_t callers[CALLERS];
 	int code = EXIT_CANNOT_RUN;
 
 	if (!played)
@@ -230,15 +257,13 @@
 	rig.record = fopen(argv[4], "we");
 	rig.folder = g_dir_make_tmp("rig3-XXXXXX", NULL);
 	rig.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	rig.crash_times = g_array_new(FALSE, FALSE, sizeof(gint64));
+	rig.arrivals = g_array_new(FALSE, FALSE, sizeof(rig_arrival_t));
 	if (rig.record && rig.folder &&
 	    g_key_file_load_from_file(rig.wire, argv[3], G_KEY_FILE_NONE,
 				      NULL) &&
-	    start(&rig, played)) {
-		gint64 term_at = play(&rig, played,
-				      g_strcmp0(trouble, "0") != 0, callers);
-
-		code = judge(&rig, played, callers, term_at);
-	}
+	    start(&rig, played))
+		code = play_case(&rig, played, g_strcmp0(trouble, "0") != 0);
 	rig_end_hosts(&rig);
 	rig_remove_folder(&rig);
 	return code;
--- a/review/rig3/rig.c
+++ b/review/rig3/rig.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #define PORTS_OF_HOST 5
+#define PORTS_NEEDED (PORTS_OF_HOST + RIG_SERVERS_MAX)
 
 char *rig_text(const rig_t *rig, const char *group, const char *key, ...)
 {
@@ -67,18 +68,20 @@
 	return address;
 }
 
-int rig_listen(int *port)
+int rig_listen(int port)
 {
-	struct sockaddr_in address = loopback(1, 0);
-	socklen_t size = sizeof(address);
+	const struct sockaddr_in address = loopback(1, port);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int yes = 1;
 
-	if (fd < 0 || bind(fd, (struct sockaddr *)&address, size) ||
-	    listen(fd, 128) ||
-	    getsockname(fd, (struct sockaddr *)&address, &size))
+	if (fd < 0)
 		return -1;
-	*port = ntohs(address.sin_port);
-	return fd;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+	if (!bind(fd, (const struct sockaddr *)&address, sizeof(address)) &&
+	    !listen(fd, 128))
+		return fd;
+	close(fd);
+	return -1;
 }
 
 static gboolean is_free(int last, int port)
@@ -100,11 +103,13 @@
 		int port = g_random_int_range(2000, 3200) * 10;
 		gboolean ok = TRUE;
 
-		for (int i = 0; ok && i < PORTS_OF_HOST; i++) {
+		for (int i = 0; ok && i < PORTS_NEEDED; i++) {
 			for (int host = 1; ok && host <= RIG_HOSTS_MAX; host++)
 				ok = is_free(host, port + i);
 		}
 		rig->host_port = port;
+		for (int i = 0; i < RIG_SERVERS_MAX; i++)
+			rig->server_ports[i] = port + PORTS_OF_HOST + i;
 		if (ok)
 			return TRUE;
 	}
@@ -201,8 +206,9 @@
 {
 	char *size = g_strdup_printf("%zu", ask->size);
 	char *ms = g_strdup_printf("%u", ask->time_ms);
-	char *text = rig_text(rig, "client", "request", "SIZE", size, "ID",
-			      ask->id, "MS", ms, RIG_END);
+	char *text = rig_text(rig, "client", "request", "WHAT",
+			      ask->is_crash ? RIG_CRASH : size, "ID", ask->id,
+			      "MS", ms, RIG_END);
 	gboolean ok = send(fd, text, strlen(text), MSG_NOSIGNAL) ==
 		      (ssize_t)strlen(text);
 
@@ -259,8 +265,11 @@
 	gboolean is_complete;
 
 	ask->sent_at = rig_ms(rig);
-	rig_note(rig, "sent %s, asks for %zu bytes, waits %u ms", ask->id,
-		 ask->size, ask->time_ms);
+	if (ask->is_crash)
+		rig_note(rig, "sent %s, which crashes servers", ask->id);
+	else
+		rig_note(rig, "sent %s, asks for %zu bytes, waits %u ms",
+			 ask->id, ask->size, ask->time_ms);
 	if (send_request(rig, fd, ask) && read_head(fd, ask))
 		read_body(rig, fd, ask);
 	ask->ended_at = rig_ms(rig);
--- a/review/rig3/rig.h
+++ b/review/rig3/rig.h
@@ -10,6 +10,7 @@
 #include <stdio.h>
 
 #define RIG_HOSTS_MAX 2
+#define RIG_SERVERS_MAX 4
 
 /** End of the arguments of rig_text(). */
 #define RIG_END ((const char *)NULL)
@@ -24,11 +25,27 @@
 	gint64 started; /* monotonic, in us */
 	char *folder;	/* of settings and logs */
 	int store_port;
-	int server_port;
-	int host_port; /* the first of five; the same for all hosts */
+	struct rig_store *store;
+	unsigned n_servers;
+	unsigned work_ms;    /* of a request */
+	unsigned down_ms;    /* of a server that has crashed */
+	gboolean is_crashed; /* by requests for RIG_CRASH */
+	int server_ports[RIG_SERVERS_MAX];
+	GArray *crash_times; /* gint64, in ms since the start */
+	GArray *arrivals;    /* rig_arrival_t, of requests for RIG_CRASH */
+	int host_port;	     /* the first of five; the same for all hosts */
 	GPid hosts[RIG_HOSTS_MAX];
 } rig_t;
 
+/** rig_arrival_t - a request at a server */
+typedef struct {
+	char id[24];
+	gint64 at; /* in ms since the start */
+} rig_arrival_t;
+
+/** What a request asks for that crashes the server which begins to run it. */
+#define RIG_CRASH "crash"
+
 /** rig_text - a text of wire.txt with @NAME@ replaced; the arguments are pairs
  * of names and values up to RIG_END. To be freed. */
 char *rig_text(const rig_t *rig, const char *group, const char *key,
@@ -48,9 +65,12 @@
  */
 gboolean rig_start_store(rig_t *rig);
 
-/** rig_start_server - answers a request after work_ms with the number of bytes
- * that its path ends in; a thread for each connection. */
-gboolean rig_start_server(rig_t *rig, unsigned work_ms);
+/** rig_register_server - the server writes its entry anew, from any thread. */
+void rig_register_server(rig_t *rig, unsigned server);
+
+/** rig_start_servers - they answer a request after work_ms with the number of
+ * bytes that its path ends in; a thread for each connection. */
+gboolean rig_start_servers(rig_t *rig);
 
 gboolean rig_start_host(rig_t *rig, unsigned host);
 
@@ -60,18 +80,18 @@
 /** rig_remove_folder - removes the hosts' settings and logs. */
 void rig_remove_folder(const rig_t *rig);
 
-/** rig_find_ports - sets host_port to the first of five free ones. */
+/** rig_find_ports - sets host_port and server_ports to free ones. */
 gboolean rig_find_ports(rig_t *rig);
 
-/** rig_listen - a listening socket on 127.0.0.1 and its port; -1 if there is
- * none. */
-int rig_listen(int *port);
+/** rig_listen - a listening socket on 127.0.0.1; -1 if there is none. */
+int rig_listen(int port);
 
 /** rig_ask_t - a request on a connection, and what came of it */
 typedef struct {
 	char id[24];
-	gsize size;	  /* of the body that is asked for */
-	unsigned time_ms; /* limit of the caller */
+	gboolean is_crash; /* asks for RIG_CRASH */
+	gsize size;	   /* of the body that is asked for */
+	unsigned time_ms;  /* limit of the caller */
 	/* pause after the first bytes of the answer */
 	unsigned pause_ms;
 	gsize bytes_per_s; /* rate of the caller's line; 0: no limit */
@@ -89,4 +109,8 @@
 /** rig_ask - sends a request and reads its answer; TRUE if it is complete. */
 gboolean rig_ask(rig_t *rig, int fd, rig_ask_t *ask);
 
+/** rig_play_crash - requests that crash servers come again and again beside
+ * sound ones; TRUE if they reach servers more often than the rule allows. */
+gboolean rig_play_crash(rig_t *rig, gboolean has_trouble);
+
 #endif
--- a/review/rig3/server.c
+++ b/review/rig3/server.c
@@ -1,4 +1,4 @@
-/* The server: a thread for each connection. */
+/* Servers: a thread for each connection. */
 #include "rig.h"
 
 #include <stdio.h>
@@ -8,8 +8,17 @@
 
 typedef struct {
 	rig_t *rig;
+	unsigned index;
+	char *name;
+	int listener;
+	GMutex lock;
+	gboolean is_up;
+	GArray *connections; /* int */
+} server_t;
+
+typedef struct {
+	server_t *server;
 	int fd;
-	unsigned work_ms;
 } service_t;
 
 /* Reads up to the end of a head; the requests have no body. NULL at the end of
@@ -58,49 +67,116 @@
 	return TRUE;
 }
 
-static gboolean answer(const service_t *service, const char *head)
+/* Its process ends: all its connections end, and it refuses new ones until it
+ * starts again. */
+static void crash(server_t *server, const char *id)
 {
-	rig_t *rig = service->rig;
-	char *id = field_of(rig, head, "id");
-	char *instance = field_of(rig, head, "instance");
-	const char *slash = strstr(head, "/look/");
-	gsize size = 0;
-	char *size_text;
-	char *text;
-	char *body;
+	rig_t *rig = server->rig;
+	gint64 now = rig_ms(rig);
+
+	g_mutex_lock(&server->lock);
+	if (!server->is_up) {
+		g_mutex_unlock(&server->lock);
+		return;
+	}
+	server->is_up = FALSE;
+	shutdown(server->listener, SHUT_RDWR);
+	for (guint i = 0; i < server->connections->len; i++)
+		shutdown(g_array_index(server->connections, int, i), SHUT_RDWR);
+	g_mutex_unlock(&server->lock);
+	g_mutex_lock(&rig->lock);
+	g_array_append_val(rig->crash_times, now);
+	g_mutex_unlock(&rig->lock);
+	rig_note(rig, "server %s crashes under %s", server->name, id);
+}
+
+static void note_run(const service_t *service, const char *id,
+		     gboolean is_crash)
+{
+	rig_t *rig = service->server->rig;
+	rig_arrival_t arrival = { .at = rig_ms(rig) };
+
+	g_strlcpy(arrival.id, id, sizeof(arrival.id));
+	g_mutex_lock(&rig->lock);
+	g_hash_table_add(rig->runs, g_strdup(id));
+	if (is_crash)
+		g_array_append_val(rig->arrivals, arrival);
+	g_mutex_unlock(&rig->lock);
+	rig_note(rig, "server %s runs %s", service->server->name, id);
+	g_usleep((gulong)rig->work_ms * 1000);
+}
+
+static gboolean send_answer(const service_t *service, const char *id,
+			    gsize size)
+{
+	rig_t *rig = service->server->rig;
+	char *size_text = g_strdup_printf("%zu", size);
+	char *text = rig_text(rig, "server", "answer", "ID", id, "SIZE",
+			      size_text, RIG_END);
+	char *body = g_malloc(size + 1);
 	gboolean ok;
 
-	if (slash)
-		size = (gsize)g_ascii_strtoull(slash + strlen("/look/"), NULL,
-					       10);
-	size_text = g_strdup_printf("%zu", size);
-	body = g_malloc(size + 1);
 	memset(body, 'x', size);
-	if (g_strcmp0(instance, "i-1") != 0) {
-		text = rig_text(rig, "server", "misdirected", RIG_END);
-		size = 0;
-	} else {
-		g_mutex_lock(&rig->lock);
-		g_hash_table_add(rig->runs, g_strdup(id ? id : ""));
-		g_mutex_unlock(&rig->lock);
-		rig_note(rig, "server runs %s", id ? id : "(no id)");
-		g_usleep((gulong)service->work_ms * 1000);
-		text = rig_text(rig, "server", "answer", "ID", id ? id : "",
-				"SIZE", size_text, RIG_END);
-	}
 	ok = send_all(service->fd, text, strlen(text)) &&
 	     send_all(service->fd, body, size);
-	if (size > 0)
-		rig_note(rig, "server %s %s",
-			 ok ? "has sent all of" : "could not send", id);
-	g_free(text);
+	rig_note(rig, "server %s %s %s", service->server->name,
+		 ok ? "has sent all of" : "could not send", id);
 	g_free(body);
+	g_free(text);
 	g_free(size_text);
+	return ok;
+}
+
+static gboolean send_misdirected(const service_t *service)
+{
+	char *text = rig_text(service->server->rig, "server", "misdirected",
+			      "INSTANCE", service->server->name, RIG_END);
+	gboolean ok = send_all(service->fd, text, strlen(text));
+
+	g_free(text);
+	return ok;
+}
+
+static gboolean answer(const service_t *service, const char *head)
+{
+	rig_t *rig = service->server->rig;
+	char *id = field_of(rig, head, "id");
+	char *instance = field_of(rig, head, "instance");
+	const char *what = strstr(head, "/look/");
+	gboolean is_crash;
+	gboolean ok = FALSE;
+
+	what = what ? what + strlen("/look/") : "";
+	is_crash = g_str_has_prefix(what, RIG_CRASH);
+	if (g_strcmp0(instance, service->server->name) != 0) {
+		ok = send_misdirected(service);
+	} else if (id) {
+		note_run(service, id, is_crash);
+		if (is_crash && rig->is_crashed)
+			crash(service->server, id);
+		else
+			ok = send_answer(
+				service, id,
+				(gsize)g_ascii_strtoull(what, NULL, 10));
+	}
 	g_free(instance);
 	g_free(id);
 	return ok;
 }
 
+static void drop_connection(server_t *server, int fd)
+{
+	g_mutex_lock(&server->lock);
+	for (guint i = 0; i < server->connections->len; i++) {
+		if (g_array_index(server->connections, int, i) == fd) {
+			g_array_remove_index_fast(server->connections, i);
+			break;
+		}
+	}
+	close(fd);
+	g_mutex_unlock(&server->lock);
+}
+
 static gpointer serve(gpointer data)
 {
 	service_t *service = data;
@@ -113,40 +189,71 @@
 		if (!ok)
 			break;
 	}
-	close(service->fd);
+	drop_connection(service->server, service->fd);
 	g_free(service);
 	return NULL;
 }
 
+/* Starts again after a crash, as a new incarnation. */
+static void restart(server_t *server)
+{
+	rig_t *rig = server->rig;
+	int listener;
+
+	close(server->listener);
+	g_usleep((gulong)rig->down_ms * 1000);
+	while ((listener = rig_listen(rig->server_ports[server->index])) < 0)
+		g_usleep(10 * 1000);
+	g_mutex_lock(&server->lock);
+	server->listener = listener;
+	server->is_up = TRUE;
+	g_mutex_unlock(&server->lock);
+	rig_register_server(rig, server->index);
+	rig_note(rig, "server %s is back", server->name);
+}
+
 static gpointer accept_all(gpointer data)
 {
-	service_t *listener = data;
+	server_t *server = data;
 
 	for (;;) {
+		int fd = accept(server->listener, NULL, NULL);
 		service_t *service;
-		int fd = accept(listener->fd, NULL, NULL);
 
+		if (!server->is_up) {
+			if (fd >= 0)
+				close(fd);
+			restart(server);
+			continue;
+		}
 		if (fd < 0)
 			continue;
 		service = g_new0(service_t, 1);
-		*service = *listener;
+		service->server = server;
 		service->fd = fd;
+		g_mutex_lock(&server->lock);
+		g_array_append_val(server->connections, fd);
+		g_mutex_unlock(&server->lock);
 		g_thread_unref(g_thread_new("serve", serve, service));
 	}
 	return NULL;
 }
 
-gboolean rig_start_server(rig_t *rig, unsigned work_ms)
+gboolean rig_start_servers(rig_t *rig)
 {
-	service_t *listener = g_new0(service_t, 1);
-
-	listener->rig = rig;
-	listener->work_ms = work_ms;
-	listener->fd = rig_listen(&rig->server_port);
-	if (listener->fd < 0) {
-		g_free(listener);
-		return FALSE;
+	for (unsigned i = 0; i < rig->n_servers; i++) {
+		server_t *server = g_new0(server_t, 1);
+
+		g_mutex_init(&server->lock);
+		server->rig = rig;
+		server->index = i;
+		server->name = g_strdup_printf("i-%u", i + 1);
+		server->connections = g_array_new(FALSE, FALSE, sizeof(int));
+		server->is_up = TRUE;
+		server->listener = rig_listen(rig->server_ports[i]);
+		if (server->listener < 0)
+			return FALSE;
+		g_thread_unref(g_thread_new("accept", accept_all, server));
 	}
-	g_thread_unref(g_thread_new("accept", accept_all, listener));
 	return TRUE;
 }
--- a/review/rig3/store.c
+++ b/review/rig3/store.c
@@ -8,16 +8,27 @@
 
 #define CREATED 2
 
-typedef struct {
+typedef struct rig_store {
 	rig_t *rig;
 	GHashTable *objects;   /* "KIND/NAME" -> its text */
 	GHashTable *revisions; /* "KIND/NAME" -> revision */
 	gint64 revision;
+	GPtrArray *changes; /* change_t */
+	GPtrArray *watches; /* watch_t */
 } store_t;
 
 typedef struct {
-	SoupServerMessage *message;
+	char *key;
 	char *text;
+	gint64 revision;
+} change_t;
+
+typedef struct {
+	store_t *store;
+	SoupServerMessage *message;
+	char *kind;
+	gint64 since;
+	guint timer;
 	gboolean is_gone;
 } watch_t;
 
@@ -34,12 +45,15 @@
 	return g_strdup_printf("%" G_GINT64_FORMAT, value);
 }
 
+static void answer_watches(store_t *store);
+
 /* Stores an object with a new revision; returns its text, borrowed. */
 static const char *put(store_t *store, const char *key, const char *spec)
 {
 	json_object *name = json_object_new_string(strchr(key, '/') + 1);
 	char *revision = number(++store->revision);
 	char *created = number(CREATED);
+	change_t *change;
 	char *text = rig_text(store->rig, "store", "object", "NAME",
 			      json_object_to_json_string(name), "REV", revision,
 			      "CREATED", created, "SPEC", spec, RIG_END);
@@ -48,6 +62,12 @@
 	g_hash_table_insert(
 		store->revisions, g_strdup(key),
 		g_memdup2(&store->revision, sizeof(store->revision)));
+	change = g_new0(change_t, 1);
+	change->key = g_strdup(key);
+	change->text = g_strdup(text);
+	change->revision = store->revision;
+	g_ptr_array_add(store->changes, change);
+	answer_watches(store);
 	g_free(created);
 	g_free(revision);
 	json_object_put(name);
@@ -93,34 +113,111 @@
 	((watch_t *)user)->is_gone = TRUE;
 }
 
-static gboolean on_watch_end(gpointer user)
+/* The events of a kind after a revision; empty without any. */
+static char *events_since(const store_t *store, const char *kind, gint64 since)
 {
-	watch_t *watch = user;
+	char *prefix = g_strconcat(kind, "/", NULL);
+	GString *events = g_string_new(NULL);
+
+	for (guint i = 0; i < store->changes->len; i++) {
+		const change_t *change = store->changes->pdata[i];
+		char *event;
+
+		if (change->revision <= since ||
+		    !g_str_has_prefix(change->key, prefix))
+			continue;
+		event = rig_text(store->rig, "store", "event", "OBJECT",
+				 change->text, RIG_END);
+		g_string_append_printf(events, "%s%s", events->len ? "," : "",
+				       event);
+		g_free(event);
+	}
+	g_free(prefix);
+	return g_string_free(events, FALSE);
+}
+
+/* Takes ownership of the events. */
+static void respond_to_watch(const store_t *store, SoupServerMessage *message,
+			     char *events)
+{
+	char *revision = number(store->revision);
+	char *text = rig_text(store->rig, "store", "watch", "EVENTS", events,
+			      "REV", revision, RIG_END);
+
+	respond(message, 200, text);
+	g_free(text);
+	g_free(revision);
+	g_free(events);
+}
+
+static void free_watch(gpointer data)
+{
+	watch_t *watch = data;
 
 	g_signal_handlers_disconnect_by_data(watch->message, watch);
-	respond(watch->message, 200, watch->text);
-	if (!watch->is_gone)
-		soup_server_message_unpause(watch->message);
+	if (watch->timer > 0)
+		g_source_remove(watch->timer);
 	g_object_unref(watch->message);
-	g_free(watch->text);
+	g_free(watch->kind);
 	g_free(watch);
+}
+
+/* Takes ownership of the events. */
+static void end_watch(watch_t *watch, char *events)
+{
+	if (watch->is_gone) {
+		g_free(events);
+	} else {
+		respond_to_watch(watch->store, watch->message, events);
+		soup_server_message_unpause(watch->message);
+	}
+	g_ptr_array_remove_fast(watch->store->watches, watch);
+}
+
+static gboolean on_watch_end(gpointer user)
+{
+	watch_t *watch = user;
+
+	watch->timer = 0;
+	end_watch(watch, g_strdup(""));
 	return G_SOURCE_REMOVE;
 }
 
-/* No object that is watched changes in these cases: a watch ends without events
- * after its time. */
-static void hold_watch(const store_t *store, SoupServerMessage *message,
-		       const char *since, const char *wait_ms)
+static void answer_watches(store_t *store)
+{
+	for (guint i = store->watches->len; i > 0; i--) {
+		watch_t *watch = store->watches->pdata[i - 1];
+		char *events = events_since(store, watch->kind, watch->since);
+
+		if (*events)
+			end_watch(watch, events);
+		else
+			g_free(events);
+	}
+}
+
+static void hold_watch(store_t *store, SoupServerMessage *message,
+		       const char *kind, const char *since, const char *wait_ms)
 {
-	watch_t *watch = g_new0(watch_t, 1);
+	gint64 revision = g_ascii_strtoll(since, NULL, 10);
+	char *events = events_since(store, kind, revision);
+	watch_t *watch;
 
+	if (*events) {
+		respond_to_watch(store, message, events);
+		return;
+	}
+	g_free(events);
+	watch = g_new0(watch_t, 1);
+	watch->store = store;
 	watch->message = g_object_ref(message);
-	watch->text =
-		rig_text(store->rig, "store", "watch", "REV", since, RIG_END);
+	watch->kind = g_strdup(kind);
+	watch->since = revision;
+	g_ptr_array_add(store->watches, watch);
 	g_signal_connect(message, "disconnected", G_CALLBACK(on_gone), watch);
 	g_signal_connect(message, "finished", G_CALLBACK(on_gone), watch);
 	soup_server_message_pause(message);
-	g_timeout_add(
+	watch->timer = g_timeout_add(
 		(guint)g_ascii_strtoull(wait_ms ? wait_ms : "0", NULL, 10),
 		on_watch_end, watch);
 }
@@ -133,7 +230,7 @@
 	char *text;
 
 	if (since) {
-		hold_watch(store, message, since,
+		hold_watch(store, message, key, since,
 			   g_hash_table_lookup(query, "wait_ms"));
 	} else if (strchr(key, '/')) {
 		respond(message, object ? 200 : 404, object ? object : "{}");
@@ -195,19 +292,56 @@
 	g_free(objects);
 }
 
-static void put_first_objects(store_t *store)
+/* What a server writes at its start. */
+static void put_server(store_t *store, unsigned i)
 {
+	char *key = g_strdup_printf("servers/i-%u", i + 1);
+	char *n = g_strdup_printf("%u", i + 1);
 	char *address =
-		g_strdup_printf("127.0.0.1:%d", store->rig->server_port);
-	char *server = rig_text(store->rig, "store", "server", "ADDRESS",
-				address, RIG_END);
+		g_strdup_printf("127.0.0.1:%d", store->rig->server_ports[i]);
+	char *born = number(g_get_real_time() / 1000);
+	char *server = rig_text(store->rig, "store", "server", "N", n,
+				"ADDRESS", address, "BORN", born, RIG_END);
+
+	put(store, key, server);
+	g_free(server);
+	g_free(born);
+	g_free(address);
+	g_free(n);
+	g_free(key);
+}
+
+typedef struct {
+	store_t *store;
+	unsigned server;
+} registration_t;
+
+static gboolean on_registration(gpointer user)
+{
+	registration_t *registration = user;
+
+	put_server(registration->store, registration->server);
+	g_free(registration);
+	return G_SOURCE_REMOVE;
+}
+
+void rig_register_server(rig_t *rig, unsigned server)
+{
+	registration_t *registration = g_new0(registration_t, 1);
+
+	registration->store = rig->store;
+	registration->server = server;
+	g_idle_add(on_registration, registration);
+}
+
+static void put_first_objects(store_t *store)
+{
 	char *config = rig_text(store->rig, "store", "config", RIG_END);
 
 	put(store, "config/main", config);
-	put(store, "servers/i-1", server);
+	for (unsigned i = 0; i < store->rig->n_servers; i++)
+		put_server(store, i);
 	g_free(config);
-	g_free(server);
-	g_free(address);
 }
 
 gboolean rig_start_store(rig_t *rig)
@@ -217,7 +351,10 @@
 	GSList *uris;
 
 	store->rig = rig;
+	rig->store = store;
 	store->revision = 100;
+	store->changes = g_ptr_array_new();
+	store->watches = g_ptr_array_new_with_free_func(free_watch);
 	store->objects =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	store->revisions =
