Show that a foreign entry leads requests to another service

The adapter takes an entry without seq and cold_remaining_ms for an instance's own: registry.c asks for six of the eight fields. An entry of another writer that names a service then leads the requests of that service to the instance.

--- a/review/rig3/crash.c
+++ b/review/rig3/crash.c
@@ -10,7 +10,14 @@
 #define RETRIES_ALLOWED 3
 
 #define COPIES 8
-#define VOLLEYS 8
+
+/** Time to connect before the copies are sent, in ms. */
+#define START_DELAY_MS 50
+
+/** Requests that crash servers, one after the other, and how often each comes.
+ */
+#define KINDS 4
+#define VOLLEYS 2
 #define VOLLEY_GAP_MS 6000
 
 /** Interval of the sound requests to each host, in ms. */
@@ -20,6 +27,7 @@
 	rig_t *rig;
 	unsigned host;
 	rig_ask_t ask;
+	gint64 start_at; /* of a copy, which is sent with the others */
 	gint64 until;
 	unsigned n_asked;
 	unsigned n_served;
@@ -27,11 +35,14 @@
 
 static gboolean ask_once(caller_t *caller)
 {
-	int fd = rig_connect(caller->rig, caller->host, 0);
+	int fd = rig_connect(caller->rig, caller->host);
 	gboolean ok = FALSE;
 
 	if (fd < 0)
 		return FALSE;
+	if (caller->start_at > rig_ms(caller->rig))
+		g_usleep((gulong)(caller->start_at - rig_ms(caller->rig)) *
+			 1000);
 	ok = rig_ask(caller->rig, fd, &caller->ask);
 	close(fd);
 	return ok;
@@ -57,40 +68,65 @@
 	return NULL;
 }
 
-static void send_volley(rig_t *rig, unsigned volley)
+static void send_volley(rig_t *rig, unsigned kind, unsigned volley)
 {
 	caller_t callers[COPIES];
 	GThread *threads[COPIES];
+	gint64 start_at = rig_ms(rig) + START_DELAY_MS;
 
 	for (unsigned i = 0; i < COPIES; i++) {
 		callers[i] =
 			(caller_t){ .rig = rig, .host = i % RIG_HOSTS_MAX };
+		callers[i].start_at = start_at;
 		callers[i].ask.time_ms = 1500;
 		callers[i].ask.is_crash = TRUE;
+		callers[i].ask.kind = kind;
 		g_snprintf(callers[i].ask.id, sizeof(callers[i].ask.id),
-			   "crash-%u-%u", volley, i);
+			   "crash-%u-%u-%u", kind, volley, i);
 		threads[i] = g_thread_new("crash", ask_for_crash, &callers[i]);
 	}
 	for (unsigned i = 0; i < COPIES; i++)
 		g_thread_join(threads[i]);
 }
 
-/* Requests, each counted once, that reached a server so late. */
-static unsigned count_late(rig_t *rig)
+static gboolean is_of_kind(const rig_arrival_t *arrival, unsigned kind)
+{
+	char *prefix = g_strdup_printf("crash-%u-", kind);
+	gboolean is_it = g_str_has_prefix(arrival->id, prefix);
+
+	g_free(prefix);
+	return is_it;
+}
+
+/* Time of the third crash under a kind; G_MAXINT64 before it. */
+static gint64 third_crash(const rig_t *rig, unsigned kind)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < rig->crashes->len; i++) {
+		const rig_arrival_t *arrival =
+			&g_array_index(rig->crashes, rig_arrival_t, i);
+
+		if (is_of_kind(arrival, kind) && ++n == 3)
+			return arrival->at;
+	}
+	return G_MAXINT64 - CONTACT_MS;
+}
+
+/* Requests of a kind, each counted once, that reached a server so late. */
+static unsigned count_late(rig_t *rig, unsigned kind)
 {
 	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
 	gint64 from;
 	unsigned n;
 
 	g_mutex_lock(&rig->lock);
-	from = rig->crash_times->len < 3 ?
-		       G_MAXINT64 :
-		       g_array_index(rig->crash_times, gint64, 2) + CONTACT_MS;
+	from = third_crash(rig, kind) + CONTACT_MS;
 	for (guint i = 0; i < rig->arrivals->len; i++) {
 		rig_arrival_t *arrival =
 			&g_array_index(rig->arrivals, rig_arrival_t, i);
 
-		if (arrival->at > from)
+		if (is_of_kind(arrival, kind) && arrival->at > from)
 			g_hash_table_add(ids, arrival->id);
 	}
 	n = g_hash_table_size(ids);
@@ -99,34 +135,46 @@
 	return n;
 }
 
-gboolean rig_play_crash(rig_t *rig, gboolean has_trouble)
+static void send_volleys(rig_t *rig)
+{
+	for (unsigned i = 0; i < KINDS * VOLLEYS; i++) {
+		gint64 next = rig_ms(rig) + VOLLEY_GAP_MS;
+
+		send_volley(rig, i / VOLLEYS, i % VOLLEYS);
+		if (rig_ms(rig) < next)
+			g_usleep((gulong)(next - rig_ms(rig)) * 1000);
+	}
+}
+
+rig_result_t rig_play_crash(rig_t *rig, gboolean has_trouble)
 {
 	caller_t sound[RIG_HOSTS_MAX];
 	GThread *threads[RIG_HOSTS_MAX];
-	unsigned n_late;
+	gboolean is_broken = FALSE;
 
 	rig->is_crashed = has_trouble;
 	for (unsigned i = 0; i < RIG_HOSTS_MAX; i++) {
 		sound[i] = (caller_t){ .rig = rig, .host = i };
-		sound[i].until = rig_ms(rig) + VOLLEYS * VOLLEY_GAP_MS;
+		sound[i].until = rig_ms(rig) + KINDS * VOLLEYS * VOLLEY_GAP_MS;
 		threads[i] = g_thread_new("sound", ask_soundly, &sound[i]);
 	}
-	for (unsigned i = 0; i < VOLLEYS; i++) {
-		gint64 next = rig_ms(rig) + VOLLEY_GAP_MS;
-
-		send_volley(rig, i);
-		if (rig_ms(rig) < next)
-			g_usleep((gulong)(next - rig_ms(rig)) * 1000);
-	}
+	send_volleys(rig);
 	for (unsigned i = 0; i < RIG_HOSTS_MAX; i++) {
 		g_thread_join(threads[i]);
 		rig_note(rig, "sound requests at host %u: %u of %u served", i,
 			 sound[i].n_served, sound[i].n_asked);
 	}
-	n_late = count_late(rig);
-	rig_note(rig,
-		 "%u crashes; %u requests reached servers later than %u ms "
-		 "after the third",
-		 rig->crash_times->len, n_late, CONTACT_MS);
-	return n_late > RETRIES_ALLOWED;
+	for (unsigned kind = 0; kind < KINDS; kind++) {
+		unsigned n = count_late(rig, kind);
+
+		rig_note(rig,
+			 "kind %u: %u requests reached servers later than "
+			 "%u ms after the third crash",
+			 kind, n, CONTACT_MS);
+		is_broken |= n > RETRIES_ALLOWED;
+	}
+	rig_note(rig, "%u crashes", rig->crashes->len);
+	if (sound[0].n_served == 0)
+		return RIG_CANNOT_RUN;
+	return is_broken ? RIG_BROKEN : RIG_HELD;
 }
--- a/review/rig3/rig.c
+++ b/review/rig3/rig.c
@@ -186,7 +186,7 @@
 	rmdir(rig->folder);
 }
 
-int rig_connect(const rig_t *rig, unsigned host, int buffer)
+int rig_connect(const rig_t *rig, unsigned host)
 {
 	const struct sockaddr_in address =
 		loopback((int)host + 1, rig->host_port);
@@ -194,8 +194,6 @@
 
 	if (fd < 0)
 		return -1;
-	if (buffer > 0)
-		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
 	if (!connect(fd, (const struct sockaddr *)&address, sizeof(address)))
 		return fd;
 	close(fd);
@@ -206,13 +204,16 @@
 {
 	char *size = g_strdup_printf("%zu", ask->size);
 	char *ms = g_strdup_printf("%u", ask->time_ms);
-	char *text = rig_text(rig, "client", "request", "WHAT",
-			      ask->is_crash ? RIG_CRASH : size, "ID", ask->id,
-			      "MS", ms, RIG_END);
+	char *crash = g_strdup_printf(RIG_CRASH "-%u", ask->kind);
+	char *text = rig_text(rig, "client", "request", "ROUTE",
+			      ask->is_keep ? "keep" : "look", "WHAT",
+			      ask->is_crash ? crash : size, "ID", ask->id, "MS",
+			      ms, RIG_END);
 	gboolean ok = send(fd, text, strlen(text), MSG_NOSIGNAL) ==
 		      (ssize_t)strlen(text);
 
 	g_free(text);
+	g_free(crash);
 	g_free(ms);
 	g_free(size);
 	return ok;
@@ -254,9 +255,6 @@
 		if (n <= 0)
 			break;
 		ask->got += (gsize)n;
-		if (ask->bytes_per_s > 0)
-			g_usleep((gulong)((gsize)n * G_USEC_PER_SEC /
-					  ask->bytes_per_s));
 	}
 }
 
--- a/review/rig3/rig.h
+++ b/review/rig3/rig.h
@@ -29,14 +29,23 @@
 	unsigned n_servers;
 	unsigned work_ms;    /* of a request */
 	unsigned down_ms;    /* of a server that has crashed */
+	unsigned n_archive;  /* the last ones are of the service "archive" */
 	gboolean is_crashed; /* by requests for RIG_CRASH */
 	int server_ports[RIG_SERVERS_MAX];
-	GArray *crash_times; /* gint64, in ms since the start */
-	GArray *arrivals;    /* rig_arrival_t, of requests for RIG_CRASH */
-	int host_port;	     /* the first of five; the same for all hosts */
+	GArray *crashes;      /* rig_arrival_t, of the request at fault */
+	GArray *arrivals;     /* rig_arrival_t, of requests for RIG_CRASH */
+	unsigned n_misrouted; /* of the service "ledger", run by the other */
+	int host_port;	      /* the first of five; the same for all hosts */
 	GPid hosts[RIG_HOSTS_MAX];
 } rig_t;
 
+/** rig_result_t - of a case; the exit code of the program */
+typedef enum {
+	RIG_HELD,
+	RIG_BROKEN,
+	RIG_CANNOT_RUN,
+} rig_result_t;
+
 /** rig_arrival_t - a request at a server */
 typedef struct {
 	char id[24];
@@ -68,6 +77,13 @@
 /** rig_register_server - the server writes its entry anew, from any thread. */
 void rig_register_server(rig_t *rig, unsigned server);
 
+/** rig_write_foreign_entry - another writer replaces the server's entry, from
+ * any thread. */
+void rig_write_foreign_entry(rig_t *rig, unsigned server);
+
+/** rig_is_archive - whether the server is of the service "archive". */
+gboolean rig_is_archive(const rig_t *rig, unsigned server);
+
 /** rig_start_servers - they answer a request after work_ms with the number of
  * bytes that its path ends in; a thread for each connection. */
 gboolean rig_start_servers(rig_t *rig);
@@ -89,12 +105,13 @@
 /** rig_ask_t - a request on a connection, and what came of it */
 typedef struct {
 	char id[24];
-	gboolean is_crash; /* asks for RIG_CRASH */
-	gsize size;	   /* of the body that is asked for */
-	unsigned time_ms;  /* limit of the caller */
+	gboolean is_crash; /* asks for RIG_CRASH, one of several kinds */
+	unsigned kind;
+	gboolean is_keep; /* of the service "archive" */
+	gsize size;	  /* of the body that is asked for */
+	unsigned time_ms; /* limit of the caller */
 	/* pause after the first bytes of the answer */
 	unsigned pause_ms;
-	gsize bytes_per_s; /* rate of the caller's line; 0: no limit */
 	/* result */
 	int status; /* 0 without an answer */
 	gsize got;  /* bytes of the body */
@@ -102,15 +119,22 @@
 	gint64 ended_at; /* both in ms since the start */
 } rig_ask_t;
 
-/** rig_connect - a connection of a caller to a host, with a receive buffer of
- * that size if it is not 0; -1 if there is none. */
-int rig_connect(const rig_t *rig, unsigned host, int buffer);
+/** rig_connect - a connection of a caller to a host; -1 if there is none. */
+int rig_connect(const rig_t *rig, unsigned host);
 
 /** rig_ask - sends a request and reads its answer; TRUE if it is complete. */
 gboolean rig_ask(rig_t *rig, int fd, rig_ask_t *ask);
 
 /** rig_play_crash - requests that crash servers come again and again beside
- * sound ones; TRUE if they reach servers more often than the rule allows. */
-gboolean rig_play_crash(rig_t *rig, gboolean has_trouble);
+ * sound ones; broken if they reach servers more often than the rule allows. */
+rig_result_t rig_play_crash(rig_t *rig, gboolean has_trouble);
+
+/** rig_play_foreign - another writer changes the entry of a server; broken if a
+ * request is run by a service to which no route leads. */
+rig_result_t rig_play_foreign(rig_t *rig, gboolean has_trouble);
+
+/** rig_play_pause - callers pause in an answer; broken if more of them than the
+ * rule allows don't get the rest. */
+rig_result_t rig_play_pause(rig_t *rig, gboolean has_trouble);
 
 #endif
--- a/review/rig3/server.c
+++ b/review/rig3/server.c
@@ -72,7 +72,7 @@
 static void crash(server_t *server, const char *id)
 {
 	rig_t *rig = server->rig;
-	gint64 now = rig_ms(rig);
+	rig_arrival_t arrival = { .at = rig_ms(rig) };
 
 	g_mutex_lock(&server->lock);
 	if (!server->is_up) {
@@ -84,15 +84,22 @@
 	for (guint i = 0; i < server->connections->len; i++)
 		shutdown(g_array_index(server->connections, int, i), SHUT_RDWR);
 	g_mutex_unlock(&server->lock);
+	g_strlcpy(arrival.id, id, sizeof(arrival.id));
 	g_mutex_lock(&rig->lock);
-	g_array_append_val(rig->crash_times, now);
+	g_array_append_val(rig->crashes, arrival);
 	g_mutex_unlock(&rig->lock);
 	rig_note(rig, "server %s crashes under %s", server->name, id);
 }
 
+gboolean rig_is_archive(const rig_t *rig, unsigned server)
+{
+	return server >= rig->n_servers - rig->n_archive;
+}
+
 static void note_run(const service_t *service, const char *id,
-		     gboolean is_crash)
+		     gboolean is_crash, gboolean is_look)
 {
+	unsigned index = service->server->index;
 	rig_t *rig = service->server->rig;
 	rig_arrival_t arrival = { .at = rig_ms(rig) };
 
@@ -101,8 +108,11 @@
 	g_hash_table_add(rig->runs, g_strdup(id));
 	if (is_crash)
 		g_array_append_val(rig->arrivals, arrival);
+	rig->n_misrouted += is_look && rig_is_archive(rig, index);
 	g_mutex_unlock(&rig->lock);
-	rig_note(rig, "server %s runs %s", service->server->name, id);
+	rig_note(rig, "server %s of %s runs %s of %s", service->server->name,
+		 rig_is_archive(rig, index) ? "archive" : "ledger", id,
+		 is_look ? "ledger" : "archive");
 	g_usleep((gulong)rig->work_ms * 1000);
 }
 
@@ -143,15 +153,17 @@
 	char *id = field_of(rig, head, "id");
 	char *instance = field_of(rig, head, "instance");
 	const char *what = strstr(head, "/look/");
+	gboolean is_look = what != NULL;
 	gboolean is_crash;
 	gboolean ok = FALSE;
 
+	what = what ? what : strstr(head, "/keep/");
 	what = what ? what + strlen("/look/") : "";
 	is_crash = g_str_has_prefix(what, RIG_CRASH);
 	if (g_strcmp0(instance, service->server->name) != 0) {
 		ok = send_misdirected(service);
 	} else if (id) {
-		note_run(service, id, is_crash);
+		note_run(service, id, is_crash, is_look);
 		if (is_crash && rig->is_crashed)
 			crash(service->server, id);
 		else
--- a/review/rig3/store.c
+++ b/review/rig3/store.c
@@ -292,16 +292,19 @@
 	g_free(objects);
 }
 
-/* What a server writes at its start. */
-static void put_server(store_t *store, unsigned i)
+/* What a server writes at its start, or what another writer puts there. */
+static void put_server(store_t *store, unsigned i, gboolean is_foreign)
 {
+	const char *service =
+		rig_is_archive(store->rig, i) ? "archive" : "ledger";
 	char *key = g_strdup_printf("servers/i-%u", i + 1);
 	char *n = g_strdup_printf("%u", i + 1);
 	char *address =
 		g_strdup_printf("127.0.0.1:%d", store->rig->server_ports[i]);
 	char *born = number(g_get_real_time() / 1000);
-	char *server = rig_text(store->rig, "store", "server", "N", n,
-				"ADDRESS", address, "BORN", born, RIG_END);
+	char *server = rig_text(
+		store->rig, "store", is_foreign ? "foreign" : "server", "N", n,
+		"ADDRESS", address, "BORN", born, "SERVICE", service, RIG_END);
 
 	put(store, key, server);
 	g_free(server);
@@ -314,33 +317,46 @@
 typedef struct {
 	store_t *store;
 	unsigned server;
+	gboolean is_foreign;
 } registration_t;
 
 static gboolean on_registration(gpointer user)
 {
 	registration_t *registration = user;
 
-	put_server(registration->store, registration->server);
+	put_server(registration->store, registration->server,
+		   registration->is_foreign);
 	g_free(registration);
 	return G_SOURCE_REMOVE;
 }
 
-void rig_register_server(rig_t *rig, unsigned server)
+static void write_later(rig_t *rig, unsigned server, gboolean is_foreign)
 {
 	registration_t *registration = g_new0(registration_t, 1);
 
 	registration->store = rig->store;
 	registration->server = server;
+	registration->is_foreign = is_foreign;
 	g_idle_add(on_registration, registration);
 }
 
+void rig_register_server(rig_t *rig, unsigned server)
+{
+	write_later(rig, server, FALSE);
+}
+
+void rig_write_foreign_entry(rig_t *rig, unsigned server)
+{
+	write_later(rig, server, TRUE);
+}
+
 static void put_first_objects(store_t *store)
 {
 	char *config = rig_text(store->rig, "store", "config", RIG_END);
 
 	put(store, "config/main", config);
 	for (unsigned i = 0; i < store->rig->n_servers; i++)
-		put_server(store, i);
+		put_server(store, i, FALSE);
 	g_free(config);
 }
 
