--- a/review/rig3/main.c
+++ b/review/rig3/main.c
@@ -30,7 +30,6 @@
 static const case_t cases[] = {
 	{ "foreign", 20, 4, 2, rig_play_foreign },
 	{ "crash", 20, 4, 0, rig_play_crash },
-	{ "pause", 50, 1, 0, rig_play_pause },
 };
 
 static const case_t *find_case(const char *name)
--- a/review/rig3/server.c
+++ b/review/rig3/server.c
@@ -220,6 +220,7 @@
 	server->listener = listener;
 	server->is_up = TRUE;
 	g_mutex_unlock(&server->lock);
+	rig->born_ms[server->index] = g_get_real_time() / 1000;
 	rig_register_server(rig, server->index);
 	rig_note(rig, "server %s is back", server->name);
 }
@@ -261,6 +262,7 @@
 		server->index = i;
 		server->name = g_strdup_printf("i-%u", i + 1);
 		server->connections = g_array_new(FALSE, FALSE, sizeof(int));
+		rig->born_ms[i] = g_get_real_time() / 1000;
 		server->is_up = TRUE;
 		server->listener = rig_listen(rig->server_ports[i]);
 		if (server->listener < 0)
--- a/review/rig3/store.c
+++ b/review/rig3/store.c
@@ -301,7 +301,7 @@
 	char *n = g_strdup_printf("%u", i + 1);
 	char *address =
 		g_strdup_printf("127.0.0.1:%d", store->rig->server_ports[i]);
-	char *born = number(g_get_real_time() / 1000);
+	char *born = number(store->rig->born_ms[i]);
 	char *server = rig_text(
 		store->rig, "store", is_foreign ? "foreign" : "server", "N", n,
 		"ADDRESS", address, "BORN", born, "SERVICE", service, RIG_END);
